--- /dev/null
+++ b/build.sh
@@ -0,0 +1,99 @@
+#!/usr/bin/env bash
+# Builds, tests and shows monsoonbay. See README.md; every command installs what it needs.
+set -eu
+cd "$(dirname "$0")"
+here=$(pwd)
+build="$here/build"
+
+usage() {
+    cat <<'EOF'
+usage: ./build.sh COMMAND [--deployment bavaria|finland] [--seconds N] [--rate N]
+
+  demo     builds, starts the stand-ins and daemons of one deployment on loopback,
+           sends a mixed load, prints the measures, writes a plot, ends all it started
+  test     formatting, linting, build and all tests; what CI runs
+  build    builds everything into build/
+  format   formats the sources in place
+EOF
+}
+
+install_packages() {
+    local missing=()
+    local package
+    while read -r package; do
+        dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' \
+            || missing+=("$package")
+    done < packages.txt
+    [ ${#missing[@]} -eq 0 ] && return
+    echo "installing: ${missing[*]}"
+    apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
+}
+
+build_all() {
+    cmake -G Ninja -S "$here" -B "$build" -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+    cmake --build "$build"
+}
+
+sources() {
+    find libs tools tests -name '*.pb.*' -prune -o \( -name '*.cpp' -o -name '*.h' \) -print 2>/dev/null
+}
+
+check_format() {
+    sources | xargs clang-format --dry-run --Werror
+}
+
+lint() {
+    # Only our own translation units; the generated code is not ours to tidy.
+    sources | grep '\.cpp$' | grep -v '/tests/' \
+        | xargs -P "$(nproc)" -n 4 clang-tidy -p "$build" --quiet 2>/dev/null
+}
+
+started=()
+stop_started() {
+    # Daemons end first, and gracefully, so that their last words do not complain of the platform.
+    local index
+    for ((index = ${#started[@]} - 1; index >= 0; --index)); do
+        kill -TERM "${started[$index]}" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+}
+
+demo() {
+    local deployment=bavaria seconds=20 rate=3
+    while [ $# -gt 0 ]; do
+        case "$1" in
+            --deployment) deployment=$2; shift 2 ;;
+            --seconds) seconds=$2; shift 2 ;;
+            --rate) rate=$2; shift 2 ;;
+            *) usage; exit 2 ;;
+        esac
+    done
+    local folder="$here/out/$deployment"
+    local loadgen="$build/tools/loadgen/monsoonbay-loadgen"
+    "$loadgen" plan --deployment "$deployment" --folder "$folder"
+    trap stop_started EXIT
+    local line number=0
+    while read -r line; do
+        number=$((number + 1))
+        # shellcheck disable=SC2086
+        "$build"/$line >"$folder/process-$number.out" 2>"$folder/process-$number.log" &
+        started+=($!)
+    done < "$folder/processes.txt"
+    echo "started $number processes; logs are in out/$deployment"
+    "$loadgen" load --deployment "$deployment" --folder "$folder" --seconds "$seconds" --rate "$rate"
+}
+
+run_tests() {
+    ctest --test-dir "$build" --output-on-failure -j "$(nproc)"
+}
+
+command=${1:-}
+[ $# -gt 0 ] && shift
+case "$command" in
+    demo) install_packages; build_all; demo "$@" ;;
+    test) install_packages; check_format; build_all; lint; run_tests ;;
+    build) install_packages; build_all ;;
+    format) sources | xargs clang-format -i ;;
+    *) usage; exit 2 ;;
+esac
--- /dev/null
+++ b/libs/core/include/core/Error.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <string>
+#include <system_error>
+
+namespace monsoonbay {
+
+/** What can happen to a request or an order. The message of each kind names the remedy. */
+enum class ErrorKind {
+    Ok = 0,
+    BadRequest,
+    Unauthorized,
+    Forbidden,
+    UnknownAdapter,
+    UnknownService,
+    TooLarge,
+    Overloaded,
+    StoreSaturated,
+    NoTarget,
+    NotResident,
+    NotOwner,
+    LeaseLapsed,
+    TargetLeaving,
+    ShuttingDown,
+    NotReady,
+    DeadlinePassed,
+    KeyUnknowable,
+    KeyInUse,
+    KeyConflict,
+    LoadFailed,
+    StaleToken,
+    MayHaveRun,
+    WrongAnswer,
+    BrokenStream,
+    PeerUnreachable,
+    CallerGone,
+};
+
+/** How a request ended towards its caller. */
+enum class Ending {
+    Answered, ///< the whole answer was delivered, once
+    Refused, ///< it did not run
+    Failed, ///< it ran, or may have run
+};
+
+const std::error_category &errorCategory() noexcept;
+
+inline std::error_code make_error_code(ErrorKind kind) noexcept
+{
+    return {static_cast<int>(kind), errorCategory()};
+}
+
+/** Stable short name of a kind, used in problem documents and metrics. */
+std::string_view errorName(ErrorKind kind) noexcept;
+
+/** True if this kind by itself says that the request did not run. */
+bool meansNotRun(ErrorKind kind) noexcept;
+
+/** HTTP status that a caller sees for this kind. */
+int httpStatusOf(ErrorKind kind) noexcept;
+
+} // namespace monsoonbay
+
+template <> struct std::is_error_code_enum<monsoonbay::ErrorKind> : std::true_type
+{ };
--- /dev/null
+++ b/libs/daemon/include/daemon/Daemon.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "config/Settings.h"
+
+namespace monsoonbay {
+
+/** Ports in use; they differ from the settings where those asked for port 0. */
+struct DaemonPorts
+{
+    std::uint16_t callers = 0;
+    std::uint16_t peers = 0;
+    std::uint16_t operators = 0;
+};
+
+/** How a daemon ended. */
+struct ShutdownReport
+{
+    std::uint64_t cutRequests = 0; ///< in flight when the bound or a second signal ended it
+};
+
+/** One entry VM of the system. The kernel of all roles; main() and tests run it. */
+class Daemon
+{
+public:
+    explicit Daemon(const Settings &settings);
+    ~Daemon();
+
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    DaemonPorts ports() const;
+    bool ready() const;
+
+    /** Begins a graceful shutdown; the second call cuts what is still in flight. Thread-safe. */
+    void requestShutdown();
+
+    /** Blocks until the shutdown is done. */
+    ShutdownReport wait();
+
+    /** Ends at once, as a crash would, without telling anybody. For tests of failures. */
+    void kill();
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/daemon/src/Ingress.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "Node.h"
+
+namespace monsoonbay {
+
+/** Handles one request of a caller, from its arrival to its one answer. */
+asio::awaitable<void> handleCaller(Node &node, HttpExchange &exchange);
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/daemon/src/ManifestReader.cpp
@@ -0,0 +1,360 @@
+#include "ManifestReader.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+#include <nlohmann/json.hpp>
+
+#include "OwnerLoop.h"
+#include "observe/Events.h"
+
+namespace monsoonbay {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int longPollMs = 300;
+constexpr Duration readTimeout = std::chrono::seconds(10);
+constexpr Duration retryPause = std::chrono::milliseconds(200);
+constexpr Duration vmListEvery = std::chrono::milliseconds(500);
+constexpr Duration fetchTimeout = std::chrono::seconds(5);
+constexpr std::size_t keptRecords = 2000;
+constexpr std::size_t keptVerdicts = 200;
+constexpr std::uint64_t recordsPerSnapshot = 500;
+
+std::string problemsText(const JudgedRecord &judged)
+{
+    std::string text;
+    for (const Problem &problem : judged.problems) {
+        if (text.size() > 1000)
+            return text + " …";
+        text +=
+            (text.empty() ? "" : " | ") + problem.text("offset " + std::to_string(judged.offset));
+    }
+    return text;
+}
+
+void putInForce(Node &node, const AcceptedManifest &state)
+{
+    auto manifest = std::make_shared<const Manifest>(state.manifest);
+    const bool firstOne = node.manifestOffset == 0 && state.mark.offset != 0;
+    node.inForce.with([&](auto &held) { held = manifest; });
+    node.manifestOffset = state.mark.offset;
+    refreshTargets(node);
+    if (firstOne)
+        logEvent(EventId::Ready, {{"offset", std::to_string(state.mark.offset)}});
+}
+
+void report(const JudgedRecord &judged)
+{
+    if (judged.verdict == RecordVerdict::Accepted) {
+        logEvent(EventId::ManifestAccepted,
+                 {{"offset", std::to_string(judged.offset)}, {"digest", judged.mark.digest}});
+        return;
+    }
+    const bool rejected = judged.verdict == RecordVerdict::Conflict
+        || judged.verdict == RecordVerdict::Invalid || judged.verdict == RecordVerdict::Dangerous;
+    if (rejected)
+        logEvent(EventId::ManifestRejected,
+                 {{"offset", std::to_string(judged.offset)},
+                  {"verdict", std::string(verdictName(judged.verdict))},
+                  {"problems", problemsText(judged)}});
+}
+
+void keep(Node &node, const ManifestRecord &record, const JudgedRecord &judged)
+{
+    node.history.with([&](ManifestHistory &history) {
+        history.records.push_back(record);
+        if (history.records.size() > keptRecords) {
+            history.completeAfter = history.records.front().offset;
+            history.records.pop_front();
+        }
+        history.judged.push_back(judged);
+        if (history.judged.size() > keptVerdicts)
+            history.judged.pop_front();
+        if (judged.verdict == RecordVerdict::Snapshot)
+            history.lastSnapshotAt = record.offset;
+    });
+}
+
+// Judging and putting in force happen under the lock of the accepted state's order: records come
+// from the log loop and from peers' fetches, and an older state must not be put over a newer one.
+void takeRecord(Node &node, const ManifestRecord &record)
+{
+    JudgedRecord judged;
+    AcceptedManifest state;
+    node.manifest.with([&](AcceptedManifest &held) {
+        judged = judge(held, record);
+        state = held;
+    });
+    if (judged.verdict == RecordVerdict::Old)
+        return;
+    keep(node, record, judged);
+    report(judged);
+    const bool changed = judged.verdict == RecordVerdict::Accepted
+        || (judged.verdict == RecordVerdict::Snapshot && state.mark.offset > node.manifestOffset);
+    if (changed && state.mark.offset > node.manifestOffset)
+        putInForce(node, state);
+}
+
+void takeClaimRecord(Node &node, std::uint64_t offset, const std::string &body)
+{
+    const Json claim = Json::parse(body, nullptr, false);
+    const bool valid = claim.is_object() && claim.contains("vm") && claim["vm"].is_number_unsigned()
+        && claim.contains("targets") && claim["targets"].is_array();
+    if (!valid)
+        return;
+    const VmId vm{claim["vm"].get<std::uint64_t>()};
+    if (vm == node.self)
+        return;
+    node.ownership.with([&](OwnershipState &state) {
+        for (const Json &target : claim["targets"]) {
+            if (target.is_number_unsigned())
+                noteClaim(state, TargetId{target.get<std::uint64_t>()}, vm, FencingToken{offset, 0},
+                          false, BootClock::now());
+        }
+    });
+}
+
+void takeOperationRecord(Node &node, const std::string &body)
+{
+    const Json operation = Json::parse(body, nullptr, false);
+    const bool valid =
+        operation.is_object() && operation.contains("drain") && operation["drain"].is_string();
+    if (!valid)
+        return;
+    const TargetId target = TargetId::of(operation["drain"].get<std::string>());
+    const bool on = operation.value("on", true);
+    node.drained.with([&](auto &drained) {
+        if (on)
+            drained.insert(target);
+        else
+            drained.erase(target);
+    });
+    refreshTargets(node);
+}
+
+void takeLogRecord(Node &node, const Json &record)
+{
+    const bool valid = record.is_object() && record.contains("offset") && record.contains("stream")
+        && record.contains("body") && record["body"].is_string();
+    if (!valid)
+        return;
+    const std::uint64_t offset = record["offset"];
+    const std::string stream = record["stream"];
+    const std::string body = record["body"];
+    if (stream == "manifest")
+        takeRecord(node, ManifestRecord{offset, body});
+    else if (stream == "claims")
+        takeClaimRecord(node, offset, body);
+    else if (stream == "operations")
+        takeOperationRecord(node, body);
+}
+
+void setLogUp(Node &node, bool up)
+{
+    if (node.logUp.exchange(up) == up)
+        return;
+    logEvent(up ? EventId::LogReachable : EventId::LogUnreachable,
+             {{"log", node.settings.log.text()}});
+}
+
+// Records between what we read and what is retained are lost to us: among them may be accepted
+// manifests. What is in force stays so, but later deltas cannot be judged before a snapshot.
+void noteGap(Node &node, std::uint64_t position, std::uint64_t first)
+{
+    node.manifest.with([&](AcceptedManifest &state) {
+        noteLogStart(state, first);
+        const bool missed = position < first && first > 1;
+        if (missed && state.readThrough + 1 < first)
+            state.based = false;
+    });
+}
+
+// The coordinator puts the accepted state back on the log before retention takes the records that
+// it was made of; without that a new VM would find changes with nothing to apply them to.
+asio::awaitable<void> snapshotIfDue(Node &node, std::uint64_t first, std::uint64_t next)
+{
+    const VmId coordinator =
+        node.coordinator.with([](const CoordinatorView &view) { return view.coordinator; });
+    if (coordinator != node.self)
+        co_return;
+    const AcceptedManifest state =
+        node.manifest.with([](const AcceptedManifest &held) { return held; });
+    const std::uint64_t last =
+        node.history.with([](const ManifestHistory &history) { return history.lastSnapshotAt; });
+    const std::uint64_t middle = first + (next - first) / 2;
+    const std::uint64_t base = std::max(last, state.mark.offset == 0 ? 0 : first);
+    const bool many = next > base + recordsPerSnapshot;
+    const bool endangered = first > 1 && last < middle;
+    if (state.mark.offset == 0 || !state.based || !(many || endangered))
+        co_return;
+    const std::uint64_t offset = co_await appendToLog(node, "manifest", writeSnapshot(state));
+    if (offset != 0)
+        logEvent(EventId::ManifestSnapshot,
+                 {{"offset", std::to_string(offset)}, {"of", std::to_string(state.mark.offset)}});
+}
+
+asio::awaitable<void> fetchFromPeer(Node &node, VmId peer)
+{
+    const std::optional<Endpoint> endpoint = peerEndpoint(node, peer);
+    if (!endpoint)
+        co_return;
+    v1::FetchManifestRequest request;
+    request.set_read_through(node.manifest.with(
+        [](const AcceptedManifest &state) { return state.based ? state.readThrough : 0; }));
+    const PeerResult<v1::FetchManifestReply> result =
+        co_await node.peers.fetchManifest(*endpoint, std::move(request), fetchTimeout);
+    if (!result.ok)
+        co_return;
+    for (const v1::ManifestRecord &record : result.reply.records())
+        takeRecord(node, ManifestRecord{record.offset(), record.body()});
+    if (result.reply.snapshot().empty())
+        co_return;
+    AcceptedManifest state;
+    const bool adopted = node.manifest.with([&](AcceptedManifest &held) {
+        const bool newer = adoptSnapshot(held, result.reply.snapshot());
+        state = held;
+        return newer;
+    });
+    if (!adopted)
+        co_return;
+    node.history.with([&](ManifestHistory &history) {
+        history.records.clear();
+        history.completeAfter = state.readThrough;
+    });
+    logEvent(EventId::ManifestFromPeer, {{"offset", std::to_string(state.mark.offset)}});
+    if (state.mark.offset > node.manifestOffset)
+        putInForce(node, state);
+}
+
+std::vector<ListedVm> readVmList(const Json &list)
+{
+    std::vector<ListedVm> vms;
+    for (const Json &item : list) {
+        if (!item.is_object())
+            continue;
+        ListedVm vm;
+        vm.name = item.value("name", "");
+        vm.kind = item.value("kind", "");
+        vm.zone = item.value("zone", "");
+        vm.endpoint.address = item.value("address", "");
+        vm.endpoint.port = static_cast<std::uint16_t>(item.value("port", 0));
+        vm.leaving = item.value("state", "live") == "leaving";
+        vms.push_back(vm);
+    }
+    return vms;
+}
+
+void takeVmList(Node &node, const std::vector<ListedVm> &vms)
+{
+    const Instant now = BootClock::now();
+    for (const ListedVm &vm : vms) {
+        if (vm.kind != "entry" || vm.leaving)
+            continue;
+        Member member;
+        member.vm = VmId::of(vm.name);
+        member.name = vm.name;
+        member.zone = vm.zone;
+        member.address = vm.endpoint.address;
+        member.port = vm.endpoint.port;
+        node.membership.with([&](MembershipState &state) { noteSeed(state, member, now); });
+    }
+    const bool changed = node.listed.with([&](std::vector<ListedVm> &held) {
+        const bool differs = held != vms;
+        held = vms;
+        return differs;
+    });
+    if (changed)
+        refreshTargets(node);
+}
+
+} // namespace
+
+asio::awaitable<std::uint64_t> appendToLog(Node &node, std::string stream, std::string body)
+{
+    const Json record{{"stream", stream}, {"body", body}};
+    HttpCall call;
+    call.method = "POST";
+    call.path = "/v1/append";
+    call.body = record.dump();
+    const HttpResult result =
+        co_await node.http.call(node.settings.log, std::move(call), readTimeout);
+    if (!result.ok())
+        co_return 0;
+    const Json reply = Json::parse(result.body, nullptr, false);
+    co_return reply.is_object() ? reply.value("offset", std::uint64_t{0}) : 0;
+}
+
+void noteManifestOfPeer(Node &node, VmId peer, std::uint64_t offset)
+{
+    // A reader of the log is usually ahead by itself; the peers are asked only about what the log
+    // has not given, which while it is up resolves within a poll.
+    const bool behind = offset > node.manifestOffset;
+    if (!behind || node.stopped)
+        return;
+    asio::co_spawn(asio::make_strand(node.context), fetchFromPeer(node, peer), asio::detached);
+}
+
+asio::awaitable<void> logLoop(Node &node)
+{
+    std::uint64_t position = 1;
+    while (!node.stopped) {
+        const Instant startedAt = BootClock::now();
+        HttpCall call;
+        call.path = "/v1/read?from=" + std::to_string(position)
+            + "&max=500&waitMs=" + std::to_string(longPollMs);
+        const HttpResult result =
+            co_await node.http.call(node.settings.log, std::move(call), readTimeout);
+        const Json reply = result.ok() ? Json::parse(result.body, nullptr, false) : Json();
+        const bool readable = reply.is_object() && reply.contains("records")
+            && reply["records"].is_array() && reply.contains("first") && reply.contains("next");
+        setLogUp(node, readable);
+        if (!readable) {
+            co_await pause(retryPause);
+            continue;
+        }
+        const std::uint64_t first = reply["first"];
+        const std::uint64_t next = reply["next"];
+        position = std::max(position, std::uint64_t{1});
+        noteGap(node, position, first);
+        const bool wasBased =
+            node.manifest.with([](const AcceptedManifest &state) { return state.based; });
+        for (const Json &record : reply["records"]) {
+            takeLogRecord(node, record);
+            position = std::max(position, record.value("offset", position) + 1);
+        }
+        // What was skipped for want of a base is read again once a snapshot gave one.
+        const std::uint64_t resumeAt = node.manifest.with([&](const AcceptedManifest &state) {
+            const bool adopted = !wasBased && state.based;
+            return adopted ? state.readThrough + 1 : position;
+        });
+        position = std::min(position, std::max(resumeAt, first));
+        const bool complete = position >= next;
+        if (complete)
+            node.ownership.with([&](OwnershipState &state) { noteLogRead(state, startedAt); });
+        co_await snapshotIfDue(node, first, next);
+    }
+}
+
+asio::awaitable<void> vmListLoop(Node &node)
+{
+    bool readableBefore = true;
+    while (!node.stopped) {
+        HttpCall call;
+        call.path = "/v1/vms";
+        const HttpResult result =
+            co_await node.http.call(node.settings.vmList, std::move(call), std::chrono::seconds(2));
+        const Json list = result.ok() ? Json::parse(result.body, nullptr, false) : Json();
+        const bool readable = list.is_array();
+        if (readable)
+            takeVmList(node, readVmList(list));
+        if (!readable && readableBefore)
+            logEvent(EventId::VmListUnreadable, {{"vmList", node.settings.vmList.text()}});
+        readableBefore = readable;
+        co_await pause(vmListEvery);
+    }
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/observe/include/observe/Events.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace monsoonbay {
+
+/** Numbered events of the daemon; docs/EVENTS.md explains each. Numbers are never reused. */
+enum class EventId : std::uint16_t {
+    Started = 1001,
+    Ready = 1002,
+    NotReady = 1003,
+    SettingsRefused = 1004,
+    ShutdownBegun = 1010,
+    ShutdownDone = 1011,
+    ShutdownCut = 1012,
+    MemberAlive = 2001,
+    MemberGone = 2002,
+    VmListUnreadable = 2003,
+    TargetClaimed = 3001,
+    TargetLost = 3002,
+    TargetHandedOver = 3003,
+    TargetLeaving = 3004,
+    StaleOrderRefused = 3005,
+    EngineRestarted = 3006,
+    LogUnreachable = 3010,
+    LogReachable = 3011,
+    LoadOrdered = 4001,
+    LoadDone = 4002,
+    LoadFailed = 4003,
+    LoadDeclined = 4004,
+    CoordinatorChanged = 4010,
+    WrongAnswer = 5001,
+    ShortAnswer = 5002,
+    AnswerLost = 5003,
+    StreamResumed = 5004,
+    ManifestAccepted = 6001,
+    ManifestRejected = 6002,
+    ManifestSnapshot = 6003,
+    ManifestFromPeer = 6004,
+};
+
+enum class EventLevel : std::uint8_t { Info, Warning, Error };
+
+/** One row of the catalogue. */
+struct EventRow
+{
+    EventId id;
+    std::string_view name;
+    EventLevel level;
+    std::string_view meaning;
+    std::string_view remedy;
+};
+
+std::span<const EventRow> eventCatalogue() noexcept;
+const EventRow *findEvent(EventId id) noexcept;
+
+/** A named value of an event. Never a token, a prompt or an answer. */
+struct EventField
+{
+    std::string_view name;
+    std::string value;
+};
+
+enum class LogFormat : std::uint8_t { Text, Json };
+
+/** Sets how events are written; `vm` goes with each of them. */
+void setUpLog(LogFormat format, std::string_view vm);
+
+/** Writes an event to standard error. */
+void logEvent(EventId id, std::initializer_list<EventField> fields);
+
+/** The line that logEvent writes, without time. */
+std::string eventText(LogFormat format, std::string_view vm, const EventRow &row,
+                      std::initializer_list<EventField> fields);
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/observe/include/observe/Metrics.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace monsoonbay {
+
+enum class Counter : std::uint8_t {
+    RequestsReceived,
+    RequestsAnswered,
+    RequestsRefused,
+    RequestsFailed,
+    RequestsStalled,
+    Bounces,
+    Resumes,
+    Retries,
+    PiecesDropped,
+    WrongAnswers,
+    KeyReplays,
+    LoadsDone,
+    LoadsFailed,
+    PeerBytesSent,
+    PeerMessagesSent,
+    EngineCalls,
+    TokensStreamed,
+    Count, ///< number of counters, not one of them
+};
+
+enum class Timing : std::uint8_t {
+    LoadStall, ///< seconds a request waited because its adapter was not resident
+    FirstPiece, ///< seconds from arrival to the first piece of the answer
+    BetweenPieces,
+    Refusal, ///< seconds from arrival to a refusal
+    Count, ///< number of timings, not one of them
+};
+
+/** Quantiles of one timing, in seconds. */
+struct TimingSummary
+{
+    std::uint64_t count = 0;
+    double sum = 0;
+    double p50 = 0;
+    double p95 = 0;
+    double p99 = 0;
+};
+
+/** Counters and histograms of one daemon; histograms are sharded by thread. */
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    void add(Counter counter, std::uint64_t amount = 1) noexcept;
+    std::uint64_t value(Counter counter) const noexcept;
+    void record(Timing timing, double seconds);
+    TimingSummary summary(Timing timing) const;
+
+    /** All of it in the OpenMetrics text format. */
+    std::string openMetrics() const;
+
+private:
+    struct Impl;
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Counter::Count)> counters{};
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/ownership/src/Ownership.cpp
@@ -0,0 +1,312 @@
+#include "ownership/Ownership.h"
+
+#include <algorithm>
+
+namespace monsoonbay {
+
+namespace {
+
+TargetClaim *claimOf(OwnershipState &state, TargetId target)
+{
+    const auto found = std::lower_bound(
+        state.claims.begin(), state.claims.end(), target,
+        [](const TargetClaim &claim, TargetId id) { return claim.target.target < id; });
+    const bool present = found != state.claims.end() && found->target.target == target;
+    return present ? &*found : nullptr;
+}
+
+bool isCandidate(const OwnershipState &state, VmId vm)
+{
+    return std::any_of(state.candidates.begin(), state.candidates.end(),
+                       [vm](const OwnerCandidate &candidate) { return candidate.vm == vm; });
+}
+
+// Rendezvous over the zone's entry VMs; over all of them if the zone has none left.
+VmId preferredOwner(const OwnershipState &state, const OwnedTarget &target)
+{
+    const bool zoneHasOne = std::any_of(
+        state.candidates.begin(), state.candidates.end(),
+        [&target](const OwnerCandidate &candidate) { return candidate.zone == target.zone; });
+    VmId best;
+    std::uint64_t highest = 0;
+    for (const OwnerCandidate &candidate : state.candidates) {
+        if (zoneHasOne && candidate.zone != target.zone)
+            continue;
+        const std::uint64_t score = rendezvousScore(target.target.value, candidate.vm.value);
+        if (best.value != 0 && score <= highest)
+            continue;
+        best = candidate.vm;
+        highest = score;
+    }
+    return best;
+}
+
+int ownedBy(const OwnershipState &state, VmId vm, const std::string &zone)
+{
+    return static_cast<int>(
+        std::count_if(state.claims.begin(), state.claims.end(), [&](const TargetClaim &claim) {
+            return claim.owner == vm && claim.target.zone == zone;
+        }));
+}
+
+bool isOurs(const OwnershipState &state, const TargetClaim &claim)
+{
+    return claim.phase == ClaimPhase::Owner && claim.owner == state.self;
+}
+
+void lose(TargetClaim &claim)
+{
+    claim.phase = ClaimPhase::None;
+    claim.leaseUntil = Instant{};
+}
+
+bool shouldClaim(const OwnershipState &state, const TargetClaim &claim, Instant now)
+{
+    if (state.leaving || claim.phase != ClaimPhase::None)
+        return false;
+    if (now < state.startedAt + state.config.settle)
+        return false;
+    // Claiming what one cannot reach would take a target from a zone that is cut off and serves
+    // it well, without being able to serve it here.
+    if (claim.reachableAt + state.config.reachableFor < now)
+        return false;
+    const bool heldByAnother = claim.owner.value != 0 && claim.owner != state.self
+        && !claim.released && isCandidate(state, claim.owner);
+    if (heldByAnother)
+        return false;
+    return preferredOwner(state, claim.target) == state.self;
+}
+
+// The previous owner may order until its lease ends, which is at the latest a lease after the
+// claim came into force: a fenced engine refuses it from then on, an unfenced one does not, but
+// the owner itself stops when it cannot renew.
+void startOwning(OwnershipState &state, TargetClaim &claim, Instant now)
+{
+    claim.phase = ClaimPhase::Owner;
+    claim.claimedAt = now;
+    const bool handedOver = claim.released;
+    // What the previous owner dispatched last may still be on its way to the engine.
+    claim.orderAfter = now + state.config.margin + (handedOver ? Duration{} : state.config.lease);
+    claim.owner = state.self;
+    claim.ownerToken = claim.token;
+    claim.released = false;
+    claim.everOwned = true;
+}
+
+// Unfenced engines: the log is the arbiter while it can be read, else the zone's peers, and only
+// while all of them are heard. A silent peer may have claimed through a log that we cannot see.
+Instant unfencedLease(const OwnershipState &state)
+{
+    const Instant byLog = state.everReadLog ? state.logReadAt + state.config.lease : Instant{};
+    const Instant byPeers = state.peersHeardAt + state.config.lease;
+    return std::max(byLog, byPeers);
+}
+
+Instant leaseOf(const OwnershipState &state, const TargetClaim &claim)
+{
+    return claim.target.checksTokens ? claim.leaseUntil : unfencedLease(state);
+}
+
+void confirm(OwnershipState &state, TargetClaim &claim, const FencingToken &token, Instant now)
+{
+    claim.token = token;
+    state.highest = std::max(state.highest, token);
+    if (claim.target.checksTokens)
+        claim.phase = ClaimPhase::Confirming;
+    else
+        startOwning(state, claim, now);
+}
+
+void addHandOver(const OwnershipState &state, TargetClaim &claim, OwnershipActions &actions,
+                 Instant now)
+{
+    if (!isOurs(state, claim) || now < claim.claimedAt + state.config.stickyFor)
+        return;
+    const VmId preferred = preferredOwner(state, claim.target);
+    if (preferred == state.self || preferred.value == 0)
+        return;
+    const bool foreign = claim.target.zone != state.zone;
+    const int ours = ownedBy(state, state.self, claim.target.zone);
+    const int theirs = ownedBy(state, preferred, claim.target.zone);
+    if (!foreign && ours < theirs + 2)
+        return;
+    lose(claim);
+    claim.released = true;
+    actions.handOvers.push_back(HandOver{claim.target.target, preferred});
+}
+
+} // namespace
+
+OwnershipState makeOwnership(const OwnershipConfig &config, VmId self, const std::string &zone,
+                             Instant now)
+{
+    OwnershipState state;
+    state.config = config;
+    state.self = self;
+    state.zone = zone;
+    state.startedAt = now;
+    return state;
+}
+
+void setTargets(OwnershipState &state, const std::vector<OwnedTarget> &targets)
+{
+    std::vector<TargetClaim> claims;
+    for (const OwnedTarget &target : targets) {
+        const TargetClaim *known = findClaim(state, target.target);
+        TargetClaim claim = known == nullptr ? TargetClaim{} : *known;
+        claim.target = target;
+        claims.push_back(claim);
+    }
+    std::sort(claims.begin(), claims.end(), [](const TargetClaim &a, const TargetClaim &b) {
+        return a.target.target < b.target.target;
+    });
+    state.claims = std::move(claims);
+}
+
+void setCandidates(OwnershipState &state, const std::vector<OwnerCandidate> &candidates)
+{
+    state.candidates = candidates;
+}
+
+void noteReachable(OwnershipState &state, TargetId target, Instant now)
+{
+    TargetClaim *claim = claimOf(state, target);
+    if (claim != nullptr)
+        claim->reachableAt = std::max(claim->reachableAt, now);
+}
+
+void noteLogRead(OwnershipState &state, Instant startedAt)
+{
+    state.logReadAt = std::max(state.logReadAt, startedAt);
+    state.everReadLog = true;
+}
+
+void noteZonePeersHeard(OwnershipState &state, Instant heardAt)
+{
+    state.peersHeardAt = std::max(state.peersHeardAt, heardAt);
+}
+
+void noteClaim(OwnershipState &state, TargetId target, VmId owner, const FencingToken &token,
+               bool released, Instant now)
+{
+    state.highest = std::max(state.highest, token);
+    TargetClaim *claim = claimOf(state, target);
+    if (claim == nullptr)
+        return;
+    const bool newer = token > claim->ownerToken;
+    const bool releasedNow = released && token == claim->ownerToken && owner == claim->owner;
+    if (owner != state.self && releasedNow)
+        claim->released = true;
+    if (!newer)
+        return;
+    const bool replacesUs =
+        owner != state.self && claim->phase != ClaimPhase::None && token > claim->token;
+    if (replacesUs)
+        lose(*claim);
+    if (owner == state.self)
+        return;
+    claim->owner = owner;
+    claim->ownerToken = token;
+    claim->released = released;
+    claim->everOwned = true;
+    (void)now;
+}
+
+void noteAppended(OwnershipState &state, const std::vector<TargetId> &targets, std::uint64_t offset,
+                  Instant now)
+{
+    for (const TargetId target : targets) {
+        TargetClaim *claim = claimOf(state, target);
+        if (claim == nullptr || claim->phase != ClaimPhase::Appending)
+            continue;
+        FencingToken token{offset, 0};
+        // The log is down, or its answer was lost, or it was truncated and counts anew: a token
+        // that is not above all that were seen would be refused by the engine, or worse, win
+        // nowhere. The local counter lifts it just above.
+        if (token <= state.highest)
+            token = FencingToken{state.highest.offset, state.highest.local + 1};
+        confirm(state, *claim, token, now);
+    }
+}
+
+void noteEngineAccepted(OwnershipState &state, TargetId target, const FencingToken &token,
+                        Instant askedAt, Instant now)
+{
+    TargetClaim *claim = claimOf(state, target);
+    if (claim == nullptr || claim->phase == ClaimPhase::None || claim->token != token)
+        return;
+    claim->reachableAt = std::max(claim->reachableAt, now);
+    if (claim->phase == ClaimPhase::Confirming)
+        startOwning(state, *claim, now);
+    claim->leaseUntil = std::max(claim->leaseUntil, askedAt + state.config.lease);
+}
+
+void noteEngineRefused(OwnershipState &state, TargetId target, const FencingToken &higher)
+{
+    state.highest = std::max(state.highest, higher);
+    TargetClaim *claim = claimOf(state, target);
+    if (claim == nullptr || claim->token >= higher)
+        return;
+    lose(*claim);
+}
+
+OwnershipActions tick(OwnershipState &state, Instant now)
+{
+    OwnershipActions actions;
+    const Duration renewEvery = state.config.lease / 4;
+    for (TargetClaim &claim : state.claims) {
+        addHandOver(state, claim, actions, now);
+        if (shouldClaim(state, claim, now)) {
+            claim.phase = ClaimPhase::Appending;
+            actions.append.push_back(claim.target.target);
+            continue;
+        }
+        const bool tells =
+            claim.phase == ClaimPhase::Confirming || claim.phase == ClaimPhase::Owner;
+        if (!tells || now < claim.renewedAt + renewEvery)
+            continue;
+        claim.renewedAt = now;
+        actions.engineClaims.push_back(EngineClaim{claim.target.target, claim.token});
+    }
+    return actions;
+}
+
+void releaseAll(OwnershipState &state)
+{
+    state.leaving = true;
+    for (TargetClaim &claim : state.claims) {
+        if (claim.phase == ClaimPhase::None)
+            continue;
+        claim.released = claim.owner == state.self;
+        lose(claim);
+    }
+}
+
+bool mayDispatch(const OwnershipState &state, TargetId target, Instant now)
+{
+    const TargetClaim *claim = findClaim(state, target);
+    if (claim == nullptr || !isOurs(state, *claim) || now >= leaseOf(state, *claim))
+        return false;
+    // On a fenced engine the previous owner can evict nothing any more, so requests may run beside
+    // its last ones. An unfenced engine still obeys it.
+    return claim->target.checksTokens || now >= claim->orderAfter;
+}
+
+bool mayOrder(const OwnershipState &state, TargetId target, Instant now)
+{
+    const TargetClaim *claim = findClaim(state, target);
+    return claim != nullptr && mayDispatch(state, target, now) && now >= claim->orderAfter;
+}
+
+VmId ownerOf(const OwnershipState &state, TargetId target)
+{
+    const TargetClaim *claim = findClaim(state, target);
+    return claim == nullptr ? VmId{} : claim->owner;
+}
+
+const TargetClaim *findClaim(const OwnershipState &state, TargetId target)
+{
+    return claimOf(const_cast<OwnershipState &>(state), target);
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/requests/src/RequestLife.cpp
@@ -0,0 +1,134 @@
+#include "requests/RequestLife.h"
+
+#include <algorithm>
+
+namespace monsoonbay {
+
+namespace {
+
+constexpr std::uint32_t maxBounces = 50;
+constexpr std::uint32_t maxResumes = 8;
+constexpr Duration firstBounceWait = std::chrono::milliseconds(5);
+constexpr Duration longestBounceWait = std::chrono::milliseconds(250);
+constexpr Duration resumeWait = std::chrono::milliseconds(100);
+
+Duration bounceWait(std::uint32_t bounces)
+{
+    const std::uint32_t doublings = std::min(bounces, 6U);
+    return std::min(longestBounceWait, firstBounceWait * (1 << doublings));
+}
+
+LifeStep finish(RequestLife &life, NextStep step, ErrorKind kind)
+{
+    life.phase = RequestPhase::Ended;
+    return LifeStep{step, kind, {}};
+}
+
+// The directory was stale or an owner changed: nothing ran, so any request may go elsewhere, and
+// it costs the targets nothing, so the retry budget is not asked.
+LifeStep bounce(RequestLife &life, ErrorKind kind, Instant now)
+{
+    ++life.bounces;
+    const Duration wait = bounceWait(life.bounces);
+    if (now + wait >= life.traits.deadline)
+        return finish(life, NextStep::Refuse, ErrorKind::DeadlinePassed);
+    if (life.bounces > maxBounces)
+        return finish(life, NextStep::Refuse, kind);
+    life.phase = RequestPhase::Routing;
+    return LifeStep{NextStep::Route, kind, wait};
+}
+
+bool endsAtCaller(ErrorKind kind)
+{
+    return kind == ErrorKind::CallerGone || kind == ErrorKind::BadRequest;
+}
+
+// A wrong answer stays wrong however often it is fetched, and "may have run" is the engine's word
+// that it holds no answer; the others may be a broken hop behind which the answer is whole.
+bool worthResuming(const RequestLife &life, ErrorKind kind)
+{
+    const bool hopeless = kind == ErrorKind::WrongAnswer || kind == ErrorKind::MayHaveRun;
+    return life.traits.resumable && !hopeless && life.resumes < maxResumes;
+}
+
+bool mayRunAgain(const RequestLife &life)
+{
+    return life.traits.idempotent && life.delivered == 0 && !life.headDelivered;
+}
+
+} // namespace
+
+void noteRequest(RetryBudget &budget) noexcept
+{
+    budget.tokens = std::min(budget.most, budget.tokens + budget.share);
+}
+
+bool takeRetry(RetryBudget &budget) noexcept
+{
+    if (budget.tokens < 1)
+        return false;
+    budget.tokens -= 1;
+    return true;
+}
+
+std::uint32_t beginAttempt(RequestLife &life)
+{
+    return ++life.attempt;
+}
+
+bool takePiece(RequestLife &life, std::uint32_t attempt, std::uint64_t position)
+{
+    const bool isNext =
+        life.phase != RequestPhase::Ended && attempt == life.attempt && position == life.delivered;
+    if (!isNext) {
+        ++life.dropped;
+        return false;
+    }
+    life.phase = RequestPhase::Dispatched;
+    life.everDispatched = true;
+    ++life.delivered;
+    return true;
+}
+
+LifeStep endAttempt(RequestLife &life, const AttemptEnd &end, RetryBudget &budget, Instant now)
+{
+    const bool late = life.phase == RequestPhase::Ended || end.attempt != life.attempt;
+    if (late)
+        return LifeStep{NextStep::Drop, end.kind, {}};
+    life.everDispatched = life.everDispatched || end.dispatched;
+    if (end.kind == ErrorKind::Ok) {
+        const bool whole = end.pieces == life.delivered;
+        if (whole)
+            return finish(life, NextStep::Answered, ErrorKind::Ok);
+        // The target says it is done, yet pieces are missing here: a short answer, not an answer.
+        return finish(life, NextStep::Fail, ErrorKind::BrokenStream);
+    }
+    if (end.kind == ErrorKind::CallerGone)
+        return finish(life, life.everDispatched ? NextStep::Fail : NextStep::Refuse, end.kind);
+    if (!life.everDispatched) {
+        if (endsAtCaller(end.kind))
+            return finish(life, NextStep::Refuse, end.kind);
+        return bounce(life, end.kind, now);
+    }
+    const bool timeLeft = now + resumeWait < life.traits.deadline;
+    if (timeLeft && worthResuming(life, end.kind)) {
+        ++life.resumes;
+        return LifeStep{NextStep::Resume, end.kind, resumeWait};
+    }
+    if (timeLeft && mayRunAgain(life) && takeRetry(budget)) {
+        life.phase = RequestPhase::Routing;
+        life.resumes = 0;
+        return LifeStep{NextStep::Route, end.kind, resumeWait};
+    }
+    const ErrorKind told = meansNotRun(end.kind) ? ErrorKind::MayHaveRun : end.kind;
+    return finish(life, NextStep::Fail, told);
+}
+
+LifeStep endRouting(RequestLife &life, ErrorKind kind)
+{
+    if (life.everDispatched)
+        return finish(life, NextStep::Fail, ErrorKind::MayHaveRun);
+    return finish(life, NextStep::Refuse, kind);
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/residency/src/DemandTable.cpp
@@ -0,0 +1,205 @@
+#include "residency/DemandTable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonbay {
+
+namespace {
+
+constexpr std::size_t firstCapacity = 64;
+constexpr double ticksPerSecond = 16;
+/** Prior odds that an adapter stays in demand over one mean gap between its requests. */
+constexpr double staysAlive = 0.97;
+
+std::uint32_t tickOf(const DemandTable &table, Instant now)
+{
+    return static_cast<std::uint32_t>(toSeconds(now - table.start) * ticksPerSecond) + 1;
+}
+
+double secondsSince(const DemandTable &table, const DemandEntry &entry, Instant now)
+{
+    return std::max(0.0,
+                    (tickOf(table, now) - static_cast<double>(entry.lastTick)) / ticksPerSecond);
+}
+
+std::size_t probeStart(const DemandTable &table, AdapterId adapter)
+{
+    return adapter.value & (table.slots.size() - 1);
+}
+
+const DemandEntry *findEntry(const DemandTable &table, AdapterId adapter)
+{
+    const std::size_t mask = table.slots.size() - 1;
+    for (std::size_t index = probeStart(table, adapter);; index = (index + 1) & mask) {
+        const DemandEntry &entry = table.slots[index];
+        if (entry.lastTick == 0)
+            return nullptr;
+        if (entry.adapter == adapter)
+            return &entry;
+    }
+}
+
+void grow(DemandTable &table)
+{
+    std::vector<DemandEntry> old(table.slots.size() * 2);
+    old.swap(table.slots);
+    const std::size_t mask = table.slots.size() - 1;
+    for (const DemandEntry &entry : old) {
+        if (entry.lastTick == 0)
+            continue;
+        std::size_t index = probeStart(table, entry.adapter);
+        while (table.slots[index].lastTick != 0)
+            index = (index + 1) & mask;
+        table.slots[index] = entry;
+    }
+}
+
+DemandEntry &entryFor(DemandTable &table, AdapterId adapter, std::uint32_t tick)
+{
+    const bool full = table.used * 10 >= table.slots.size() * 7;
+    if (full)
+        grow(table);
+    const std::size_t mask = table.slots.size() - 1;
+    std::size_t index = probeStart(table, adapter);
+    while (table.slots[index].lastTick != 0 && table.slots[index].adapter != adapter)
+        index = (index + 1) & mask;
+    DemandEntry &entry = table.slots[index];
+    if (entry.lastTick == 0) {
+        entry.adapter = adapter;
+        entry.lastTick = tick;
+        ++table.used;
+    }
+    return entry;
+}
+
+void advanceWindow(DemandTable &table, Instant now)
+{
+    const double passed = std::max(0.0, toSeconds(now - table.windowAt));
+    const double kept = std::exp(-passed / table.config.slowSeconds);
+    table.slowWindow = table.slowWindow * kept + table.config.slowSeconds * (1 - kept);
+    table.slowTotal *= kept;
+    table.windowAt = now;
+}
+
+void forget(DemandTable &table)
+{
+    const auto factor = static_cast<float>(table.config.forgetFactor);
+    for (DemandEntry &entry : table.slots)
+        entry.slow *= factor;
+    table.slowWindow *= factor;
+    table.slowTotal *= factor;
+    ++table.shiftsSeen;
+}
+
+} // namespace
+
+DemandTable makeDemandTable(const DemandConfig &config, Instant now)
+{
+    DemandTable table;
+    table.config = config;
+    table.start = now;
+    table.windowAt = now;
+    table.slots.resize(firstCapacity);
+    return table;
+}
+
+void noteRequests(DemandTable &table, AdapterId adapter, int count, Instant now)
+{
+    advanceWindow(table, now);
+    const std::uint32_t tick = tickOf(table, now);
+    DemandEntry &entry = entryFor(table, adapter, tick);
+    const double passed = secondsSince(table, entry, now);
+    entry.slow =
+        static_cast<float>(entry.slow * std::exp(-passed / table.config.slowSeconds) + count);
+    entry.fast =
+        static_cast<float>(entry.fast * std::exp(-passed / table.config.fastSeconds) + count);
+    entry.lastTick = std::max(entry.lastTick, tick);
+    table.slowTotal += count;
+}
+
+void noteHit(DemandTable &table, bool hit, double forecastHitShare, Instant now)
+{
+    advanceWindow(table, now);
+    ++table.windowRequests;
+    table.windowHits += hit ? 1 : 0;
+    table.windowExpected += forecastHitShare;
+    table.windowVariance += forecastHitShare * (1 - forecastHitShare);
+    if (table.windowRequests < table.config.surpriseWindow)
+        return;
+    const double shortfall = table.windowExpected - table.windowHits;
+    const double sigma = std::sqrt(std::max(1.0, table.windowVariance));
+    if (shortfall > table.config.surpriseSigmas * sigma)
+        forget(table);
+    table.windowRequests = 0;
+    table.windowHits = 0;
+    table.windowExpected = 0;
+    table.windowVariance = 0;
+}
+
+// A hot adapter that has been silent for many of its mean gaps is probably dead: with the prior
+// p of staying alive, Bayes gives P(alive | silence t) = p e^-rt / (p e^-rt + 1 - p). A cold one
+// may be silent for long without that meaning anything, and keeps its estimate.
+double rateOf(const DemandTable &table, AdapterId adapter, Instant now)
+{
+    const DemandEntry *entry = findEntry(table, adapter);
+    if (entry == nullptr)
+        return 0;
+    const double passed = secondsSince(table, *entry, now);
+    const double sinceWindow = std::max(0.0, toSeconds(now - table.windowAt));
+    const double kept = std::exp(-sinceWindow / table.config.slowSeconds);
+    const double window =
+        std::max(1.0, table.slowWindow * kept + table.config.slowSeconds * (1 - kept));
+    const double rate = entry->slow * std::exp(-passed / table.config.slowSeconds) / window;
+    const double silent = staysAlive * std::exp(-rate * passed);
+    return rate * silent / (silent + 1 - staysAlive);
+}
+
+double fastRateOf(const DemandTable &table, AdapterId adapter, Instant now)
+{
+    const DemandEntry *entry = findEntry(table, adapter);
+    if (entry == nullptr)
+        return 0;
+    const double passed = secondsSince(table, *entry, now);
+    return entry->fast * std::exp(-passed / table.config.fastSeconds) / table.config.fastSeconds;
+}
+
+Instant lastRequestOf(const DemandTable &table, AdapterId adapter)
+{
+    const DemandEntry *entry = findEntry(table, adapter);
+    if (entry == nullptr)
+        return table.start;
+    return table.start + fromSeconds((entry->lastTick - 1) / ticksPerSecond);
+}
+
+std::vector<AdapterId> hottest(const DemandTable &table, std::size_t count, Instant now)
+{
+    struct Ranked
+    {
+        double rate;
+        AdapterId adapter;
+    };
+    std::vector<Ranked> ranked;
+    ranked.reserve(table.used);
+    for (const DemandEntry &entry : table.slots) {
+        if (entry.lastTick == 0)
+            continue;
+        ranked.push_back({rateOf(table, entry.adapter, now), entry.adapter});
+    }
+    const std::size_t kept = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                      ranked.end(), [](const Ranked &a, const Ranked &b) {
+                          return a.rate != b.rate ? a.rate > b.rate : a.adapter < b.adapter;
+                      });
+    std::vector<AdapterId> adapters;
+    for (std::size_t index = 0; index < kept; ++index)
+        adapters.push_back(ranked[index].adapter);
+    return adapters;
+}
+
+std::size_t bytesOf(const DemandTable &table) noexcept
+{
+    return sizeof(table) + table.slots.capacity() * sizeof(DemandEntry);
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/residency/src/PlainGood.cpp
@@ -0,0 +1,59 @@
+// The baseline that has to be beaten: what a good engineer writes in an afternoon.
+// Resident-first routing to the least-running target, one LRU over all slots, waiters of an
+// adapter gathered, loads one at a time in arrival order. Nobody is refused but by deadline.
+
+#include "PlacementSupport.h"
+
+namespace monsoonbay {
+
+namespace {
+
+std::size_t routeLeastRunning(std::span<const RouteCandidate> candidates, double, double)
+{
+    std::size_t best = candidates.size();
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (!candidates[index].resident)
+            continue;
+        if (best == candidates.size() || candidates[index].running < candidates[best].running)
+            best = index;
+    }
+    return best;
+}
+
+std::optional<LoadChoice> firstComeLoad(const PlacementState &state, Instant now)
+{
+    AdapterId first;
+    Instant earliest = Instant::max();
+    for (const auto &[adapter, set] : state.wants) {
+        if (!mayLoad(state, adapter, now))
+            continue;
+        const Instant oldest = set.oldest();
+        const bool earlier = oldest < earliest || (oldest == earliest && adapter < first);
+        if (!earlier)
+            continue;
+        earliest = oldest;
+        first = adapter;
+    }
+    if (first.value == 0)
+        return std::nullopt;
+    std::optional<SlotChoice> slot = freeSlot(state, now);
+    if (!slot)
+        slot = leastRecentSlot(state, now);
+    if (!slot)
+        return std::nullopt;
+    return LoadChoice{first, *slot, false};
+}
+
+std::vector<AdapterId> refuseNobody(PlacementState &, Instant)
+{
+    return {};
+}
+
+constexpr PlacementPolicy plainGood{"plain-good", 1, routeLeastRunning, firstComeLoad,
+                                    refuseNobody};
+
+} // namespace
+
+} // namespace monsoonbay
+
+MONSOONBAY_REGISTER_PLACEMENT(PlainGood, monsoonbay::plainGood);
--- /dev/null
+++ b/libs/transport/include/transport/HttpServer.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "config/Settings.h"
+
+namespace monsoonbay {
+
+namespace asio = boost::asio;
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+/** One extra header of a reply. */
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
+/** A whole reply. */
+struct HttpReply
+{
+    int status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+    std::vector<HttpHeader> headers;
+};
+
+/** Value of a request's header, empty if absent. */
+std::string headerOf(const HttpRequest &request, std::string_view name);
+
+/** One request and the way to answer it, whole or in chunks. Lives on its connection's strand. */
+class HttpExchange
+{
+public:
+    HttpExchange(boost::beast::tcp_stream &stream, HttpRequest request);
+
+    const HttpRequest &request() const noexcept;
+
+    asio::awaitable<std::error_code> respond(HttpReply reply);
+    asio::awaitable<std::error_code> beginStream(int status, std::string contentType);
+    asio::awaitable<std::error_code> writeChunk(std::string_view data);
+    asio::awaitable<std::error_code> endStream();
+
+    /** Ends the connection without the closing chunk, so that the caller sees a broken answer. */
+    void abort();
+
+    /** Completes when the caller has closed its side, or when cancelled. */
+    asio::awaitable<void> callerGone();
+
+    bool begun() const noexcept;
+    bool keepAlive() const noexcept;
+
+private:
+    boost::beast::tcp_stream &stream;
+    HttpRequest received;
+    bool begunAnswer = false;
+    bool aborted = false;
+};
+
+using HttpHandler = std::function<asio::awaitable<void>(HttpExchange &)>;
+
+/** Limits of what a caller may send, and how slowly. */
+struct HttpLimits
+{
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::chrono::seconds readTimeout{20};
+    std::chrono::seconds idleTimeout{120};
+    std::chrono::seconds writeTimeout{60};
+};
+
+/** Accepts HTTP/1.1 connections; each runs on its own strand. */
+class HttpServer
+{
+public:
+    HttpServer(asio::io_context &context, const Endpoint &endpoint, HttpHandler handler,
+               HttpLimits limits = {});
+    ~HttpServer();
+
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /** The port in use; differs from the settings if they asked for port 0. */
+    std::uint16_t port() const noexcept;
+
+    /** Accepts no more connections; idle ones close, busy ones after their answer. */
+    void stopAccepting();
+
+private:
+    struct State;
+    std::shared_ptr<State> state;
+};
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/transport/src/Completion.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace monsoonbay {
+
+namespace asio = boost::asio;
+
+/** Called once, from any thread, with the outcome of an operation of gRPC. */
+using Completion = std::function<void(bool)>;
+
+/**
+ * Suspends the calling coroutine, starts an operation and resumes on the coroutine's own executor
+ * when its completion is called. gRPC calls back on its threads; without the hop, code of a
+ * connection's strand would run there.
+ */
+template <typename Start> asio::awaitable<bool> completionOf(Start start)
+{
+    return asio::async_initiate<const asio::use_awaitable_t<> &, void(bool)>(
+        [](auto handler, Start start) {
+            using Handler = decltype(handler);
+            auto shared = std::make_shared<Handler>(std::move(handler));
+            start([shared](bool ok) {
+                const auto executor = asio::get_associated_executor(*shared);
+                asio::post(executor, [shared, ok] { std::move (*shared)(ok); });
+            });
+        },
+        asio::use_awaitable, std::move(start));
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/transport/src/HttpClient.cpp
@@ -0,0 +1,223 @@
+#include "transport/HttpClient.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+
+#include <sys/socket.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace monsoonbay {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t maxIdlePerEndpoint = 512;
+constexpr std::uint64_t maxAnswerBytes = 256ULL * 1024 * 1024;
+
+// A connection that the other side closed while it was idle looks fine until the answer fails to
+// come, and by then the request may have run. Peeking first keeps such a request "not sent".
+bool isStillOpen(tcp::socket &socket)
+{
+    char byte = 0;
+    const auto peeked = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+struct HttpClient::Impl
+{
+    explicit Impl(asio::io_context &context)
+        : context(context)
+    { }
+
+    std::optional<tcp::socket> takeIdle(const Endpoint &endpoint)
+    {
+        const std::lock_guard guard(this->mutex);
+        std::deque<tcp::socket> &sockets = this->idle[endpoint];
+        while (!sockets.empty()) {
+            tcp::socket socket = std::move(sockets.back());
+            sockets.pop_back();
+            if (isStillOpen(socket))
+                return socket;
+        }
+        return std::nullopt;
+    }
+
+    void giveBack(const Endpoint &endpoint, tcp::socket socket)
+    {
+        const std::lock_guard guard(this->mutex);
+        std::deque<tcp::socket> &sockets = this->idle[endpoint];
+        if (sockets.size() < maxIdlePerEndpoint)
+            sockets.push_back(std::move(socket));
+    }
+
+    asio::io_context &context;
+    std::mutex mutex;
+    std::map<Endpoint, std::deque<tcp::socket>> idle;
+};
+
+struct HttpClientStream::Impl : std::enable_shared_from_this<HttpClientStream::Impl>
+{
+    Impl(std::shared_ptr<HttpClient::Impl> client, Endpoint endpoint)
+        : client(std::move(client))
+        , endpoint(std::move(endpoint))
+        , socket(this->client->context)
+    { }
+
+    std::shared_ptr<HttpClient::Impl> client;
+    Endpoint endpoint;
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    std::optional<asio::steady_timer> timer;
+    bool cancelled = false;
+    bool connected = false;
+};
+
+HttpClient::HttpClient(asio::io_context &context)
+    : impl(std::make_shared<Impl>(context))
+{ }
+
+HttpClient::~HttpClient() = default;
+
+HttpClientStream::HttpClientStream(HttpClient &client, Endpoint endpoint)
+    : impl(std::make_shared<Impl>(client.impl, std::move(endpoint)))
+{ }
+
+HttpClientStream::~HttpClientStream()
+{
+    Impl &stream = *this->impl;
+    if (stream.timer)
+        stream.timer->cancel();
+    const bool reusable = stream.connected && !stream.cancelled && stream.parser.is_done()
+        && stream.parser.get().keep_alive() && stream.buffer.size() == 0;
+    if (reusable)
+        stream.client->giveBack(stream.endpoint, std::move(stream.socket));
+}
+
+void HttpClientStream::cancel()
+{
+    this->impl->cancelled = true;
+    boost::system::error_code ignored;
+    this->impl->socket.close(ignored);
+}
+
+asio::awaitable<HttpResult> HttpClientStream::begin(HttpCall call, Duration timeout)
+{
+    const std::shared_ptr<Impl> stream = this->impl;
+    HttpResult result;
+    stream->timer.emplace(co_await asio::this_coro::executor, timeout);
+    stream->timer->async_wait(
+        [weak = std::weak_ptr<Impl>(stream)](boost::system::error_code error) {
+            const std::shared_ptr<Impl> late = weak.lock();
+            if (error || !late)
+                return;
+            late->cancelled = true;
+            boost::system::error_code ignored;
+            late->socket.close(ignored);
+        });
+
+    std::optional<tcp::socket> idle = stream->client->takeIdle(stream->endpoint);
+    if (idle) {
+        stream->socket = std::move(*idle);
+    } else {
+        const tcp::endpoint address(asio::ip::make_address(stream->endpoint.address),
+                                    stream->endpoint.port);
+        auto [connectError] = co_await stream->socket.async_connect(address, quietly);
+        if (connectError) {
+            result.error = connectError;
+            co_return result;
+        }
+        boost::system::error_code ignored;
+        stream->socket.set_option(tcp::no_delay(true), ignored);
+    }
+    stream->connected = true;
+
+    HttpRequest request;
+    request.version(11);
+    request.method_string(call.method);
+    request.target(call.path);
+    request.set(http::field::host, stream->endpoint.text());
+    for (const HttpHeader &header : call.headers)
+        request.set(header.name, header.value);
+    request.body() = std::move(call.body);
+    request.prepare_payload();
+
+    result.sent = true;
+    auto [writeError, written] = co_await http::async_write(stream->socket, request, quietly);
+    if (writeError) {
+        stream->cancelled = true;
+        result.error = writeError;
+        co_return result;
+    }
+    stream->parser.body_limit(maxAnswerBytes);
+    auto [readError, read] =
+        co_await http::async_read_header(stream->socket, stream->buffer, stream->parser, quietly);
+    if (readError) {
+        stream->cancelled = true;
+        result.error = readError;
+        co_return result;
+    }
+    result.status = stream->parser.get().result_int();
+    result.contentType = std::string(stream->parser.get()[http::field::content_type]);
+    co_return result;
+}
+
+asio::awaitable<std::error_code> HttpClientStream::read(std::string &piece)
+{
+    const std::shared_ptr<Impl> stream = this->impl;
+    piece.clear();
+    std::array<char, 16384> space{};
+    while (!stream->parser.is_done()) {
+        auto &body = stream->parser.get().body();
+        body.data = space.data();
+        body.size = space.size();
+        auto [error, bytes] =
+            co_await http::async_read_some(stream->socket, stream->buffer, stream->parser, quietly);
+        const std::size_t filled = space.size() - body.size;
+        const bool broken = error && error != http::error::need_buffer;
+        if (broken) {
+            stream->cancelled = true;
+            co_return error;
+        }
+        if (filled == 0)
+            continue;
+        piece.assign(space.data(), filled);
+        co_return std::error_code();
+    }
+    co_return std::error_code();
+}
+
+asio::awaitable<HttpResult> HttpClient::call(Endpoint endpoint, HttpCall call, Duration timeout)
+{
+    HttpClientStream stream(*this, std::move(endpoint));
+    HttpResult result = co_await stream.begin(std::move(call), timeout);
+    if (result.error)
+        co_return result;
+    std::string piece;
+    while (true) {
+        result.error = co_await stream.read(piece);
+        if (result.error || piece.empty())
+            co_return result;
+        result.body += piece;
+    }
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/transport/src/HttpServer.cpp
@@ -0,0 +1,265 @@
+#include "transport/HttpServer.h"
+
+#include <atomic>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace monsoonbay {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+struct HttpServer::State
+{
+    State(asio::io_context &context, HttpHandler handler, HttpLimits limits)
+        : context(context)
+        , acceptor(asio::make_strand(context))
+        , handler(std::move(handler))
+        , limits(limits)
+    { }
+
+    asio::io_context &context;
+    tcp::acceptor acceptor;
+    HttpHandler handler;
+    HttpLimits limits;
+    std::atomic<bool> stopping{false};
+};
+
+std::string headerOf(const HttpRequest &request, std::string_view name)
+{
+    const auto found = request.find(beast::string_view(name.data(), name.size()));
+    if (found == request.end())
+        return {};
+    return std::string(found->value());
+}
+
+HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request)
+    : stream(stream)
+    , received(std::move(request))
+{ }
+
+const HttpRequest &HttpExchange::request() const noexcept
+{
+    return this->received;
+}
+
+bool HttpExchange::begun() const noexcept
+{
+    return this->begunAnswer;
+}
+
+bool HttpExchange::keepAlive() const noexcept
+{
+    return !this->aborted && this->begunAnswer && this->received.keep_alive();
+}
+
+asio::awaitable<std::error_code> HttpExchange::respond(HttpReply reply)
+{
+    this->begunAnswer = true;
+    http::response<http::string_body> response(static_cast<http::status>(reply.status),
+                                               this->received.version());
+    response.set(http::field::content_type, reply.contentType);
+    for (const HttpHeader &header : reply.headers)
+        response.set(header.name, header.value);
+    response.keep_alive(this->received.keep_alive());
+    response.body() = std::move(reply.body);
+    response.prepare_payload();
+    auto [error, bytes] = co_await http::async_write(this->stream, response, quietly);
+    if (error)
+        this->aborted = true;
+    co_return error;
+}
+
+asio::awaitable<std::error_code> HttpExchange::beginStream(int status, std::string contentType)
+{
+    this->begunAnswer = true;
+    http::response<http::empty_body> head(static_cast<http::status>(status),
+                                          this->received.version());
+    head.set(http::field::content_type, contentType);
+    head.set(http::field::cache_control, "no-store");
+    head.keep_alive(this->received.keep_alive());
+    head.chunked(true);
+    http::response_serializer<http::empty_body> serializer(head);
+    auto [error, bytes] = co_await http::async_write_header(this->stream, serializer, quietly);
+    if (error)
+        this->aborted = true;
+    co_return error;
+}
+
+asio::awaitable<std::error_code> HttpExchange::writeChunk(std::string_view data)
+{
+    if (data.empty())
+        co_return std::error_code();
+    const auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
+    auto [error, bytes] = co_await asio::async_write(this->stream, chunk, quietly);
+    if (error)
+        this->aborted = true;
+    co_return error;
+}
+
+asio::awaitable<std::error_code> HttpExchange::endStream()
+{
+    const auto last = http::make_chunk_last();
+    auto [error, bytes] = co_await asio::async_write(this->stream, last, quietly);
+    if (error)
+        this->aborted = true;
+    co_return error;
+}
+
+void HttpExchange::abort()
+{
+    this->aborted = true;
+    this->begunAnswer = true;
+}
+
+asio::awaitable<void> HttpExchange::callerGone()
+{
+    tcp::socket &socket = this->stream.socket();
+    auto [error] = co_await socket.async_wait(tcp::socket::wait_read, quietly);
+    if (error)
+        co_return;
+    // Readable means closed, or a pipelined request; the latter must not cancel this one.
+    char byte = 0;
+    boost::system::error_code peekError;
+    const std::size_t peeked =
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+    const bool pipelined = !peekError && peeked > 0;
+    if (!pipelined)
+        co_return;
+    asio::steady_timer never(co_await asio::this_coro::executor,
+                             asio::steady_timer::time_point::max());
+    co_await never.async_wait(quietly);
+}
+
+namespace {
+
+asio::awaitable<void> refuseUnreadable(beast::tcp_stream &stream, beast::error_code error)
+{
+    const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit;
+    const bool closed = error == http::error::end_of_stream || error == beast::error::timeout
+        || error == http::error::partial_message
+        || error.category() == asio::error::get_system_category()
+        || error.category() == asio::error::get_misc_category();
+    if (closed)
+        co_return;
+    http::response<http::string_body> response(
+        tooLarge ? http::status::payload_too_large : http::status::bad_request, 11);
+    response.set(http::field::content_type, "application/problem+json");
+    response.body() = tooLarge
+        ? R"({"type":"urn:monsoonbay:too-large","title":"the request is too large; send a smaller one","status":413,"notRun":true})"
+        : R"({"type":"urn:monsoonbay:bad-request","title":"this is not HTTP/1.1; correct the request","status":400,"notRun":true})";
+    response.keep_alive(false);
+    response.prepare_payload();
+    co_await http::async_write(stream, response, quietly);
+}
+
+template <typename State>
+asio::awaitable<void> serveConnection(std::shared_ptr<State> state, tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    boost::system::error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
+    beast::flat_buffer buffer;
+    while (!state->stopping) {
+        // An idle connection may wait long; from the first byte on a request has to come whole
+        // within the read timeout, or a caller that drips bytes would hold the place for ever.
+        if (buffer.size() == 0) {
+            stream.expires_after(state->limits.idleTimeout);
+            auto [idleError, idleBytes] =
+                co_await stream.async_read_some(buffer.prepare(4096), quietly);
+            if (idleError)
+                break;
+            buffer.commit(idleBytes);
+        }
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(state->limits.maxHeaderBytes));
+        parser.body_limit(state->limits.maxBodyBytes);
+        stream.expires_after(state->limits.readTimeout);
+        auto [error, bytes] = co_await http::async_read(stream, buffer, parser, quietly);
+        if (error) {
+            stream.expires_after(state->limits.writeTimeout);
+            co_await refuseUnreadable(stream, error);
+            break;
+        }
+        stream.expires_never();
+        HttpExchange exchange(stream, parser.release());
+        co_await state->handler(exchange);
+        if (!exchange.begun()) {
+            HttpReply reply;
+            reply.status = 500;
+            co_await exchange.respond(reply);
+        }
+        if (!exchange.keepAlive())
+            break;
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+template <typename State> asio::awaitable<void> acceptLoop(std::shared_ptr<State> state)
+{
+    while (!state->stopping) {
+        const auto strand = asio::make_strand(state->context);
+        auto [error, socket] = co_await state->acceptor.async_accept(strand, quietly);
+        if (error == asio::error::operation_aborted)
+            break;
+        if (error)
+            continue;
+        asio::co_spawn(strand, serveConnection(state, std::move(socket)), asio::detached);
+    }
+}
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context &context, const Endpoint &endpoint, HttpHandler handler,
+                       HttpLimits limits)
+    : state(std::make_shared<State>(context, std::move(handler), limits))
+{
+    const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+    this->state->acceptor.open(address.protocol());
+    this->state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    this->state->acceptor.bind(address);
+    this->state->acceptor.listen(4096);
+    asio::co_spawn(this->state->acceptor.get_executor(), acceptLoop(this->state), asio::detached);
+}
+
+HttpServer::~HttpServer()
+{
+    this->stopAccepting();
+}
+
+std::uint16_t HttpServer::port() const noexcept
+{
+    boost::system::error_code ignored;
+    return this->state->acceptor.local_endpoint(ignored).port();
+}
+
+void HttpServer::stopAccepting()
+{
+    this->state->stopping = true;
+    asio::post(this->state->acceptor.get_executor(), [state = this->state] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/tools/loadgen/src/Deployment.cpp
@@ -0,0 +1,233 @@
+#include "loadgen/Deployment.h"
+
+#include <filesystem>
+#include <fstream>
+
+#include <nlohmann/json.hpp>
+
+#include "core/Digest.h"
+
+namespace monsoonbay::loadgen {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/** How many of a kind stand in each zone, in the zones' order. */
+struct Spread
+{
+    std::vector<int> entryVms;
+    std::vector<int> models;
+    std::vector<int> apps;
+};
+
+// Each VM gets a loopback address of its own, 127.DEPLOYMENT.ZONE.N, so that all of them can use
+// the same ports, as VMs do.
+std::string addressOf(int deployment, std::size_t zone, int number)
+{
+    return "127." + std::to_string(deployment) + "." + std::to_string(zone + 1) + "."
+        + std::to_string(number);
+}
+
+void place(Deployment &deployment, int network, const Spread &spread)
+{
+    for (std::size_t zone = 0; zone < deployment.zones.size(); ++zone) {
+        const std::string &name = deployment.zones[zone];
+        for (int index = 0; index < spread.entryVms[zone]; ++index)
+            deployment.entryVms.push_back({name + "-entry-" + std::to_string(index + 1), name,
+                                           addressOf(network, zone, 10 + index)});
+        for (int index = 0; index < spread.models[zone]; ++index)
+            deployment.targets.push_back({name + "-model-" + std::to_string(index + 1), name,
+                                          addressOf(network, zone, 50 + index), true, index != 1});
+        for (int index = 0; index < spread.apps[zone]; ++index)
+            deployment.targets.push_back({name + "-app-" + std::to_string(index + 1), name,
+                                          addressOf(network, zone, 100 + index), false, true});
+    }
+}
+
+Deployment bavaria()
+{
+    Deployment deployment;
+    deployment.name = "bavaria";
+    deployment.zones = {"nbg-halle-a", "nbg-halle-b", "erl-saal", "bam-raum"};
+    deployment.loadsPerSecond = 2;
+    deployment.stallWeight = 0.8;
+    deployment.batchWeight = 0.2;
+    deployment.baseModel = "bauakte";
+    place(deployment, 41, Spread{{2, 2, 2, 1}, {3, 2, 2, 2}, {1, 1, 1, 1}});
+    return deployment;
+}
+
+Deployment finland()
+{
+    Deployment deployment;
+    deployment.name = "finland";
+    deployment.zones = {"sali-a", "sali-b", "sali-c"};
+    deployment.loadsPerSecond = 3;
+    deployment.stallWeight = 0.2;
+    deployment.batchWeight = 0.8;
+    deployment.baseModel = "rappaus";
+    place(deployment, 42, Spread{{2, 2, 2}, {4, 4, 4}, {1, 1, 1}});
+    return deployment;
+}
+
+bool writeFile(const std::filesystem::path &path, const std::string &text)
+{
+    std::ofstream file(path);
+    file << text << "\n";
+    return static_cast<bool>(file);
+}
+
+std::string platformAddress(const Deployment &deployment, int number)
+{
+    const std::string &any = deployment.entryVms.front().address;
+    const std::string network = any.substr(0, any.find('.', 4));
+    return network + ".200." + std::to_string(number);
+}
+
+constexpr int logNumber = 1;
+constexpr int vmListNumber = 2;
+constexpr int storeNumber = 3;
+
+} // namespace
+
+Deployment findDeployment(const std::string &name)
+{
+    if (name == "bavaria")
+        return bavaria();
+    if (name == "finland")
+        return finland();
+    return {};
+}
+
+std::string adapterName(int index)
+{
+    std::string digits = std::to_string(index);
+    return "plan-" + std::string(5 - std::min<std::size_t>(5, digits.size()), '0') + digits;
+}
+
+std::string manifestJson(const Deployment &deployment)
+{
+    Json adapters = Json::array();
+    for (int index = 0; index < deployment.adapters; ++index)
+        adapters.push_back(
+            {{"name", adapterName(index)}, {"version", "1"}, {"baseModel", deployment.baseModel}});
+    Json targets = Json::array();
+    for (const Target &target : deployment.targets) {
+        Json json{{"name", target.name}, {"checksTokens", target.checksTokens}};
+        if (target.model) {
+            json["baseModel"] = deployment.baseModel;
+            json["slots"] = deployment.slots;
+            json["maxBatch"] = deployment.maxBatch;
+        } else {
+            json["plainService"] = "tiles";
+        }
+        targets.push_back(json);
+    }
+    const Json service{{"name", "viewer"},  {"tokenSha256", sha256Hex(demoToken)},
+                       {"adapters", {"*"}}, {"plainServices", {"tiles"}},
+                       {"priority", 5},     {"share", 1.0}};
+    const Json plain{
+        {"name", "tiles"}, {"path", "/tiles"}, {"nonIdempotent", {"POST /tiles/bookings*"}}};
+    const Json manifest{
+        {"format", 1},
+        {"baseModels", {deployment.baseModel}},
+        {"adapters", adapters},
+        {"services", Json::array({service})},
+        {"plainServices", Json::array({plain})},
+        {"targets", targets},
+        {"weights", {{"stall", deployment.stallWeight}, {"batch", deployment.batchWeight}}},
+        {"loadsPerSecond", deployment.loadsPerSecond}};
+    return manifest.dump(1);
+}
+
+std::string vmListJson(const Deployment &deployment)
+{
+    Json vms = Json::array();
+    for (const EntryVm &vm : deployment.entryVms)
+        vms.push_back({{"name", vm.name},
+                       {"kind", "entry"},
+                       {"zone", vm.zone},
+                       {"address", vm.address},
+                       {"port", peersPort},
+                       {"state", "live"}});
+    for (const Target &target : deployment.targets)
+        vms.push_back({{"name", target.name},
+                       {"kind", target.model ? "model" : "app"},
+                       {"zone", target.zone},
+                       {"address", target.address},
+                       {"port", targetPort},
+                       {"state", "live"}});
+    return vms.dump(1);
+}
+
+std::string settingsJson(const Deployment &deployment, const EntryVm &vm,
+                         const std::string &placement)
+{
+    const auto endpoint = [](const std::string &address, std::uint16_t port) {
+        return Json{{"address", address}, {"port", port}};
+    };
+    const Json settings{
+        {"vm", vm.name},
+        {"zone", vm.zone},
+        {"callers", endpoint(vm.address, callersPort)},
+        {"peers", endpoint(vm.address, peersPort)},
+        {"operators", endpoint(vm.address, operatorsPort)},
+        {"log", endpoint(platformAddress(deployment, logNumber), platformPort)},
+        {"vmList", endpoint(platformAddress(deployment, vmListNumber), platformPort)},
+        {"threads", 2},
+        {"placement", placement},
+        {"keyMemorySeconds", 3}};
+    return settings.dump(1);
+}
+
+std::vector<std::string> processLines(const Deployment &deployment, const std::string &folder)
+{
+    const std::string standin = "tools/standins/monsoonbay-standins ";
+    const std::string store = platformAddress(deployment, storeNumber);
+    const auto listen = [](const std::string &address, std::uint16_t port) {
+        return " --address " + address + " --port " + std::to_string(port);
+    };
+    std::vector<std::string> lines;
+    lines.push_back(standin + "--role log"
+                    + listen(platformAddress(deployment, logNumber), platformPort));
+    lines.push_back(standin + "--role vmlist --vms " + folder + "/vms.json"
+                    + listen(platformAddress(deployment, vmListNumber), platformPort));
+    lines.push_back(standin + "--role store --loads-per-second "
+                    + std::to_string(deployment.loadsPerSecond) + listen(store, platformPort));
+    for (const Target &target : deployment.targets) {
+        const std::string where = listen(target.address, targetPort) + " --name " + target.name;
+        if (!target.model) {
+            lines.push_back(standin + "--role service" + where);
+            continue;
+        }
+        lines.push_back(standin + "--role engine" + where + " --slots "
+                        + std::to_string(deployment.slots) + " --max-batch "
+                        + std::to_string(deployment.maxBatch) + " --checks-tokens="
+                        + (target.checksTokens ? "true" : "false") + " --store-address " + store
+                        + " --store-port " + std::to_string(platformPort));
+    }
+    for (const EntryVm &vm : deployment.entryVms)
+        lines.push_back("tools/monsoonbayd/monsoonbayd --settings " + folder + "/" + vm.name
+                        + ".json");
+    return lines;
+}
+
+bool writePlan(const Deployment &deployment, const std::string &folder,
+               const std::string &placement)
+{
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    const std::filesystem::path base(folder);
+    bool written = writeFile(base / "manifest.json", manifestJson(deployment));
+    written = writeFile(base / "vms.json", vmListJson(deployment)) && written;
+    for (const EntryVm &vm : deployment.entryVms)
+        written = writeFile(base / (vm.name + ".json"), settingsJson(deployment, vm, placement))
+            && written;
+    std::string lines;
+    for (const std::string &line : processLines(deployment, folder))
+        lines += line + "\n";
+    return writeFile(base / "processes.txt", lines) && written;
+}
+
+} // namespace monsoonbay::loadgen
--- /dev/null
+++ b/tools/loadgen/src/Main.cpp
@@ -0,0 +1,110 @@
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <cxxopts.hpp>
+
+#include "loadgen/Load.h"
+
+namespace {
+
+namespace loadgen = monsoonbay::loadgen;
+
+constexpr int exitUsage = 2;
+constexpr int exitBroken = 4;
+
+cxxopts::Options commandLine()
+{
+    cxxopts::Options options("monsoonbay-loadgen",
+                             "Load and experiment tool\n\n"
+                             "  plan  writes manifest, VM list, settings and process list\n"
+                             "  load  brings a started deployment up and sends it a mixed load\n");
+    options.add_options()("command", "plan or load", cxxopts::value<std::string>())(
+        "deployment", "bavaria or finland",
+        cxxopts::value<std::string>()->default_value("bavaria"))(
+        "folder", "folder of the plan", cxxopts::value<std::string>()->default_value("out/demo"))(
+        "placement", "forecast or plain-good",
+        cxxopts::value<std::string>()->default_value("forecast"))(
+        "seconds", "length of the load", cxxopts::value<double>()->default_value("20"))(
+        "rate", "model requests a second", cxxopts::value<double>()->default_value("12"))(
+        "plain-rate", "plain requests a second", cxxopts::value<double>()->default_value("20"))(
+        "deadline-ms", "deadline of each request", cxxopts::value<int>()->default_value("20000"))(
+        "seed", "seed of all draws",
+        cxxopts::value<std::uint64_t>()->default_value("1"))("h,help", "this text");
+    options.parse_positional({"command"});
+    options.positional_help("COMMAND");
+    return options;
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+int plan(const loadgen::Deployment &deployment, const cxxopts::ParseResult &arguments)
+{
+    const std::string folder = arguments["folder"].as<std::string>();
+    if (loadgen::writePlan(deployment, folder, arguments["placement"].as<std::string>()))
+        return 0;
+    std::cerr << folder << ": cannot be written; choose another --folder\n";
+    return 1;
+}
+
+int load(const loadgen::Deployment &deployment, const cxxopts::ParseResult &arguments)
+{
+    const std::string folder = arguments["folder"].as<std::string>();
+    constexpr double patienceSeconds = 30;
+    if (!loadgen::bringUp(deployment, readFile(folder + "/manifest.json"), patienceSeconds)) {
+        std::cerr << "the deployment did not get ready; look at the logs in " << folder << "\n";
+        return 1;
+    }
+    loadgen::LoadOptions options;
+    options.seconds = arguments["seconds"].as<double>();
+    options.modelRequestsPerSecond = arguments["rate"].as<double>();
+    options.plainRequestsPerSecond = arguments["plain-rate"].as<double>();
+    options.deadlineMs = arguments["deadline-ms"].as<int>();
+    options.seed = arguments["seed"].as<std::uint64_t>();
+    const loadgen::LoadReport report = loadgen::runLoad(deployment, options);
+    const loadgen::EngineTotals engines = loadgen::readEngines(deployment);
+    const loadgen::StallTotals stalls = loadgen::readStalls(deployment);
+    std::cout << loadgen::reportTable(report, engines, stalls);
+    std::ofstream(folder + "/report.svg")
+        << loadgen::reportSvg("monsoonbay, " + deployment.name, report);
+    std::cout << "plot: " << folder << "/report.svg\n";
+    const bool broken = report.wrong + report.duplicate + report.partial + engines.evictedUnderRun
+            + engines.twiceRun
+        > 0;
+    return broken ? exitBroken : 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        cxxopts::Options options = commandLine();
+        const cxxopts::ParseResult arguments = options.parse(argc, argv);
+        if (arguments.count("help") != 0 || arguments.count("command") == 0) {
+            std::cout << options.help();
+            return arguments.count("help") != 0 ? 0 : exitUsage;
+        }
+        const auto deployment = loadgen::findDeployment(arguments["deployment"].as<std::string>());
+        if (deployment.name.empty()) {
+            std::cerr << "no such deployment; choose bavaria or finland\n";
+            return exitUsage;
+        }
+        const std::string command = arguments["command"].as<std::string>();
+        if (command == "plan")
+            return plan(deployment, arguments);
+        if (command == "load")
+            return load(deployment, arguments);
+        std::cerr << "no such command; choose plan or load\n";
+        return exitUsage;
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/tools/standins/include/standins/Fault.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace monsoonbay::standins {
+
+/** Faults that were switched on and how many more times each will strike. */
+class Faults
+{
+public:
+    /** Switches a fault on for `times` occasions; a negative number is for ever, 0 is off. */
+    void set(const std::string &kind, int times, int valueMs)
+    {
+        this->faults[kind] = Entry{times, valueMs};
+    }
+
+    /** True if the fault strikes now; counts the occasion. */
+    bool strikes(const std::string &kind)
+    {
+        const auto found = this->faults.find(kind);
+        if (found == this->faults.end() || found->second.times == 0)
+            return false;
+        if (found->second.times > 0)
+            --found->second.times;
+        return true;
+    }
+
+    int valueMs(const std::string &kind) const
+    {
+        const auto found = this->faults.find(kind);
+        return found == this->faults.end() ? 0 : found->second.valueMs;
+    }
+
+private:
+    struct Entry
+    {
+        int times = 0;
+        int valueMs = 0;
+    };
+    std::map<std::string, Entry> faults;
+};
+
+} // namespace monsoonbay::standins
--- /dev/null
+++ b/tools/standins/src/Engine.cpp
@@ -0,0 +1,498 @@
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Support.h"
+#include "standins/Standins.h"
+#include "transport/HttpClient.h"
+
+namespace monsoonbay::standins {
+
+namespace {
+
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t keptFinishedRequests = 20000;
+
+struct Sequence
+{
+    std::string id;
+    std::string adapter;
+    std::uint64_t epoch = 0;
+    int tokens = 0;
+    int produced = 0;
+    int priority = 5;
+    bool cancelled = false;
+    bool broken = false; ///< its adapter was evicted or the engine restarted
+    std::vector<std::shared_ptr<asio::steady_timer>> watchers;
+
+    bool ended() const
+    {
+        return this->cancelled || this->broken || this->produced >= this->tokens;
+    }
+};
+
+using SequencePtr = std::shared_ptr<Sequence>;
+
+struct Counters
+{
+    std::uint64_t steps = 0;
+    std::uint64_t sequenceSteps = 0;
+    std::uint64_t loads = 0;
+    std::uint64_t evictions = 0;
+    std::uint64_t evictedUnderRun = 0;
+    std::uint64_t staleOrders = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t twiceRun = 0;
+};
+
+// The text depends on the adapter and the position, so a checker sees a neighbour's answer, a
+// gap and a repeat.
+std::string tokenText(const Sequence &sequence, int index)
+{
+    return sequence.adapter + ":" + std::to_string(index) + " ";
+}
+
+HttpReply residentReply(const std::string &adapter)
+{
+    return jsonReply(200, {{"resident", adapter}});
+}
+
+HttpReply staleReply(std::uint64_t token)
+{
+    return jsonReply(409, {{"error", "stale-token"}, {"token", token}});
+}
+
+class Engine final : public Standin
+{
+public:
+    Engine(asio::io_context &context, const EngineOptions &options)
+        : context(context)
+        , options(options)
+        , client(context)
+        , stepTimer(context)
+        , server(context, options.listen,
+                 [this](HttpExchange &exchange) { return this->handle(exchange); })
+    {
+        this->refreshReport();
+        asio::co_spawn(context, this->reportLoop(), asio::detached);
+    }
+
+    std::uint16_t port() const override
+    {
+        return this->server.port();
+    }
+
+private:
+    asio::awaitable<void> handle(HttpExchange &exchange)
+    {
+        const HttpRequest &request = exchange.request();
+        const std::string target(request.target());
+        const std::string path(pathOf(target));
+        if (path == "/control") {
+            co_await exchange.respond(this->control(request.body()));
+            co_return;
+        }
+        if (this->faults.strikes("down")) {
+            exchange.abort();
+            co_return;
+        }
+        if (this->faults.strikes("delay"))
+            co_await sleepMs(this->faults.valueMs("delay"));
+        if (path == "/v1/status") {
+            const HttpReply reply = jsonReply(200, this->report);
+            co_await exchange.respond(reply);
+        } else if (path == "/v1/orders") {
+            co_await this->takeOrder(exchange);
+        } else if (path == "/v1/completions" || path == "/v1/chat/completions") {
+            co_await this->takeRequest(exchange);
+        } else if (path.starts_with("/v1/requests/")) {
+            const std::string id = path.substr(std::string_view("/v1/requests/").size());
+            co_await this->takeUpRequest(exchange, id);
+        } else {
+            co_await exchange.respond(errorReply(404, "no such path"));
+        }
+    }
+
+    HttpReply control(const std::string &body)
+    {
+        const HttpReply reply = switchFault(this->faults, body);
+        if (this->faults.strikes("restart"))
+            this->restart();
+        return reply;
+    }
+
+    void restart()
+    {
+        ++this->epoch;
+        this->resident.clear();
+        for (auto &[id, sequence] : this->sequences) {
+            sequence->broken = true;
+            this->wake(*sequence);
+        }
+        this->sequences.clear();
+        this->running.clear();
+        this->queued.clear();
+        this->finished.clear();
+        this->refreshReport();
+    }
+
+    asio::awaitable<void> takeOrder(HttpExchange &exchange)
+    {
+        const Json order = Json::parse(exchange.request().body(), nullptr, false);
+        if (!order.is_object()) {
+            co_await exchange.respond(errorReply(400, "not an order"));
+            co_return;
+        }
+        const std::uint64_t token = order.value("token", std::uint64_t{0});
+        const std::uint64_t local = order.value("local", std::uint64_t{0});
+        const auto offered = std::make_pair(token, local);
+        if (this->options.checksTokens && offered < this->highest) {
+            ++this->counters.staleOrders;
+            const HttpReply reply = staleReply(this->highest.first);
+            co_await exchange.respond(reply);
+            co_return;
+        }
+        this->highest = std::max(this->highest, offered);
+        const std::string kind = order.value("order", "");
+        if (kind == "claim") {
+            const HttpReply reply = jsonReply(200, this->liveReport());
+            co_await exchange.respond(reply);
+        } else if (kind == "load") {
+            const HttpReply reply =
+                co_await this->load(order.value("adapter", ""), order.value("evict", ""));
+            co_await exchange.respond(reply);
+        } else {
+            co_await exchange.respond(errorReply(400, "unknown order"));
+        }
+    }
+
+    asio::awaitable<HttpReply> load(std::string adapter, std::string evict)
+    {
+        const std::uint64_t loadEpoch = this->epoch;
+        if (this->resident.contains(adapter))
+            co_return residentReply(adapter);
+        if (!evict.empty())
+            this->evictNow(evict);
+        if (this->resident.size() + this->loading >= static_cast<std::size_t>(this->options.slots))
+            co_return errorReply(409, "no-free-slot");
+        ++this->loading;
+        HttpCall call;
+        call.path = "/weights/" + adapter;
+        const HttpResult weights =
+            co_await this->client.call(this->options.store, call, std::chrono::minutes(10));
+        --this->loading;
+        const bool failed =
+            !weights.ok() || loadEpoch != this->epoch || this->faults.strikes("loadFail");
+        if (failed)
+            co_return errorReply(502, "load-failed");
+        this->resident[adapter] = 0;
+        ++this->counters.loads;
+        co_return residentReply(adapter);
+    }
+
+    void evictNow(const std::string &adapter)
+    {
+        const auto found = this->resident.find(adapter);
+        if (found == this->resident.end())
+            return;
+        ++this->counters.evictions;
+        if (found->second > 0)
+            ++this->counters.evictedUnderRun;
+        for (auto &[id, sequence] : this->sequences) {
+            if (sequence->adapter != adapter || sequence->ended())
+                continue;
+            sequence->broken = true;
+            this->wake(*sequence);
+        }
+        this->resident.erase(found);
+    }
+
+    asio::awaitable<void> takeRequest(HttpExchange &exchange)
+    {
+        const Json body = Json::parse(exchange.request().body(), nullptr, false);
+        if (!body.is_object() || !body.contains("model")) {
+            co_await exchange.respond(errorReply(400, "no model named"));
+            co_return;
+        }
+        const std::string adapter = body["model"];
+        if (!this->resident.contains(adapter)) {
+            co_await exchange.respond(errorReply(409, "not-resident"));
+            co_return;
+        }
+        ++this->counters.requests;
+        auto sequence = std::make_shared<Sequence>();
+        sequence->id = body.value("request_id", "");
+        sequence->adapter = adapter;
+        sequence->epoch = this->epoch;
+        sequence->tokens = std::clamp(body.value("max_tokens", 16), 1, 100000);
+        sequence->priority = body.value("priority", 5);
+        if (this->ranBefore(sequence->id))
+            ++this->counters.twiceRun;
+        this->sequences[sequence->id] = sequence;
+        ++this->resident[adapter];
+        this->queued.push_back(sequence);
+        this->startSteps();
+        const bool streamed = body.value("stream", false);
+        if (streamed)
+            co_await this->streamFrom(exchange, sequence, 0);
+        else
+            co_await this->answerWhole(exchange, sequence);
+    }
+
+    bool ranBefore(const std::string &id) const
+    {
+        return !id.empty() && this->sequences.contains(id);
+    }
+
+    asio::awaitable<void> takeUpRequest(HttpExchange &exchange, std::string id)
+    {
+        const auto found = this->sequences.find(id);
+        if (found == this->sequences.end()) {
+            co_await exchange.respond(errorReply(404, "unknown-request"));
+            co_return;
+        }
+        const SequencePtr sequence = found->second;
+        if (exchange.request().method_string() == "DELETE") {
+            sequence->cancelled = true;
+            this->wake(*sequence);
+            const HttpReply reply = jsonReply(200, {{"cancelled", id}});
+            co_await exchange.respond(reply);
+            co_return;
+        }
+        const std::string target(exchange.request().target());
+        const bool whole = queryNumber(target, "whole", 0) != 0;
+        if (whole)
+            co_await this->answerWhole(exchange, sequence);
+        else
+            co_await this->streamFrom(exchange, sequence,
+                                      static_cast<int>(queryNumber(target, "from", 0)));
+    }
+
+    asio::awaitable<void> answerWhole(HttpExchange &exchange, SequencePtr sequence)
+    {
+        while (!sequence->ended())
+            co_await this->watch(sequence);
+        const bool lost = this->faults.strikes("lostAnswer");
+        if (lost || sequence->broken || sequence->cancelled) {
+            exchange.abort();
+            co_return;
+        }
+        const bool wrong = this->faults.strikes("wrongAdapter");
+        const bool crossed = this->faults.strikes("crossed");
+        std::string text;
+        for (int index = 0; index < sequence->tokens; ++index)
+            text += tokenText(*sequence, index);
+        const Json answer{
+            {"id", crossed ? "somebody-else" : sequence->id},
+            {"object", "text_completion"},
+            {"model", wrong ? "neighbour@1" : sequence->adapter},
+            {"choices", Json::array({{{"text", text}, {"finish_reason", "length"}}})}};
+        const HttpReply reply = jsonReply(200, answer);
+        co_await exchange.respond(reply);
+    }
+
+    asio::awaitable<void> streamFrom(HttpExchange &exchange, SequencePtr sequence, int from)
+    {
+        std::error_code error =
+            co_await exchange.beginStream(200, std::string("text/event-stream"));
+        const bool wrong = this->faults.strikes("wrongAdapter");
+        const bool isShort = this->faults.strikes("short");
+        const bool broken = this->faults.strikes("lostAnswer");
+        const bool doubled = this->faults.strikes("duplicate");
+        int sent = from;
+        while (!error) {
+            const bool cut = (isShort || broken) && sent >= sequence->tokens / 2;
+            if (cut || sequence->broken || sequence->cancelled)
+                break;
+            if (sent < sequence->produced) {
+                const std::string event = this->eventText(*sequence, sent, wrong);
+                const std::string data = doubled ? event + event : event;
+                error = co_await exchange.writeChunk(data);
+                ++sent;
+                continue;
+            }
+            if (sequence->produced >= sequence->tokens)
+                break;
+            co_await this->watch(sequence);
+        }
+        const bool complete = sent >= sequence->tokens;
+        if (error || broken || (!complete && !isShort)) {
+            exchange.abort();
+            co_return;
+        }
+        if (!isShort) {
+            const std::string done = "data: [DONE]\n\n";
+            co_await exchange.writeChunk(done);
+        }
+        co_await exchange.endStream();
+    }
+
+    std::string eventText(const Sequence &sequence, int index, bool wrong) const
+    {
+        std::string event = "data: {\"id\":\"" + sequence.id + "\",\"model\":\"";
+        event += wrong ? std::string("neighbour@1") : sequence.adapter;
+        event += "\",\"index\":" + std::to_string(index) + ",\"choices\":[{\"text\":\"";
+        event += tokenText(sequence, index);
+        event +=
+            index + 1 == sequence.tokens ? "\",\"finish_reason\":\"length\"}]}\n\n" : "\"}]}\n\n";
+        return event;
+    }
+
+    asio::awaitable<void> watch(SequencePtr sequence)
+    {
+        auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor,
+                                                          asio::steady_timer::time_point::max());
+        sequence->watchers.push_back(timer);
+        co_await timer->async_wait(quietly);
+    }
+
+    void wake(Sequence &sequence)
+    {
+        for (const auto &timer : sequence.watchers)
+            timer->cancel();
+        sequence.watchers.clear();
+    }
+
+    void startSteps()
+    {
+        if (this->stepping)
+            return;
+        this->stepping = true;
+        asio::co_spawn(this->context, this->stepLoop(), asio::detached);
+    }
+
+    // Continuous batching: at every step boundary the queue fills the free places, then each
+    // running sequence gets one token.
+    asio::awaitable<void> stepLoop()
+    {
+        while (!this->queued.empty() || !this->running.empty()) {
+            this->fillBatch();
+            const double batch = static_cast<double>(this->running.size());
+            const double stepMs = this->options.stepMs + this->options.stepMsPerSequence * batch;
+            if (stepMs > 0) {
+                this->stepTimer.expires_after(
+                    std::chrono::microseconds(static_cast<std::int64_t>(stepMs * 1000)));
+                co_await this->stepTimer.async_wait(quietly);
+            } else {
+                co_await asio::post(this->context, asio::use_awaitable);
+            }
+            ++this->counters.steps;
+            this->counters.sequenceSteps += this->running.size();
+            this->stepOnce();
+        }
+        this->stepping = false;
+    }
+
+    void fillBatch()
+    {
+        while (!this->queued.empty()
+               && this->running.size() < static_cast<std::size_t>(this->options.maxBatch)) {
+            const auto first = std::min_element(this->queued.begin(), this->queued.end(),
+                                                [](const SequencePtr &a, const SequencePtr &b) {
+                                                    return a->priority < b->priority;
+                                                });
+            this->running.push_back(*first);
+            this->queued.erase(first);
+        }
+    }
+
+    void stepOnce()
+    {
+        for (const SequencePtr &sequence : this->running) {
+            if (!sequence->ended())
+                ++sequence->produced;
+            this->wake(*sequence);
+        }
+        std::vector<SequencePtr> still;
+        for (const SequencePtr &sequence : this->running) {
+            if (!sequence->ended()) {
+                still.push_back(sequence);
+                continue;
+            }
+            this->finish(*sequence);
+        }
+        this->running = std::move(still);
+    }
+
+    void finish(const Sequence &sequence)
+    {
+        const auto slot = this->resident.find(sequence.adapter);
+        if (slot != this->resident.end() && slot->second > 0 && sequence.epoch == this->epoch)
+            --slot->second;
+        this->finished.push_back(sequence.id);
+        if (this->finished.size() <= keptFinishedRequests)
+            return;
+        this->sequences.erase(this->finished.front());
+        this->finished.pop_front();
+    }
+
+    Json liveReport() const
+    {
+        Json adapters = Json::array();
+        for (const auto &[adapter, runs] : this->resident)
+            adapters.push_back({{"adapter", adapter}, {"running", runs}});
+        return Json{{"name", this->options.name},
+                    {"epoch", this->epoch},
+                    {"slots", this->options.slots},
+                    {"maxBatch", this->options.maxBatch},
+                    {"resident", adapters},
+                    {"loading", this->loading},
+                    {"running", this->running.size()},
+                    {"queued", this->queued.size()},
+                    {"steps", this->counters.steps},
+                    {"sequenceSteps", this->counters.sequenceSteps},
+                    {"loads", this->counters.loads},
+                    {"evictions", this->counters.evictions},
+                    {"evictedUnderRun", this->counters.evictedUnderRun},
+                    {"staleOrders", this->counters.staleOrders},
+                    {"requests", this->counters.requests},
+                    {"twiceRun", this->counters.twiceRun}};
+    }
+
+    void refreshReport()
+    {
+        this->report = this->liveReport();
+    }
+
+    asio::awaitable<void> reportLoop()
+    {
+        while (true) {
+            co_await sleepMs(this->options.reportLagMs);
+            this->refreshReport();
+        }
+    }
+
+    asio::io_context &context;
+    EngineOptions options;
+    HttpClient client;
+    asio::steady_timer stepTimer;
+    Faults faults;
+    std::uint64_t epoch = 1;
+    std::pair<std::uint64_t, std::uint64_t> highest{0, 0};
+    std::map<std::string, int> resident;
+    std::size_t loading = 0;
+    std::unordered_map<std::string, SequencePtr> sequences;
+    std::deque<std::string> finished;
+    std::vector<SequencePtr> running;
+    std::deque<SequencePtr> queued;
+    bool stepping = false;
+    Counters counters;
+    Json report;
+    HttpServer server;
+};
+
+} // namespace
+
+std::unique_ptr<Standin> startEngine(asio::io_context &context, const EngineOptions &options)
+{
+    return std::make_unique<Engine>(context, options);
+}
+
+} // namespace monsoonbay::standins
--- /dev/null
+++ b/tools/standins/src/Store.cpp
@@ -0,0 +1,90 @@
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+
+#include "Support.h"
+#include "standins/Standins.h"
+
+namespace monsoonbay::standins {
+
+namespace {
+
+constexpr double tickMs = 5;
+
+/** Concurrent loads share the rate, so that asking for two at a time gains nothing. */
+class Store final : public Standin
+{
+public:
+    Store(asio::io_context &context, const StoreOptions &options)
+        : options(options)
+        , server(context, options.listen,
+                 [this](HttpExchange &exchange) { return this->handle(exchange); })
+    { }
+
+    std::uint16_t port() const override
+    {
+        return this->server.port();
+    }
+
+private:
+    asio::awaitable<void> handle(HttpExchange &exchange)
+    {
+        const std::string target(exchange.request().target());
+        if (target == "/control") {
+            co_await exchange.respond(switchFault(this->faults, exchange.request().body()));
+            co_return;
+        }
+        if (target == "/v1/status") {
+            const HttpReply status =
+                jsonReply(200, {{"loads", this->loads}, {"mostAtOnce", this->mostAtOnce}});
+            co_await exchange.respond(status);
+            co_return;
+        }
+        if (this->faults.strikes("down")) {
+            co_await exchange.respond(errorReply(503, "store is down"));
+            co_return;
+        }
+        ++this->atOnce;
+        this->mostAtOnce = std::max(this->mostAtOnce, this->atOnce);
+        if (this->faults.strikes("delay"))
+            co_await sleepMs(this->faults.valueMs("delay"));
+        co_await this->transfer();
+        --this->atOnce;
+        ++this->loads;
+        if (this->faults.strikes("fail")) {
+            co_await exchange.respond(errorReply(500, "weights are unreadable"));
+            co_return;
+        }
+        const HttpReply reply = jsonReply(200, {{"weights", target}});
+        co_await exchange.respond(reply);
+    }
+
+    asio::awaitable<void> transfer()
+    {
+        double remaining = 1.0;
+        auto last = std::chrono::steady_clock::now();
+        while (remaining > 0) {
+            co_await sleepMs(tickMs);
+            const auto now = std::chrono::steady_clock::now();
+            const double seconds = std::chrono::duration<double>(now - last).count();
+            last = now;
+            remaining -= seconds * this->options.loadsPerSecond / std::max(1, this->atOnce);
+        }
+    }
+
+    StoreOptions options;
+    Faults faults;
+    int atOnce = 0;
+    int mostAtOnce = 0;
+    std::uint64_t loads = 0;
+    HttpServer server;
+};
+
+} // namespace
+
+std::unique_ptr<Standin> startStore(asio::io_context &context, const StoreOptions &options)
+{
+    return std::make_unique<Store>(context, options);
+}
+
+} // namespace monsoonbay::standins
--- /dev/null
+++ b/tools/standins/src/Support.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "standins/Fault.h"
+#include "transport/HttpServer.h"
+
+namespace monsoonbay::standins {
+
+using Json = nlohmann::json;
+
+HttpReply jsonReply(int status, const Json &body);
+
+/** {"error": text}. A function of its own, since GCC 12 rejects braces in co_await expressions. */
+HttpReply errorReply(int status, const char *error);
+
+/** Value of a query parameter, or the fallback. */
+std::uint64_t queryNumber(std::string_view target, std::string_view key, std::uint64_t fallback);
+
+/** Path of a request target without its query. */
+std::string_view pathOf(std::string_view target);
+
+/** Handles {"fault": kind, "times": n, "ms": m}; the reply says what was switched. */
+HttpReply switchFault(Faults &faults, const std::string &body);
+
+asio::awaitable<void> sleepMs(double milliseconds);
+
+} // namespace monsoonbay::standins
--- /dev/null
+++ b/tools/standins/src/VmList.cpp
@@ -0,0 +1,66 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Support.h"
+#include "standins/Standins.h"
+
+namespace monsoonbay::standins {
+
+namespace {
+
+/** GET /v1/vms gives the array; PUT /v1/vms replaces it, seen only after the lag. */
+class VmList final : public Standin
+{
+public:
+    VmList(asio::io_context &context, const VmListOptions &options)
+        : context(context)
+        , options(options)
+        , shown(options.vms)
+        , server(context, options.listen,
+                 [this](HttpExchange &exchange) { return this->handle(exchange); })
+    { }
+
+    std::uint16_t port() const override
+    {
+        return this->server.port();
+    }
+
+private:
+    asio::awaitable<void> handle(HttpExchange &exchange)
+    {
+        const HttpRequest &request = exchange.request();
+        HttpReply reply;
+        if (request.target() == "/control") {
+            reply = switchFault(this->faults, request.body());
+        } else if (request.method_string() == "PUT") {
+            asio::co_spawn(this->context, this->showLater(request.body()), asio::detached);
+            reply.body = "{}";
+        } else if (this->faults.strikes("down")) {
+            reply.status = 503;
+        } else {
+            reply.body = this->shown;
+        }
+        co_await exchange.respond(reply);
+    }
+
+    asio::awaitable<void> showLater(std::string vms)
+    {
+        co_await sleepMs(this->options.lagMs);
+        this->shown = std::move(vms);
+    }
+
+    asio::io_context &context;
+    VmListOptions options;
+    std::string shown;
+    Faults faults;
+    HttpServer server;
+};
+
+} // namespace
+
+std::unique_ptr<Standin> startVmList(asio::io_context &context, const VmListOptions &options)
+{
+    return std::make_unique<VmList>(context, options);
+}
+
+} // namespace monsoonbay::standins
