Whole daemons under failure, end to end; five faults found and mended

Cause, each found by a test that kills, cuts or restarts real daemons and stand-ins in one process: (1) an order to an owner that had just died kept its load permit for 60 s, so nothing was loaded; (2) a stream whose owner died was given up after 0.8 s, before a new owner can be there; (3) what a leaving target held went on counting as resident, so it was never loaded elsewhere; (4) a VM that started during a log outage got a peer's records but no base to apply them to; (5) a daemon that ended with calls open waited for ever in gRPC, or was called back after its end. Ruled out for (2): the detector (dead owner seen after 1.4 s) and the claim (0.1 s later).

--- a/libs/daemon/src/Coordinator.cpp
+++ b/libs/daemon/src/Coordinator.cpp
@@ -163,6 +163,30 @@
              [&news](v1::PeerNews &message) { *message.add_verdicts() = news; });
 }
 
+// The owner of a target died with an order in its hands. Its successor finds out what became of the
+// load by the engine's report; the permit is free at once.
+void takeBackOrders(Node &node, const std::vector<Member> &alive)
+{
+    const std::vector<LoadOrder> pending = node.placement.with([](const PlacementState &state) {
+        std::vector<LoadOrder> orders;
+        for (const auto &[permit, load] : state.pending)
+            orders.push_back(load.order);
+        return orders;
+    });
+    for (const LoadOrder &order : pending) {
+        const VmId owner = node.ownership.with(
+            [&](const OwnershipState &state) { return ownerOf(state, order.target); });
+        const bool ownerAlive =
+            std::any_of(alive.begin(), alive.end(),
+                        [owner](const Member &member) { return member.vm == owner; });
+        if (ownerAlive)
+            continue;
+        node.placement.with([&](PlacementState &state) {
+            noteLoadResult(state, order.permit, LoadOutcome::Declined, BootClock::now());
+        });
+    }
+}
+
 void refreshConfig(Node &node)
 {
     const std::shared_ptr<const Manifest> manifest = manifestInForce(node);
@@ -201,6 +225,7 @@
     view.deputy = rendezvousOwner(permitKey, vms);
     const CoordinatorView before = coordinatorView(node);
     node.coordinator.with([&](CoordinatorView &held) { held = view; });
+    takeBackOrders(node, alive);
     if (before.coordinator == view.coordinator)
         return;
     const auto coordinator = std::find_if(alive.begin(), alive.end(), [&](const Member &member) {
--- a/libs/daemon/src/Node.cpp
+++ b/libs/daemon/src/Node.cpp
@@ -179,11 +179,8 @@
         node.placement.with([id = id](PlacementState &state) { forgetTarget(state, id); });
     }
     for (const TargetStatus &status : node.directory.statuses())
-        node.placement.with([&](PlacementState &state) {
-            const auto index = state.targetIndex.find(status.target);
-            if (index != state.targetIndex.end())
-                state.targets[index->second].leaving = status.leaving;
-        });
+        node.placement.with(
+            [&](PlacementState &state) { setTargetLeaving(state, status.target, status.leaving); });
 }
 
 asio::awaitable<void> pause(Duration duration)
--- a/libs/daemon/src/PeerExchange.cpp
+++ b/libs/daemon/src/PeerExchange.cpp
@@ -124,7 +124,13 @@
             });
         if (!news || node.stopped)
             co_return;
-        co_await sendNews(node, to, *news, newsTimeout);
+        const bool sent = co_await sendNews(node, to, *news, newsTimeout);
+        if (sent)
+            continue;
+        // An order that did not get through would keep its permit until the load times out, and
+        // nothing would be loaded meanwhile.
+        for (const v1::LoadOrder &order : news->orders())
+            reportLoadResult(node, order.permit(), order, LoadOutcome::Declined);
     }
 }
 
@@ -346,7 +352,8 @@
     if (!state.based || state.readThrough <= request.read_through())
         return reply;
     const bool complete = node.history.with([&](const ManifestHistory &history) {
-        if (request.read_through() < history.completeAfter)
+        // Who has judged nothing has no base to apply records to, however complete they are.
+        if (request.read_through() == 0 || request.read_through() < history.completeAfter)
             return false;
         for (const ManifestRecord &record : history.records) {
             if (record.offset <= request.read_through())
--- a/libs/requests/src/RequestLife.cpp
+++ b/libs/requests/src/RequestLife.cpp
@@ -7,10 +7,12 @@
 namespace {
 
 constexpr std::uint32_t maxBounces = 50;
-constexpr std::uint32_t maxResumes = 8;
+/** With the growing waits, half a minute: longer than a new owner takes to claim and wait. */
+constexpr std::uint32_t maxResumes = 36;
 constexpr Duration firstBounceWait = std::chrono::milliseconds(5);
 constexpr Duration longestBounceWait = std::chrono::milliseconds(250);
-constexpr Duration resumeWait = std::chrono::milliseconds(100);
+constexpr Duration firstResumeWait = std::chrono::milliseconds(50);
+constexpr Duration longestResumeWait = std::chrono::milliseconds(1000);
 
 Duration bounceWait(std::uint32_t bounces)
 {
@@ -18,6 +20,12 @@
     return std::min(longestBounceWait, firstBounceWait * (1 << doublings));
 }
 
+Duration resumeWaitAfter(std::uint32_t resumes)
+{
+    const std::uint32_t doublings = std::min(resumes, 6U);
+    return std::min(longestResumeWait, firstResumeWait * (1 << doublings));
+}
+
 LifeStep finish(RequestLife &life, NextStep step, ErrorKind kind)
 {
     life.phase = RequestPhase::Ended;
@@ -110,15 +118,16 @@
             return finish(life, NextStep::Refuse, end.kind);
         return bounce(life, end.kind, now);
     }
-    const bool timeLeft = now + resumeWait < life.traits.deadline;
+    const Duration wait = resumeWaitAfter(life.resumes);
+    const bool timeLeft = now + wait < life.traits.deadline;
     if (timeLeft && worthResuming(life, end.kind)) {
         ++life.resumes;
-        return LifeStep{NextStep::Resume, end.kind, resumeWait};
+        return LifeStep{NextStep::Resume, end.kind, wait};
     }
     if (timeLeft && mayRunAgain(life) && takeRetry(budget)) {
         life.phase = RequestPhase::Routing;
         life.resumes = 0;
-        return LifeStep{NextStep::Route, end.kind, resumeWait};
+        return LifeStep{NextStep::Route, end.kind, wait};
     }
     const ErrorKind told = meansNotRun(end.kind) ? ErrorKind::MayHaveRun : end.kind;
     return finish(life, NextStep::Fail, told);
--- a/libs/residency/include/residency/Placement.h
+++ b/libs/residency/include/residency/Placement.h
@@ -174,6 +174,9 @@
 /** Takes the owner's newest word about a target; replaces what was known. */
 void noteTarget(PlacementState &state, const TargetView &view);
 
+/** Marks a target leaving, or not; what it holds no longer counts as resident. */
+void setTargetLeaving(PlacementState &state, TargetId target, bool leaving);
+
 void forgetTarget(PlacementState &state, TargetId target);
 
 /** Counts requests; `hits` of them found their adapter resident. */
--- a/libs/residency/src/Placement.cpp
+++ b/libs/residency/src/Placement.cpp
@@ -224,6 +224,17 @@
     countCopies(state, target);
 }
 
+void setTargetLeaving(PlacementState &state, TargetId target, bool leaving)
+{
+    const auto known = state.targetIndex.find(target);
+    if (known == state.targetIndex.end())
+        return;
+    TargetView &view = state.targets[known->second];
+    uncountCopies(state, view);
+    view.leaving = leaving;
+    countCopies(state, view);
+}
+
 void forgetTarget(PlacementState &state, TargetId target)
 {
     const auto known = state.targetIndex.find(target);
--- a/libs/residency/tests/Placing.cpp
+++ b/libs/residency/tests/Placing.cpp
@@ -168,6 +168,22 @@
     cr_assert_eq(decide(state, now).orders.size(), 1);
 }
 
+// Symptom: an adapter that was resident only on a leaving target was never loaded elsewhere, and
+// its callers waited to their deadlines. Cause: the leaving target's copy went on counting.
+Test(placement, what_a_leaving_target_holds_is_loaded_elsewhere)
+{
+    const Instant now = Instant{} + std::chrono::seconds(10);
+    PlacementState state = threeTargets(*findPlacementPolicy("forecast"), now);
+    TargetView view = emptyTarget(0);
+    view.resident.push_back(ResidentSlot{adapterOf(1), 0, now});
+    noteTarget(state, view);
+    setTargetLeaving(state, view.target, true);
+    noteWant(state, wantOf(1, 1, now, std::chrono::hours(1)), now);
+    const PlacementActions actions = decide(state, now);
+    cr_assert_eq(actions.orders.size(), 1);
+    cr_assert(actions.orders[0].target != view.target);
+}
+
 // Symptom: one broken adapter kept the store busy. Cause to rule out: no back-off after failures.
 Test(placement, a_failing_load_backs_off_and_its_waiters_are_told)
 {
--- /dev/null
+++ b/libs/transport/src/OpenCalls.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace monsoonbay {
+
+/**
+ * Calls of gRPC that have not ended. gRPC waits for each of them when a server or a client is
+ * destroyed, while the coroutine that would end it may never run again once its context has
+ * stopped: the shutdown would hang. Here every call has a way to be ended from outside, once.
+ */
+class OpenCalls
+{
+public:
+    /** Registers a call and how to end it from outside. */
+    std::uint64_t add(std::function<void()> end)
+    {
+        const std::lock_guard guard(this->mutex);
+        this->ends[++this->last] = std::move(end);
+        ++this->open;
+        return this->last;
+    }
+
+    /** True for the one who may end the call now. */
+    bool take(std::uint64_t call)
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->ends.erase(call) > 0;
+    }
+
+    /** The call is over; nothing of it runs any more. */
+    void done()
+    {
+        const std::lock_guard guard(this->mutex);
+        --this->open;
+        this->changed.notify_all();
+    }
+
+    /** Ends all that are open. */
+    void endAll()
+    {
+        std::map<std::uint64_t, std::function<void()>> taken;
+        {
+            const std::lock_guard guard(this->mutex);
+            taken.swap(this->ends);
+        }
+        for (const auto &[call, end] : taken)
+            end();
+    }
+
+    /** Blocks until all calls are over. */
+    void waitAll()
+    {
+        std::unique_lock guard(this->mutex);
+        this->changed.wait(guard, [this] { return this->open == 0; });
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::uint64_t, std::function<void()>> ends;
+    std::uint64_t last = 0;
+    int open = 0;
+};
+
+} // namespace monsoonbay
--- a/libs/transport/src/PeerClient.cpp
+++ b/libs/transport/src/PeerClient.cpp
@@ -5,6 +5,7 @@
 
 #include "Completion.h"
 #include "EntryVm.grpc.pb.h"
+#include "OpenCalls.h"
 #include "transport/PeerNetwork.h"
 
 namespace monsoonbay {
@@ -23,8 +24,9 @@
 class RunReader final : public grpc::ClientReadReactor<v1::RunEvent>, public RemoteRun
 {
 public:
-    RunReader(v1::RunRequest request, Duration timeout)
-        : request(std::move(request))
+    RunReader(OpenCalls &calls, v1::RunRequest request, Duration timeout)
+        : calls(calls)
+        , request(std::move(request))
     {
         this->context.set_deadline(deadlineIn(timeout));
     }
@@ -34,6 +36,7 @@
         this->self = std::move(keep);
         stub.async()->Run(&this->context, &this->request, this);
         this->AddHold();
+        this->call = this->calls.add([this] { this->end(); });
         this->StartCall();
     }
 
@@ -52,12 +55,18 @@
 
     /** The reader is needed no more; gRPC may end the call. */
     void letGo()
+    {
+        if (this->calls.take(this->call))
+            this->end();
+    }
+
+private:
+    void end()
     {
         this->context.TryCancel();
         this->RemoveHold();
     }
 
-private:
     void OnReadDone(bool ok) override
     {
         Completion completion;
@@ -67,9 +76,15 @@
 
     void OnDone(const grpc::Status &) override
     {
-        const std::shared_ptr<RunReader> last = std::move(this->self);
+        OpenCalls &open = this->calls;
+        {
+            const std::shared_ptr<RunReader> last = std::move(this->self);
+        }
+        open.done();
     }
 
+    OpenCalls &calls;
+    std::uint64_t call = 0;
     v1::RunRequest request;
     grpc::ClientContext context;
     Completion pending;
@@ -117,9 +132,15 @@
         PeerResult<Reply> result;
         // Named, not a temporary: GCC 12 destroys the captures of a closure that is built inside a
         // co_await expression twice, which shows as a crash much later.
-        const auto start = [call, method](Completion completion) {
+        OpenCalls &open = this->calls;
+        const std::uint64_t number = open.add([call] { call->context.TryCancel(); });
+        const auto start = [call, method, &open, number](Completion completion) {
             method(*call->stub, call->context, call->request, call->reply,
-                   [call, completion](const grpc::Status &status) { completion(status.ok()); });
+                   [call, completion, &open, number](const grpc::Status &status) {
+                       open.take(number);
+                       completion(status.ok());
+                       open.done();
+                   });
         };
         result.ok = co_await completionOf(start);
         if (result.ok)
@@ -129,13 +150,19 @@
 
     std::mutex mutex;
     std::map<Endpoint, std::shared_ptr<v1::EntryVm::Stub>> stubs;
+    OpenCalls calls;
 };
 
 PeerClient::PeerClient()
     : impl(std::make_unique<Impl>())
 { }
 
-PeerClient::~PeerClient() = default;
+// Callbacks post to the context of the waiting coroutines, so none may come after this.
+PeerClient::~PeerClient()
+{
+    this->impl->calls.endAll();
+    this->impl->calls.waitAll();
+}
 
 asio::awaitable<PeerResult<v1::PeerNewsReply>> PeerClient::tell(Endpoint peer, v1::PeerNews news,
                                                                 Duration timeout)
@@ -170,7 +197,7 @@
 std::shared_ptr<RemoteRun> PeerClient::run(const Endpoint &peer, const v1::RunRequest &request,
                                            Duration timeout)
 {
-    auto reader = std::make_shared<RunReader>(request, timeout);
+    auto reader = std::make_shared<RunReader>(this->impl->calls, request, timeout);
     reader->begin(*this->impl->stubFor(peer), reader);
     return std::shared_ptr<RemoteRun>(reader.get(), [reader](RemoteRun *) { reader->letGo(); });
 }
--- a/libs/transport/src/PeerServer.cpp
+++ b/libs/transport/src/PeerServer.cpp
@@ -8,6 +8,7 @@
 
 #include "Completion.h"
 #include "EntryVm.grpc.pb.h"
+#include "OpenCalls.h"
 #include "transport/PeerNetwork.h"
 
 namespace monsoonbay {
@@ -50,9 +51,9 @@
             this->goneHandler = std::move(handler);
     }
 
-    void finish()
+    void finish(const grpc::Status &status)
     {
-        this->Finish(grpc::Status::OK);
+        this->Finish(status);
     }
 
 private:
@@ -60,7 +61,8 @@
     {
         Completion completion;
         std::swap(completion, this->pending);
-        completion(ok);
+        if (completion)
+            completion(ok);
     }
 
     void OnCancel() override
@@ -88,17 +90,24 @@
     std::function<void()> goneHandler;
 };
 
-asio::awaitable<void> serveRun(const PeerHandlers &handlers, v1::RunRequest request,
-                               std::shared_ptr<RunReactor> reactor)
+asio::awaitable<void> serveRun(const PeerHandlers &handlers, OpenCalls &calls,
+                               v1::RunRequest request, std::shared_ptr<RunReactor> reactor,
+                               std::uint64_t call)
 {
     co_await handlers.run(std::move(request), reactor);
-    reactor->finish();
+    if (calls.take(call))
+        reactor->finish(grpc::Status::OK);
 }
 
-asio::awaitable<void> answerNews(const PeerHandlers &handlers, v1::PeerNews news,
-                                 v1::PeerNewsReply *reply, grpc::ServerUnaryReactor *reactor)
+asio::awaitable<void> answerNews(const PeerHandlers &handlers, OpenCalls &calls, v1::PeerNews news,
+                                 v1::PeerNewsReply *reply, grpc::ServerUnaryReactor *reactor,
+                                 std::uint64_t call)
 {
-    *reply = co_await handlers.tell(std::move(news));
+    v1::PeerNewsReply answer = co_await handlers.tell(std::move(news));
+    // After a shutdown has ended the call, its reply is gone.
+    if (!calls.take(call))
+        co_return;
+    *reply = std::move(answer);
     reactor->Finish(grpc::Status::OK);
 }
 
@@ -110,14 +119,19 @@
         , handlers(std::move(handlers))
     { }
 
+    OpenCalls calls;
+
 private:
     grpc::ServerWriteReactor<v1::RunEvent> *Run(grpc::CallbackServerContext *,
                                                 const v1::RunRequest *request) override
     {
         auto reactor = std::make_shared<RunReactor>();
         reactor->holdUntilDone();
+        const std::uint64_t call =
+            this->calls.add([held = reactor.get()] { held->finish(grpc::Status::CANCELLED); });
         asio::co_spawn(asio::make_strand(this->context),
-                       serveRun(this->handlers, *request, reactor), asio::detached);
+                       serveRun(this->handlers, this->calls, *request, reactor, call),
+                       asio::detached);
         return reactor.get();
     }
 
@@ -125,8 +139,11 @@
                                    v1::PeerNewsReply *reply) override
     {
         grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        const std::uint64_t call =
+            this->calls.add([reactor] { reactor->Finish(grpc::Status::CANCELLED); });
         asio::co_spawn(asio::make_strand(this->context),
-                       answerNews(this->handlers, *news, reply, reactor), asio::detached);
+                       answerNews(this->handlers, this->calls, *news, reply, reactor, call),
+                       asio::detached);
         return reactor;
     }
 
@@ -190,6 +207,7 @@
 
 PeerServer::~PeerServer()
 {
+    this->impl->service.calls.endAll();
     this->impl->server->Shutdown(std::chrono::system_clock::now() + shutdownPatience);
 }
 
--- /dev/null
+++ b/tests/src/World.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "daemon/Daemon.h"
+#include "standins/Standins.h"
+#include "transport/HttpClient.h"
+
+namespace monsoonbay::e2e {
+
+using Json = nlohmann::json;
+
+/** One entry VM of a test. */
+struct VmSpec
+{
+    std::string name;
+    std::string zone;
+};
+
+/** What a test runs on; small and quick unless it says otherwise. */
+struct WorldSpec
+{
+    std::vector<VmSpec> vms{{"vm-1", "zone-a"}};
+    int engines = 1;
+    int plainServices = 1;
+    int slots = 2;
+    int adapters = 6;
+    double stepMs = 2;
+    double loadsPerSecond = 20;
+    bool checksTokens = true;
+    int keyMemorySeconds = 1;
+    int shutdownSeconds = 20;
+};
+
+/** A caller's request. */
+struct Ask
+{
+    std::string path = "/v1/completions";
+    std::string method = "POST";
+    std::string adapter = "a0@1";
+    int tokens = 5;
+    bool stream = false;
+    std::string body; ///< instead of a completion, if not empty
+    std::vector<HttpHeader> headers;
+    std::string token = "secret";
+};
+
+/** Daemons and stand-ins of one test; everything ends with it. */
+class World
+{
+public:
+    explicit World(WorldSpec spec);
+    ~World();
+
+    World(const World &) = delete;
+    World &operator=(const World &) = delete;
+
+    /** Waits until every VM is ready and every engine is owned and usable. */
+    bool up();
+
+    HttpResult ask(const Ask &ask, std::size_t vm = 0);
+
+    /** Begins a request on a thread of its own; the result is taken by `join`. */
+    std::size_t begin(const Ask &ask, std::size_t vm = 0);
+    HttpResult join(std::size_t number);
+
+    /** Hangs up after the first piece of a streamed answer; false if none came. */
+    bool leaveEarly(const Ask &ask, std::size_t vm);
+
+    /** Sends bytes to the callers' port, closes, and reads what comes back. */
+    void sendBytes(const std::string &bytes, std::size_t vm);
+
+    Json status(std::size_t vm = 0);
+    Json engineStatus(std::size_t engine = 0);
+    /** True if the engine has taken `requests` in all and `running` of them run; its page lags. */
+    bool runsNow(int requests, int running = 1);
+    Json plainStatus(std::size_t service = 0);
+    void fault(const Endpoint &standin, const std::string &kind, int times, int ms = 0);
+    std::uint64_t publish(const std::string &kind, const std::string &content,
+                          const std::vector<std::string> &acknowledge = {});
+    std::uint64_t publishRaw(const std::string &body);
+    void setVmList(const std::map<std::string, std::string> &states);
+    void kill(std::size_t vm);
+    void start(std::size_t vm);
+    void shutdown(std::size_t vm);
+
+    HttpResult get(const Endpoint &endpoint, const std::string &path);
+    HttpResult call(const Endpoint &endpoint, const HttpCall &call);
+    Endpoint operators(std::size_t vm) const;
+
+    /** Polls until the condition holds; false if it does not within a generous time. */
+    static bool eventually(const std::function<bool()> &condition);
+
+    std::string manifest() const;
+
+    WorldSpec spec;
+    standins::StandinHost host;
+    Endpoint store;
+    Endpoint log;
+    Endpoint vmList;
+    std::vector<Endpoint> engines;
+    std::vector<Endpoint> plains;
+    std::vector<std::unique_ptr<Daemon>> daemons;
+
+private:
+    struct Pending;
+    std::vector<std::shared_ptr<Pending>> pending;
+};
+
+/** The text that the engine stand-in gives for an adapter. */
+std::string expectedText(const std::string &adapter, int tokens);
+
+/** Text of a whole or streamed answer; tells if a stream was complete. */
+struct AnswerText
+{
+    std::string text;
+    bool complete = false;
+};
+AnswerText textOf(const HttpResult &result);
+
+/** The problem type of a refusal, without its prefix. */
+std::string problemOf(const HttpResult &result);
+bool saysNotRun(const HttpResult &result);
+
+} // namespace monsoonbay::e2e
--- a/tools/loadgen/src/Main.cpp
+++ b/tools/loadgen/src/Main.cpp
@@ -35,7 +35,7 @@
         "policies", "placement policies to compare, first to last",
         cxxopts::value<std::vector<std::string>>()->default_value(
             "naive,plain-good,forecast,ranking,oracle"))("seeds", "runs of each policy",
-                                                 cxxopts::value<int>()->default_value("4"))(
+                                                         cxxopts::value<int>()->default_value("4"))(
         "seed", "seed of all draws",
         cxxopts::value<std::uint64_t>()->default_value("1"))("h,help", "this text");
     options.parse_positional({"command"});
