Placement: a store that stands still is seen, and left behind when it is back

Change: a load that takes four times the usual means a standstill, expected to last as long again as it has lasted; whoever cannot outwait it is told at once. One load counts at most three times the expected time, and with nothing ahead a want is always tried.

--- a/libs/residency/src/Forecast.cpp
+++ b/libs/residency/src/Forecast.cpp
@@ -25,6 +25,8 @@
 /** What a slot's demand counts while another target holds the adapter too. */
 constexpr double spareCopyShare = 0.25;
 constexpr double leastWeight = 0.05;
+/** A load that has taken so many times the usual means that the store stands still. */
+constexpr int standstillFactor = 4;
 /** Share of the time to a deadline that loads already admitted may fill. */
 constexpr double admissibleShare = 0.3;
 /** The waiters' age that counts as much as one more waiter. */
@@ -235,6 +237,17 @@
         && backoff->second.until + expectedLoadTime(state) > deadline;
 }
 
+// A load that takes many times what loads take means that the store is down or very slow. For how
+// long is unknown; what has lasted for some time is expected to last that long again.
+Duration expectedStandstill(const PlacementState &state, Instant now)
+{
+    Duration longest{};
+    for (const auto &[permit, load] : state.pending)
+        longest = std::max(longest, Duration(now - load.startedAt));
+    const bool stands = longest > standstillFactor * expectedLoadTime(state);
+    return stands ? longest : Duration{};
+}
+
 struct FreshWant
 {
     Instant deadline;
@@ -254,7 +267,13 @@
     std::vector<FreshWant> fresh;
     std::size_t admitted = 0;
     std::vector<AdapterId> refused;
+    const Duration standstill = expectedStandstill(state, now);
     for (const auto &[adapter, set] : state.wants) {
+        const bool hopeless = standstill > Duration{} && now + standstill > set.deadline();
+        if (hopeless) {
+            refused.push_back(adapter);
+            continue;
+        }
         if (state.copies.contains(adapter))
             continue;
         if (failsUntil(state, adapter, set.deadline()))
@@ -269,7 +288,9 @@
     for (const FreshWant &want : fresh) {
         const auto ahead = static_cast<double>(admitted + state.pending.size());
         const double room = toSeconds(want.deadline - now) * admissibleShare;
-        if ((ahead + 1) * loadSeconds > room) {
+        // With nothing ahead it is always tried: if everybody were refused on the word of a slow
+        // load, no load would ever show that the store is quick again.
+        if (ahead > 0 && (ahead + 1) * loadSeconds > room) {
             refused.push_back(want.adapter);
             continue;
         }
--- a/libs/residency/src/Placement.cpp
+++ b/libs/residency/src/Placement.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double loadTimeSmoothing = 0.2;
+constexpr double slowestCounted = 3; ///< times the expected time of a load
 constexpr Duration declinedPause = std::chrono::milliseconds(100);
 
 template <typename Change>
@@ -306,7 +307,9 @@
     }
     ++state.counters.loadsDone;
     state.backoffs.erase(load.order.adapter);
-    const double took = toSeconds(now - load.startedAt);
+    // One load that sat through an outage of the store says nothing about the next one.
+    const double took = std::min(toSeconds(now - load.startedAt),
+                                 slowestCounted * toSeconds(expectedLoadTime(state)));
     state.loadSeconds = state.loadSeconds == 0
         ? took
         : state.loadSeconds + loadTimeSmoothing * (took - state.loadSeconds);
--- a/libs/residency/tests/Placing.cpp
+++ b/libs/residency/tests/Placing.cpp
@@ -139,6 +139,50 @@
     cr_assert_eq(decide(state, now).verdicts.size(), 0, "who was admitted is not refused later");
 }
 
+// Symptom: while the store was down callers waited to their deadlines. Sequence: a load is under
+// way when the store stops; further callers come. Cause: the expected time of a load was the usual
+// one.
+Test(placement, while_the_store_stands_still_callers_are_told)
+{
+    Instant now = Instant{} + std::chrono::seconds(10);
+    PlacementState state = threeTargets(*findPlacementPolicy("forecast"), now);
+    noteWant(state, wantOf(1, 1, now, std::chrono::seconds(30)), now);
+    cr_assert_eq(decide(state, now).orders.size(), 1);
+    const Instant deadline = now + std::chrono::seconds(30);
+    std::size_t refused = 0;
+    Instant toldAt{};
+    while (now < deadline && refused == 0) {
+        now += std::chrono::milliseconds(100);
+        Want again = wantOf(1, 1, now, deadline - now);
+        noteWant(state, again, now);
+        refused += decide(state, now).verdicts.size();
+        toldAt = now;
+    }
+    cr_assert_eq(refused, 1);
+    cr_assert_lt(toldAt, deadline - std::chrono::seconds(10));
+}
+
+// Symptom: after an outage of the store every caller was refused for ever. Sequence: a load sits
+// through the outage and ends; its time is taken for that of the next. Cause: no load was tried any
+// more.
+Test(placement, after_a_standstill_loads_are_tried_again)
+{
+    Instant now = Instant{} + std::chrono::seconds(10);
+    PlacementState state = threeTargets(*findPlacementPolicy("forecast"), now);
+    noteWant(state, wantOf(1, 1, now, std::chrono::hours(1)), now);
+    const PlacementActions first = decide(state, now);
+    now += std::chrono::seconds(50);
+    noteLoadResult(state, first.orders.at(0).permit, LoadOutcome::Loaded, now);
+    for (int adapter = 2; adapter <= 6; ++adapter) {
+        noteWant(state, wantOf(adapter, 1, now, std::chrono::seconds(10)), now);
+        const PlacementActions next = decide(state, now);
+        cr_assert_eq(next.orders.size(), 1);
+        now += std::chrono::milliseconds(500);
+        noteLoadResult(state, next.orders[0].permit, LoadOutcome::Loaded, now);
+    }
+    cr_assert_lt(toSeconds(expectedLoadTime(state)), 1.0);
+}
+
 // Symptom: no adapter was loaded any more. Sequence: the owner died between the order and its
 // result. Cause: the permit stayed out for ever.
 Test(placement, a_lost_load_gives_its_permit_back)
