--- a/libs/residency/include/residency/Placement.h
+++ b/libs/residency/include/residency/Placement.h
@@ -163,6 +163,7 @@
     DemandTable demand;
     std::uint64_t nextPermit = 1;
     Instant nextLoadAt{};
+    Instant nextPrefetchAt{};
     double loadSeconds = 0; ///< smoothed time of a load
     PlacementCounters counters;
 };
--- a/libs/residency/include/residency/PlacementPolicy.h
+++ b/libs/residency/include/residency/PlacementPolicy.h
@@ -46,6 +46,8 @@
                          double batchWeight);
     /** The next load, if any is worth its permit now. */
     std::optional<LoadChoice> (*nextLoad)(const PlacementState &state, Instant now);
+    /** What to load ahead of demand, if anything; asked only while no demanded load is due. */
+    std::optional<LoadChoice> (*prefetch)(const PlacementState &state, Instant now);
     /** Adapters whose waiters are refused now. */
     std::vector<AdapterId> (*refuse)(PlacementState &state, Instant now);
 };
--- a/libs/residency/src/Forecast.cpp
+++ b/libs/residency/src/Forecast.cpp
@@ -221,14 +221,6 @@
     return std::nullopt;
 }
 
-std::optional<LoadChoice> nextLoad(const PlacementState &state, Instant now)
-{
-    const std::optional<LoadChoice> demanded = mostHelpfulLoad(state, now);
-    if (demanded)
-        return demanded;
-    return prefetch(state, now);
-}
-
 /** True if the adapter's loads fail and the next try cannot end before the deadline. */
 bool failsUntil(const PlacementState &state, AdapterId adapter, Instant deadline)
 {
@@ -300,7 +292,8 @@
     return refused;
 }
 
-constexpr PlacementPolicy forecast{"forecast", 1, routeByWeights, nextLoad, refuseHopeless};
+constexpr PlacementPolicy forecast{"forecast",      1,        routeByWeights,
+                                   mostHelpfulLoad, prefetch, refuseHopeless};
 
 } // namespace
 
--- a/libs/residency/src/Naive.cpp
+++ b/libs/residency/src/Naive.cpp
@@ -82,7 +82,8 @@
     return {};
 }
 
-constexpr PlacementPolicy naive{"naive", 0, routeAnywhere, firstComeAtTarget, refuseNobody};
+constexpr PlacementPolicy naive{"naive",           0,       routeAnywhere,
+                                firstComeAtTarget, nullptr, refuseNobody};
 
 } // namespace
 
--- a/libs/residency/src/Placement.cpp
+++ b/libs/residency/src/Placement.cpp
@@ -11,6 +11,7 @@
 
 constexpr double loadTimeSmoothing = 0.2;
 constexpr double slowestCounted = 3; ///< times the expected time of a load
+constexpr Duration prefetchPause = std::chrono::seconds(1);
 constexpr Duration declinedPause = std::chrono::milliseconds(100);
 
 template <typename Change>
@@ -111,6 +112,18 @@
     return static_cast<int>(underWay) < limit && now >= state.nextLoadAt;
 }
 
+// Looking through all adapters for one worth prefetching takes milliseconds at 67,000 of them; a
+// coordinator that did so at every tick in vain would spend more than its share of a core.
+std::optional<LoadChoice> prefetchIfDue(PlacementState &state, Instant now)
+{
+    if (state.policy->prefetch == nullptr || now < state.nextPrefetchAt)
+        return std::nullopt;
+    std::optional<LoadChoice> choice = state.policy->prefetch(state, now);
+    if (!choice)
+        state.nextPrefetchAt = now + prefetchPause;
+    return choice;
+}
+
 LoadOrder startLoad(PlacementState &state, const LoadChoice &choice, Instant now)
 {
     TargetView &target = state.targets[choice.slot.target];
@@ -326,7 +339,9 @@
                       failing ? ErrorKind::LoadFailed : ErrorKind::StoreSaturated, now);
     }
     while (permitFree(state, now)) {
-        const std::optional<LoadChoice> choice = state.policy->nextLoad(state, now);
+        std::optional<LoadChoice> choice = state.policy->nextLoad(state, now);
+        if (!choice)
+            choice = prefetchIfDue(state, now);
         if (!choice)
             break;
         actions.orders.push_back(startLoad(state, *choice, now));
--- a/libs/residency/src/PlainGood.cpp
+++ b/libs/residency/src/PlainGood.cpp
@@ -49,8 +49,8 @@
     return {};
 }
 
-constexpr PlacementPolicy plainGood{"plain-good", 1, routeLeastRunning, firstComeLoad,
-                                    refuseNobody};
+constexpr PlacementPolicy plainGood{"plain-good",  1,       routeLeastRunning,
+                                    firstComeLoad, nullptr, refuseNobody};
 
 } // namespace
 
--- a/libs/routing/tests/Directory.cpp
+++ b/libs/routing/tests/Directory.cpp
@@ -20,7 +20,7 @@
     return best;
 }
 
-const PlacementPolicy policy{"test", 1, leastRunning, nullptr, nullptr};
+const PlacementPolicy policy{"test", 1, leastRunning, nullptr, nullptr, nullptr};
 
 TargetStatus statusOf(std::uint64_t target, std::uint64_t token, std::uint64_t change,
                       const std::vector<std::uint64_t> &adapters, int running)
--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -174,9 +174,10 @@
 }
 
 template <typename State>
-asio::awaitable<void> serveConnection(std::shared_ptr<State> state, tcp::socket socket)
+asio::awaitable<void> serveConnection(std::shared_ptr<State> state,
+                                      std::unique_ptr<beast::tcp_stream> connection)
 {
-    beast::tcp_stream stream(std::move(socket));
+    beast::tcp_stream &stream = *connection;
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
     beast::flat_buffer buffer;
@@ -225,8 +226,8 @@
             break;
         if (error)
             continue;
-        asio::co_spawn(strand, serveConnection(state, std::move(std::get<1>(accepted))),
-                       asio::detached);
+        auto connection = std::make_unique<beast::tcp_stream>(std::move(std::get<1>(accepted)));
+        asio::co_spawn(strand, serveConnection(state, std::move(connection)), asio::detached);
     }
 }
 
--- /dev/null
+++ b/tools/capacity/src/Measure.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace monsoonbay::capacity {
+
+/** One measured point: a size and what it cost. */
+struct Point
+{
+    double size = 0;
+    double cost = 0;
+};
+
+/** A straight line through the points, and how well it fits. */
+struct Slope
+{
+    std::string name;
+    std::string sizeUnit;
+    std::string costUnit;
+    std::vector<Point> points;
+    double perUnit = 0;
+    double fixed = 0;
+    double fit = 0; ///< coefficient of determination
+};
+
+Slope fitSlope(const std::string &name, const std::string &sizeUnit, const std::string &costUnit,
+               const std::vector<Point> &points);
+
+/** Processor time in microseconds of one call, from many calls; the median of several rounds. */
+double microsecondsOf(int calls, const std::function<void(int)> &call);
+
+/** Bytes of the heap that `build` leaves behind. */
+double heapBytesOf(const std::function<void()> &build);
+
+std::string slopeRow(const Slope &slope);
+
+} // namespace monsoonbay::capacity
