The path measured; a peek that blocked a thread found and mended; documentation

Cause: at 60 % load through one entry VM single requests stood still for up to 10 s (one in 42,000 never ended in time). A socket was reported readable for bytes read before; the peek that tells a caller who hung up from a next request then blocked a thread of the daemon. Ruled out: the engines (straight calls had no such wait), the pool of connections (both ways use the same).

Change: the peek never blocks. build.sh path measures what the path adds, straight and through in one run.

--- a/build.sh
+++ b/build.sh
@@ -12,6 +12,7 @@
   demo     builds, starts the stand-ins and daemons of one deployment on loopback,
            sends a mixed load, prints the measures, writes a plot, ends all it started
   test     formatting, linting, build and all tests; what CI runs
+  path     measures what the path adds to a direct call, in one run
   build    builds everything into build/
   format   formats the sources in place
 EOF
@@ -69,8 +70,19 @@
             *) usage; exit 2 ;;
         esac
     done
-    local folder="$here/out/$deployment"
-    local loadgen="$build/tools/loadgen/monsoonbay-loadgen"
+    start_deployment "$deployment"
+    "$loadgen" load --deployment "$deployment" --folder "$folder" --seconds "$seconds" --rate "$rate"
+}
+
+path() {
+    start_deployment bench
+    "$loadgen" path --deployment bench --folder "$folder" --seconds "${1:-4}"
+}
+
+start_deployment() {
+    local deployment=$1
+    folder="$here/out/$deployment"
+    loadgen="$build/tools/loadgen/monsoonbay-loadgen"
     "$loadgen" plan --deployment "$deployment" --folder "$folder"
     trap stop_started EXIT
     local line number=0
@@ -81,7 +93,6 @@
         started+=($!)
     done < "$folder/processes.txt"
     echo "started $number processes; logs are in out/$deployment"
-    "$loadgen" load --deployment "$deployment" --folder "$folder" --seconds "$seconds" --rate "$rate"
 }
 
 run_tests() {
@@ -93,6 +104,7 @@
 case "$command" in
     demo) install_packages; build_all; demo "$@" ;;
     test) install_packages; check_format; build_all; lint; run_tests ;;
+    path) install_packages; build_all; path "$@" ;;
     build) install_packages; build_all ;;
     format) sources | xargs clang-format -i ;;
     *) usage; exit 2 ;;
--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -1,6 +1,9 @@
 #include "transport/HttpServer.h"
 
 #include <atomic>
+#include <cerrno>
+
+#include <sys/socket.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -132,20 +135,26 @@
     this->begunAnswer = true;
 }
 
+// The reactor may report a socket readable for bytes that were read long before. A blocking peek
+// would then hold a thread of the daemon until this caller sends again, which showed as requests of
+// other callers standing still for as long; so the peek never blocks, and the wait goes on.
 asio::awaitable<void> HttpExchange::callerGone()
 {
     tcp::socket &socket = this->stream.socket();
-    auto [error] = co_await socket.async_wait(tcp::socket::wait_read, quietly);
-    if (error)
-        co_return;
-    // Readable means closed, or a pipelined request; the latter must not cancel this one.
-    char byte = 0;
-    boost::system::error_code peekError;
-    const std::size_t peeked =
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
-    const bool pipelined = !peekError && peeked > 0;
-    if (!pipelined)
-        co_return;
+    while (true) {
+        auto [error] = co_await socket.async_wait(tcp::socket::wait_read, quietly);
+        if (error)
+            co_return;
+        char byte = 0;
+        const auto peeked = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool nothingYet = peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (nothingYet)
+            continue;
+        if (peeked <= 0)
+            co_return;
+        break;
+    }
+    // The next request is there already; that must not cancel this one.
     asio::steady_timer never(co_await asio::this_coro::executor,
                              asio::steady_timer::time_point::max());
     co_await never.async_wait(quietly);
--- a/tools/loadgen/include/loadgen/Deployment.h
+++ b/tools/loadgen/include/loadgen/Deployment.h
@@ -40,9 +40,13 @@
     double stallWeight = 0.5;
     double batchWeight = 0.5;
     std::string baseModel;
+    double stepMs = 20; ///< of the engine stand-ins
+    double stepMsPerSequence = 0.5;
+    int threads = 2; ///< of each entry VM
 };
 
-/** "bavaria" or "finland"; an empty name in the result if it is neither. */
+/** "bavaria", "finland", or "bench" for the path alone; an empty name in the result if it is
+ * neither. */
 Deployment findDeployment(const std::string &name);
 
 constexpr std::uint16_t callersPort = 8080;
--- a/tools/loadgen/include/loadgen/Load.h
+++ b/tools/loadgen/include/loadgen/Load.h
@@ -83,6 +83,9 @@
 bool bringUp(const Deployment &deployment, const std::string &manifest, double patienceSeconds);
 
 LoadReport runLoad(const Deployment &deployment, const LoadOptions &options);
+/** Names of the adapters that a target reports as resident. */
+std::vector<std::string> readResident(const Target &target);
+
 EngineTotals readEngines(const Deployment &deployment);
 StallTotals readStalls(const Deployment &deployment);
 
--- a/tools/loadgen/src/Deployment.cpp
+++ b/tools/loadgen/src/Deployment.cpp
@@ -71,6 +71,23 @@
     return deployment;
 }
 
+/** One entry VM before four engines that take no time: what is left is the path. */
+Deployment bench()
+{
+    Deployment deployment;
+    deployment.name = "bench";
+    deployment.zones = {"bench"};
+    deployment.adapters = 4;
+    deployment.maxBatch = 256;
+    deployment.loadsPerSecond = 100;
+    deployment.stepMs = 0;
+    deployment.stepMsPerSequence = 0;
+    deployment.threads = 4;
+    deployment.baseModel = "bench";
+    place(deployment, 43, Spread{{1}, {4}, {0}});
+    return deployment;
+}
+
 bool writeFile(const std::filesystem::path &path, const std::string &text)
 {
     std::ofstream file(path);
@@ -97,6 +114,8 @@
         return bavaria();
     if (name == "finland")
         return finland();
+    if (name == "bench")
+        return bench();
     return {};
 }
 
@@ -175,7 +194,7 @@
         {"operators", endpoint(vm.address, operatorsPort)},
         {"log", endpoint(platformAddress(deployment, logNumber), platformPort)},
         {"vmList", endpoint(platformAddress(deployment, vmListNumber), platformPort)},
-        {"threads", 2},
+        {"threads", deployment.threads},
         {"placement", placement},
         {"keyMemorySeconds", 3}};
     return settings.dump(1);
@@ -203,7 +222,9 @@
         }
         lines.push_back(standin + "--role engine" + where + " --slots "
                         + std::to_string(deployment.slots) + " --max-batch "
-                        + std::to_string(deployment.maxBatch) + " --checks-tokens="
+                        + std::to_string(deployment.maxBatch) + " --step-ms "
+                        + std::to_string(deployment.stepMs) + " --step-ms-per-sequence "
+                        + std::to_string(deployment.stepMsPerSequence) + " --checks-tokens="
                         + (target.checksTokens ? "true" : "false") + " --store-address " + store
                         + " --store-port " + std::to_string(platformPort));
     }
--- a/tools/loadgen/src/Load.cpp
+++ b/tools/loadgen/src/Load.cpp
@@ -435,6 +435,17 @@
     return std::move(run.report);
 }
 
+std::vector<std::string> readResident(const Target &target)
+{
+    std::vector<std::string> adapters;
+    const Json status = getJson(Endpoint{target.address, targetPort}, "/v1/status");
+    if (!status.is_object())
+        return adapters;
+    for (const Json &slot : status["resident"])
+        adapters.push_back(slot.value("adapter", ""));
+    return adapters;
+}
+
 EngineTotals readEngines(const Deployment &deployment)
 {
     EngineTotals totals;
--- a/tools/loadgen/src/Main.cpp
+++ b/tools/loadgen/src/Main.cpp
@@ -6,6 +6,7 @@
 
 #include "loadgen/Experiment.h"
 #include "loadgen/Load.h"
+#include "loadgen/PathBench.h"
 
 namespace {
 
@@ -20,6 +21,7 @@
                              "Load and experiment tool\n\n"
                              "  plan  writes manifest, VM list, settings and process list\n"
                              "  load  brings a started deployment up and sends it a mixed load\n"
+                             "  path  measures what the path adds, on the deployment bench\n"
                              "  experiment  runs the placement decisions in virtual time\n");
     options.add_options()("command", "plan, load or experiment", cxxopts::value<std::string>())(
         "deployment", "bavaria or finland",
@@ -87,6 +89,18 @@
     return broken ? exitBroken : 0;
 }
 
+int path(const loadgen::Deployment &deployment, const cxxopts::ParseResult &arguments)
+{
+    const std::string folder = arguments["folder"].as<std::string>();
+    constexpr double patienceSeconds = 30;
+    if (!loadgen::bringUp(deployment, readFile(folder + "/manifest.json"), patienceSeconds)) {
+        std::cerr << "the deployment did not get ready; look at the logs in " << folder << "\n";
+        return 1;
+    }
+    std::cout << loadgen::measurePath(deployment, arguments["seconds"].as<double>());
+    return 0;
+}
+
 int experiment(const std::string &deployment, const cxxopts::ParseResult &arguments)
 {
     const std::string name = arguments["name"].as<std::string>();
@@ -130,9 +144,11 @@
             return plan(deployment, arguments);
         if (command == "load")
             return load(deployment, arguments);
+        if (command == "path")
+            return path(deployment, arguments);
         if (command == "experiment")
             return experiment(deployment.name, arguments);
-        std::cerr << "no such command; choose plan, load or experiment\n";
+        std::cerr << "no such command; choose plan, load, path or experiment\n";
         return exitUsage;
     } catch (const std::exception &error) {
         std::cerr << error.what() << "\n";
