--- a/tools/loadgen/src/PathBench.cpp
+++ b/tools/loadgen/src/PathBench.cpp
@@ -66,6 +66,7 @@
     HttpClient client{context};
     PhaseResult result{};
     std::uint64_t sent = 0;
+    Clock::time_point measuredFrom{};
 };
 
 HttpCall callOf(const Worker &worker, const Aim &aim, std::uint64_t number)
@@ -99,6 +100,8 @@
     }
     ++worker.result.answered;
     worker.result.tokens += static_cast<std::uint64_t>(worker.phase.tokens);
+    if (began < worker.measuredFrom)
+        co_return;
     worker.result.latencies.push_back(std::chrono::duration<double>(Clock::now() - began).count());
 }
 
@@ -132,6 +135,9 @@
     for (std::size_t number = 0; number < clientThreads; ++number) {
         workers.push_back(std::make_unique<Worker>(deployment, aims, phase, number));
         Worker &worker = *workers.back();
+        // An open loop begins without connections and opens many at once; that is not the path.
+        if (phase.requestsPerSecond > 0)
+            worker.measuredFrom = began + std::chrono::seconds(1);
         if (phase.requestsPerSecond > 0) {
             asio::co_spawn(worker.context, openLoop(worker, until), asio::detached);
         } else {
