Traces: a span for each hop, exported as OTLP/JSON

Change: observe/Traces (W3C traceparent, bounded queue, OTLP/JSON), spans of ingress and owner, the engine call below the owner's, an export once a second, a collector stand-in, settings key traces. Without a collector nothing is made.

Conclusion: a slow answer can be followed across VMs; the cost of tracing is not measured.

--- a/libs/daemon/src/Daemon.cpp
+++ b/libs/daemon/src/Daemon.cpp
@@ -73,6 +73,7 @@
         this->spawn(logLoop(this->node));
         this->spawn(ownerLoop(this->node));
         this->spawn(coordinatorLoop(this->node));
+        this->spawn(traceLoop(this->node));
         for (int index = 0; index < this->node.settings.threads; ++index)
             this->threads.emplace_back([this] { this->node.context.run(); });
     }
--- a/libs/daemon/src/Ingress.cpp
+++ b/libs/daemon/src/Ingress.cpp
@@ -390,6 +390,34 @@
     co_return step;
 }
 
+/** Begins the ingress span; all further hops are below it. */
+Span beginSpan(const Node &node, CallerRequest &request)
+{
+    Span span;
+    if (!isTraced(node))
+        return span;
+    const std::optional<TraceContext> parent = parseTraceparent(request.traceparent);
+    span.context = childOf(parent);
+    span.parentSpanId = parent ? parent->spanId : "";
+    span.name = "ingress";
+    span.startNanos = unixNanos();
+    request.traceparent = traceparentOf(span.context);
+    return span;
+}
+
+void endSpan(RequestRun &run, Span span, const LifeStep &step)
+{
+    if (span.startNanos == 0)
+        return;
+    span.endNanos = unixNanos();
+    span.failed = step.step != NextStep::Answered;
+    span.attributes = {{"request", run.request.id},
+                       {"end", std::string(errorName(step.kind))},
+                       {"adapter", run.request.isModel() ? run.request.adapter.text() : ""},
+                       {"stallSeconds", std::to_string(toSeconds(run.stalled))}};
+    run.node.spans.add(std::move(span));
+}
+
 void countEnding(RequestRun &run, const LifeStep &step)
 {
     Metrics &metrics = run.node.metrics;
@@ -455,6 +483,7 @@
     HttpReply whole;
     HttpResult plain;
     LifeStep step;
+    Span span = beginSpan(run.node, run.request);
     if (run.request.isModel()) {
         step = co_await driveModelRequest(run);
         whole.body = run.wholeBody;
@@ -465,6 +494,7 @@
         whole.body = plain.body;
     }
     countEnding(run, step);
+    endSpan(run, std::move(span), step);
     if (!run.request.idempotencyKey.empty()) {
         KeptAnswer kept{step.kind, whole.status, whole.contentType, whole.body, true};
         if (run.request.streamed)
--- a/libs/daemon/src/Node.cpp
+++ b/libs/daemon/src/Node.cpp
@@ -183,6 +183,29 @@
             [&](PlacementState &state) { setTargetLeaving(state, status.target, status.leaving); });
 }
 
+bool isTraced(const Node &node)
+{
+    return node.settings.traces.port != 0;
+}
+
+asio::awaitable<void> traceLoop(Node &node)
+{
+    constexpr std::size_t spansPerExport = 2000;
+    while (!node.stopped && isTraced(node)) {
+        co_await pause(std::chrono::seconds(1));
+        const std::vector<Span> spans = node.spans.take(spansPerExport);
+        if (spans.empty())
+            continue;
+        HttpCall call;
+        call.method = "POST";
+        call.path = "/v1/traces";
+        call.body = otlpJson(node.settings.vm, node.settings.zone, spans);
+        call.headers.push_back(HttpHeader{"Content-Type", "application/json"});
+        // A collector that is down costs its spans and nothing else.
+        co_await node.http.call(node.settings.traces, std::move(call), std::chrono::seconds(2));
+    }
+}
+
 asio::awaitable<void> pause(Duration duration)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
--- a/libs/daemon/src/Node.h
+++ b/libs/daemon/src/Node.h
@@ -16,6 +16,7 @@
 #include "config/Settings.h"
 #include "membership/Membership.h"
 #include "observe/Metrics.h"
+#include "observe/Traces.h"
 #include "ownership/Ownership.h"
 #include "requests/Admission.h"
 #include "requests/KeyRecords.h"
@@ -110,6 +111,7 @@
     HttpClient http;
     PeerClient peers;
     Metrics metrics;
+    SpanQueue spans;
     const PlacementPolicy *policy;
 
     Guarded<AcceptedManifest> manifest;
@@ -161,6 +163,12 @@
  */
 void refreshTargets(Node &node);
 
+/** True if spans are wanted; without a collector none are made. */
+bool isTraced(const Node &node);
+
+/** Sends spans to the collector once a second. */
+asio::awaitable<void> traceLoop(Node &node);
+
 /** Sleeps on the calling coroutine's executor; returns early if the node stops. */
 asio::awaitable<void> pause(Duration duration);
 
--- a/libs/daemon/src/OwnerRun.cpp
+++ b/libs/daemon/src/OwnerRun.cpp
@@ -252,6 +252,33 @@
     return info->leaving && !request.resume() ? ErrorKind::TargetLeaving : ErrorKind::Ok;
 }
 
+/** Begins the owner's span; the engine sees it as its parent. */
+Span beginSpan(Node &node, v1::RunRequest &request)
+{
+    Span span;
+    const std::optional<TraceContext> parent = parseTraceparent(request.traceparent());
+    if (!isTraced(node) || !parent)
+        return span;
+    span.context = childOf(parent);
+    span.parentSpanId = parent->spanId;
+    span.name = request.resume() ? "owner resume" : "owner run";
+    span.startNanos = unixNanos();
+    request.set_traceparent(traceparentOf(span.context));
+    return span;
+}
+
+void endSpan(Node &node, Span span, const TargetInfo &info, const RunProgress &progress)
+{
+    if (span.startNanos == 0)
+        return;
+    span.endNanos = unixNanos();
+    span.failed = progress.kind != ErrorKind::Ok;
+    span.attributes = {{"target", info.declaration.name},
+                       {"end", std::string(errorName(progress.kind))},
+                       {"pieces", std::to_string(progress.pieces)}};
+    node.spans.add(std::move(span));
+}
+
 } // namespace
 
 asio::awaitable<void> runOnTarget(Node &node, v1::RunRequest request, std::shared_ptr<RunSink> sink)
@@ -272,6 +299,7 @@
         co_return;
     }
     ++node.ownerRuns;
+    Span span = beginSpan(node, request);
     const RunProgress progress = co_await runPinned(node, request, *info, sink);
     if (held)
         engine->table.with([&](SlotTable &table) {
@@ -280,6 +308,7 @@
                 noteNotResident(table, adapter);
         });
     --node.ownerRuns;
+    endSpan(node, std::move(span), *info, progress);
     if (progress.kind == ErrorKind::NotResident)
         tellTarget(node, target);
     const bool abandoned = progress.kind == ErrorKind::CallerGone && !progress.ended;
--- a/libs/observe/tests/Catalogue.cpp
+++ b/libs/observe/tests/Catalogue.cpp
@@ -7,6 +7,7 @@
 
 #include "observe/Events.h"
 #include "observe/Metrics.h"
+#include "observe/Traces.h"
 
 using namespace monsoonbay;
 
@@ -58,3 +59,14 @@
     metrics.add(Counter::Bounces, 3);
     cr_assert(metrics.openMetrics().find("monsoonbay_bounces_total 3\n") != std::string::npos);
 }
+
+Test(traces, a_malformed_header_is_left_alone)
+{
+    const std::string good = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    cr_assert(parseTraceparent(good).has_value());
+    cr_assert_eq(traceparentOf(*parseTraceparent(good)), good);
+    for (const char *bad : {"", "00", "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01",
+                            "00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+                            "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-0"})
+        cr_assert_not(parseTraceparent(bad).has_value(), "%s", bad);
+}
--- a/tests/src/Path.cpp
+++ b/tests/src/Path.cpp
@@ -226,3 +226,35 @@
     }
     cr_assert_eq(world.ask({}).status, 200);
 }
+
+// Symptom: a slow answer could not be followed across VMs. Cause to rule out: a hop without a span,
+// or one whose parent is not the hop before it.
+Test(path, every_hop_has_a_span_below_the_callers)
+{
+    World world({.vms = {{"vm-1", "zone-a"}, {"vm-2", "zone-a"}}});
+    cr_assert(world.up());
+    const std::string trace = "0af7651916cd43dd8448eb211c80319c";
+    const std::string caller = "b7ad6b7169203331";
+    const Ask traced{.headers = {{"traceparent", "00-" + trace + "-" + caller + "-01"}}};
+    for (std::size_t vm = 0; vm < 2; ++vm)
+        cr_assert_eq(world.ask(traced, vm).status, 200);
+    const auto spansOf = [&](const std::string &name) {
+        const Json spans =
+            Json::parse(world.get(world.collector, "/v1/spans").body, nullptr, false);
+        std::vector<Json> found;
+        for (const Json &span : spans) {
+            if (span.value("traceId", "") == trace && span.value("name", "") == name)
+                found.push_back(span);
+        }
+        return found;
+    };
+    cr_assert(World::eventually(
+        [&] { return spansOf("ingress").size() == 2 && spansOf("owner run").size() == 2; }));
+    for (const Json &ingress : spansOf("ingress")) {
+        cr_assert_eq(ingress.value("parentSpanId", ""), caller);
+        int below = 0;
+        for (const Json &owner : spansOf("owner run"))
+            below += owner.value("parentSpanId", "") == ingress.value("spanId", "") ? 1 : 0;
+        cr_assert_eq(below, 1);
+    }
+}
--- a/tests/src/World.cpp
+++ b/tests/src/World.cpp
@@ -60,6 +60,7 @@
     this->store = this->host.store({.listen = {}, .loadsPerSecond = this->spec.loadsPerSecond});
     this->log = this->host.log({});
     this->vmList = this->host.vmList({});
+    this->collector = this->host.collector();
     for (int index = 0; index < this->spec.engines; ++index) {
         standins::EngineOptions options;
         options.name = "engine-" + std::to_string(index);
@@ -127,6 +128,7 @@
     settings.operators = {"127.0.0.1", 0};
     settings.log = this->log;
     settings.vmList = this->vmList;
+    settings.traces = this->collector;
     settings.keyMemorySeconds = this->spec.keyMemorySeconds;
     settings.shutdownSeconds = this->spec.shutdownSeconds;
     this->daemons[vm] = std::make_unique<Daemon>(settings);
--- a/tests/src/World.h
+++ b/tests/src/World.h
@@ -104,6 +104,7 @@
     Endpoint store;
     Endpoint log;
     Endpoint vmList;
+    Endpoint collector;
     std::vector<Endpoint> engines;
     std::vector<Endpoint> plains;
     std::vector<std::unique_ptr<Daemon>> daemons;
--- a/tools/loadgen/src/PathBench.cpp
+++ b/tools/loadgen/src/PathBench.cpp
@@ -58,6 +58,14 @@
 /** What one client thread works on. */
 struct Worker
 {
+    Worker(const Deployment &deployment, const std::vector<Aim> &aims, const Phase &phase,
+           std::size_t number)
+        : deployment(deployment)
+        , aims(aims)
+        , phase(phase)
+        , number(number)
+    { }
+
     const Deployment &deployment;
     const std::vector<Aim> &aims;
     const Phase &phase;
@@ -124,8 +132,7 @@
     }
 }
 
-PhaseResult runPhase(const Deployment &deployment, const std::vector<Aim> &aims,
-                     const Phase &phase)
+PhaseResult runPhase(const Deployment &deployment, const std::vector<Aim> &aims, const Phase &phase)
 {
     std::vector<std::unique_ptr<Worker>> workers;
     std::vector<std::thread> threads;
@@ -206,7 +213,8 @@
     phase.requestsPerSecond = 0;
     phase.streamed = true;
     phase.tokens = 200;
-    writeRow(page, "streams of 200 tokens through, 48 connections", runPhase(deployment, aims, phase));
+    writeRow(page, "streams of 200 tokens through, 48 connections",
+             runPhase(deployment, aims, phase));
     phase.direct = true;
     writeRow(page, "streams straight, 48 connections", runPhase(deployment, aims, phase));
     return page.str();
--- a/tools/standins/include/standins/Standins.h
+++ b/tools/standins/include/standins/Standins.h
@@ -56,6 +56,12 @@
     int lagMs = 0;
 };
 
+/** A collector of traces keeps all spans it is sent. */
+struct CollectorOptions
+{
+    Endpoint listen;
+};
+
 /** One stand-in listening on its endpoint; it ends when destroyed. */
 class Standin
 {
@@ -71,6 +77,8 @@
 std::unique_ptr<Standin> startLog(asio::io_context &context, const LogOptions &options);
 std::unique_ptr<Standin> startVmList(asio::io_context &context, const VmListOptions &options);
 
+std::unique_ptr<Standin> startCollector(asio::io_context &context, const CollectorOptions &options);
+
 /** Runs stand-ins of a test on one thread of their own; they need no locks. */
 class StandinHost
 {
@@ -86,6 +94,7 @@
     Endpoint store(StoreOptions options);
     Endpoint log(LogOptions options);
     Endpoint vmList(VmListOptions options);
+    Endpoint collector();
 
 private:
     Endpoint keep(std::unique_ptr<Standin> standin);
--- a/tools/standins/src/Main.cpp
+++ b/tools/standins/src/Main.cpp
@@ -51,6 +51,8 @@
     if (role == "log")
         return standins::startLog(context,
                                   {listen, arguments["retained-records"].as<std::size_t>()});
+    if (role == "collector")
+        return standins::startCollector(context, {listen});
     if (role == "vmlist")
         return standins::startVmList(context,
                                      {listen, readFile(arguments["vms"].as<std::string>()),
@@ -64,7 +66,7 @@
 {
     cxxopts::Options options("monsoonbay-standins",
                              "Stand-ins of the platform and of targets, for tests and demos");
-    options.add_options()("role", "engine, service, store, log or vmlist",
+    options.add_options()("role", "engine, service, store, log, collector or vmlist",
                           cxxopts::value<std::string>())(
         "name", "name of the VM", cxxopts::value<std::string>()->default_value("standin"))(
         "address", "IP number to listen on",
@@ -97,7 +99,7 @@
         boost::asio::io_context context(1);
         const auto standin = startRole(context, arguments);
         if (!standin) {
-            std::cerr << "no such role; choose engine, service, store, log or vmlist\n";
+            std::cerr << "no such role; choose engine, service, store, log, collector or vmlist\n";
             return 2;
         }
         std::cout << standin->port() << std::endl;
--- a/tools/standins/src/StandinHost.cpp
+++ b/tools/standins/src/StandinHost.cpp
@@ -50,4 +50,10 @@
     return this->keep(startVmList(this->context, options));
 }
 
+Endpoint StandinHost::collector()
+{
+    const CollectorOptions options{Endpoint{"127.0.0.1", 0}};
+    return this->keep(startCollector(this->context, options));
+}
+
 } // namespace monsoonbay::standins
