--- a/libs/daemon/src/CallerRequest.cpp
+++ b/libs/daemon/src/CallerRequest.cpp
@@ -70,10 +70,9 @@
     return nullptr;
 }
 
-CheckedRequest checkModelRequest(const Node &node, const Manifest &manifest, const Service &service,
+CheckedRequest checkModelRequest(const Manifest &manifest, const Service &service,
                                  CallerRequest request)
 {
-    (void)node;
     Json body = Json::parse(request.body, nullptr, false);
     if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
         return refuse(ErrorKind::BadRequest, "the body has to be a JSON object with \"model\"");
@@ -148,7 +147,7 @@
     const bool isModel = request.method == "POST"
         && (request.path == "/v1/completions" || request.path == "/v1/chat/completions");
     if (isModel)
-        return checkModelRequest(node, *manifest, *service, std::move(request));
+        return checkModelRequest(*manifest, *service, std::move(request));
     return checkPlainRequest(*manifest, *service, std::move(request));
 }
 
--- a/libs/daemon/src/ManifestReader.cpp
+++ b/libs/daemon/src/ManifestReader.cpp
@@ -112,7 +112,7 @@
         for (const Json &target : claim["targets"]) {
             if (target.is_number_unsigned())
                 noteClaim(state, TargetId{target.get<std::uint64_t>()}, vm, FencingToken{offset, 0},
-                          false, BootClock::now());
+                          false);
         }
     });
 }
--- a/libs/daemon/src/OwnerLoop.cpp
+++ b/libs/daemon/src/OwnerLoop.cpp
@@ -423,7 +423,7 @@
     node.ownership.with([&](OwnershipState &state) {
         const TargetClaim *before = findClaim(state, target);
         const bool ours = before != nullptr && before->phase == ClaimPhase::Owner;
-        noteClaim(state, target, owner, token, news.released(), BootClock::now());
+        noteClaim(state, target, owner, token, news.released());
         const TargetClaim *after = findClaim(state, target);
         lost = ours && after->phase != ClaimPhase::Owner;
     });
--- a/libs/ownership/include/ownership/Ownership.h
+++ b/libs/ownership/include/ownership/Ownership.h
@@ -129,7 +129,7 @@
 
 /** A claim of another VM, from the log or from a peer. `released`: it gives the target up. */
 void noteClaim(OwnershipState &state, TargetId target, VmId owner, const FencingToken &token,
-               bool released, Instant now);
+               bool released);
 
 /** The append of a claim ended; offset 0 means it failed or its answer was lost. */
 void noteAppended(OwnershipState &state, const std::vector<TargetId> &targets, std::uint64_t offset,
--- a/libs/ownership/src/Ownership.cpp
+++ b/libs/ownership/src/Ownership.cpp
@@ -207,7 +207,7 @@
 }
 
 void noteClaim(OwnershipState &state, TargetId target, VmId owner, const FencingToken &token,
-               bool released, Instant now)
+               bool released)
 {
     state.highest = std::max(state.highest, token);
     TargetClaim *claim = claimOf(state, target);
@@ -229,7 +229,6 @@
     claim->ownerToken = token;
     claim->released = released;
     claim->everOwned = true;
-    (void)now;
 }
 
 void noteAppended(OwnershipState &state, const std::vector<TargetId> &targets, std::uint64_t offset,
--- a/libs/ownership/tests/OwnershipSchedules.cpp
+++ b/libs/ownership/tests/OwnershipSchedules.cpp
@@ -180,7 +180,7 @@
     for (; vm.logRead < world.log.size(); ++vm.logRead) {
         const LogClaim &claim = world.log[vm.logRead];
         if (claim.vm != vm.state.self)
-            noteClaim(vm.state, target, claim.vm, FencingToken{claim.offset, 0}, false, world.now);
+            noteClaim(vm.state, target, claim.vm, FencingToken{claim.offset, 0}, false);
     }
     noteLogRead(vm.state, world.now);
 }
@@ -217,7 +217,7 @@
         return;
     for (std::size_t other = 0; other < vmCount; ++other) {
         if (other != index && connected(world, index, other))
-            noteClaim(world.vms[other].state, target, idOf(index), claim->token, false, world.now);
+            noteClaim(world.vms[other].state, target, idOf(index), claim->token, false);
     }
 }
 
@@ -351,7 +351,7 @@
     OwnershipState state = makeOwnership({}, VmId{1}, "zone", Instant{});
     setTargets(state, {OwnedTarget{target, "zone", true}});
     setCandidates(state, {{VmId{1}, "zone"}});
-    noteClaim(state, target, VmId{2}, FencingToken{500, 3}, false, Instant{});
+    noteClaim(state, target, VmId{2}, FencingToken{500, 3}, false);
     const Instant now = Instant{} + std::chrono::seconds(10);
     noteReachable(state, target, now);
     const OwnershipActions actions = tick(state, now);
--- a/libs/transport/include/transport/HttpClient.h
+++ b/libs/transport/include/transport/HttpClient.h
@@ -58,6 +58,9 @@
     std::shared_ptr<Impl> impl;
 };
 
+/** One whole call on a context of its own; blocks until it ends. For tools, not for the daemon. */
+HttpResult callBlocking(const Endpoint &endpoint, const HttpCall &call, Duration timeout);
+
 /** A call whose answer is read piece by piece. One coroutine uses it, on one strand. */
 class HttpClientStream
 {
--- a/libs/transport/src/HttpClient.cpp
+++ b/libs/transport/src/HttpClient.cpp
@@ -9,6 +9,8 @@
 #include <sys/socket.h>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -220,4 +222,17 @@
     }
 }
 
+HttpResult callBlocking(const Endpoint &endpoint, const HttpCall &call, Duration timeout)
+{
+    asio::io_context context(1);
+    HttpClient client(context);
+    HttpResult result;
+    const auto work = [&]() -> asio::awaitable<void> {
+        result = co_await client.call(endpoint, call, timeout);
+    };
+    asio::co_spawn(context, work(), asio::detached);
+    context.run();
+    return result;
+}
+
 } // namespace monsoonbay
--- a/tests/src/World.cpp
+++ b/tests/src/World.cpp
@@ -21,15 +21,7 @@
 
 HttpResult callNow(const Endpoint &endpoint, const HttpCall &call)
 {
-    asio::io_context context(1);
-    HttpClient client(context);
-    HttpResult result;
-    const auto work = [&]() -> asio::awaitable<void> {
-        result = co_await client.call(endpoint, call, patience);
-    };
-    asio::co_spawn(context, work(), asio::detached);
-    context.run();
-    return result;
+    return callBlocking(endpoint, call, patience);
 }
 
 HttpCall callOf(const Ask &ask)
--- a/tools/capacity/src/Main.cpp
+++ b/tools/capacity/src/Main.cpp
@@ -293,8 +293,7 @@
             candidates.push_back({VmId{vm}, "zone"});
         setCandidates(state, candidates);
         for (const OwnedTarget &target : list)
-            noteClaim(state, target.target, VmId{2 + target.target.value % 139}, {5, 0}, false,
-                      Instant{});
+            noteClaim(state, target.target, VmId{2 + target.target.value % 139}, {5, 0}, false);
         Instant now = Instant{} + std::chrono::seconds(10);
         points.push_back({static_cast<double>(targets), microsecondsOf(200, [&](int) {
                               now += std::chrono::milliseconds(50);
--- a/tools/loadgen/src/Load.cpp
+++ b/tools/loadgen/src/Load.cpp
@@ -328,25 +328,11 @@
     run.context.stop();
 }
 
-/** Runs one call to its end on a context of its own. */
-HttpResult callNow(const Endpoint &endpoint, const HttpCall &call)
-{
-    asio::io_context context(1);
-    HttpClient client(context);
-    HttpResult result;
-    const auto work = [&]() -> asio::awaitable<void> {
-        result = co_await client.call(endpoint, call, callTimeout);
-    };
-    asio::co_spawn(context, work(), asio::detached);
-    context.run();
-    return result;
-}
-
 Json getJson(const Endpoint &endpoint, const std::string &path)
 {
     HttpCall call;
     call.path = path;
-    const HttpResult result = callNow(endpoint, call);
+    const HttpResult result = callBlocking(endpoint, call, callTimeout);
     return result.ok() ? Json::parse(result.body, nullptr, false) : Json();
 }
 
@@ -401,7 +387,7 @@
     bool published = false;
     while (secondsSince(began) < patienceSeconds) {
         if (!published)
-            published = callNow(logEndpoint(deployment), append).ok();
+            published = callBlocking(logEndpoint(deployment), append, callTimeout).ok();
         const bool up = published
             && std::all_of(deployment.entryVms.begin(), deployment.entryVms.end(),
                            [&](const EntryVm &vm) { return isUp(deployment, vm); });
--- a/tools/monsoonbayctl/src/Client.cpp
+++ b/tools/monsoonbayctl/src/Client.cpp
@@ -1,22 +1,16 @@
 #include "Client.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace monsoonbay::ctl {
 
+namespace {
+
+constexpr Duration patience = std::chrono::seconds(10);
+
+} // namespace
+
 HttpResult callNow(const Endpoint &endpoint, const HttpCall &call)
 {
-    constexpr Duration patience = std::chrono::seconds(10);
-    asio::io_context context(1);
-    HttpClient client(context);
-    HttpResult result;
-    const auto work = [&]() -> asio::awaitable<void> {
-        result = co_await client.call(endpoint, call, patience);
-    };
-    asio::co_spawn(context, work(), asio::detached);
-    context.run();
-    return result;
+    return callBlocking(endpoint, call, patience);
 }
 
 HttpResult getNow(const Endpoint &endpoint, const std::string &path)
