Read once more: a slot chosen once, a document read once

Cause: the re-read of the whole change. The load policy looked for the slot to evict twice in a decision (once for its rate, once for the order) and walked all wants in vain when an urgent one was chosen; monsoonbayctl's diff and publish read the checked file again and repeated the same first steps.

Change: demandedLoad chooses the slot once and asks for the most helpful want only if none is urgent; readBoth serves diff and publish. Behaviour stays as it is; no test was changed.

Conclusion: left as seen: the start-up lines of the two command lines' main, and ingress and owner each begin a span in their own way.

--- a/libs/residency/src/Forecast.cpp
+++ b/libs/residency/src/Forecast.cpp
@@ -125,15 +125,14 @@
 }
 
 /**
- * The rate from which on an adapter deserves a slot: that of the cheapest one to evict; zero while
- * rates cannot tell.
+ * The rate from which on an adapter deserves a slot: that of the one to evict; zero while rates
+ * cannot tell.
  */
-double residentRate(const PlacementState &state, Instant now)
+double residentRate(const PlacementState &state, const SlotChoice &slot, Instant now)
 {
-    if (!ratesTrusted(state))
+    if (!ratesTrusted(state) || slot.evict.value == 0)
         return 0;
-    const std::optional<SlotChoice> slot = slotFor(state, now);
-    return slot && slot->evict.value != 0 ? rateOf(state.demand, slot->evict, now) : 0;
+    return rateOf(state.demand, slot.evict, now);
 }
 
 // Stall that loading now rather than later saves: those who wait and those who will come
@@ -177,16 +176,12 @@
     return AdapterId{};
 }
 
-std::optional<LoadChoice> mostHelpfulLoad(const PlacementState &state, Instant now)
+AdapterId mostHelpful(const PlacementState &state, double hotRate, Instant now)
 {
-    if (state.wants.empty())
-        return std::nullopt;
-    AdapterId best = urgentLoad(state, now);
-    const bool urgent = best.value != 0;
+    AdapterId best;
     double highest = -1;
-    const double hotRate = residentRate(state, now);
     for (const auto &[adapter, set] : state.wants) {
-        if (urgent || !mayLoad(state, adapter, now))
+        if (!mayLoad(state, adapter, now))
             continue;
         const double benefit = benefitOf(state, adapter, set, hotRate, now);
         const bool better = benefit > highest || (benefit == highest && adapter < best);
@@ -195,12 +190,22 @@
         highest = benefit;
         best = adapter;
     }
-    if (best.value == 0)
+    return best;
+}
+
+std::optional<LoadChoice> demandedLoad(const PlacementState &state, Instant now)
+{
+    if (state.wants.empty())
         return std::nullopt;
     const std::optional<SlotChoice> slot = slotFor(state, now);
     if (!slot)
         return std::nullopt;
-    return LoadChoice{best, *slot, false};
+    AdapterId adapter = urgentLoad(state, now);
+    if (adapter.value == 0)
+        adapter = mostHelpful(state, residentRate(state, *slot, now), now);
+    if (adapter.value == 0)
+        return std::nullopt;
+    return LoadChoice{adapter, *slot, false};
 }
 
 // Only free slots are filled ahead of demand, as after a restart. Evicting for a prefetch was
@@ -292,8 +297,8 @@
     return refused;
 }
 
-constexpr PlacementPolicy forecast{"forecast",      1,        routeByWeights,
-                                   mostHelpfulLoad, prefetch, refuseHopeless};
+constexpr PlacementPolicy forecast{"forecast",   1,        routeByWeights,
+                                   demandedLoad, prefetch, refuseHopeless};
 
 } // namespace
 
--- a/tools/monsoonbayctl/src/Commands.cpp
+++ b/tools/monsoonbayctl/src/Commands.cpp
@@ -220,6 +220,48 @@
     }
 }
 
+/** A document that was read and checked; its text if the code is Done. */
+struct CheckedText
+{
+    ExitCode code = ExitCode::Done;
+    std::string text;
+};
+
+CheckedText readChecked(const CommandOptions &options, const std::string &file)
+{
+    const std::optional<std::string> text = readFile(file);
+    if (!text) {
+        std::cerr << file << ": cannot be read; check the name and the rights\n";
+        return {ExitCode::Usage, {}};
+    }
+    const std::vector<Problem> problems =
+        options.delta ? parseDelta(*text).problems : parseManifest(*text).problems;
+    printProblems(file, problems);
+    if (!problems.empty())
+        return {ExitCode::Invalid, {}};
+    std::cout << file << ": ok\n";
+    return {ExitCode::Done, *text};
+}
+
+/** A checked document beside what is in force; both only if the code is Done. */
+struct DocumentAndForce
+{
+    ExitCode code = ExitCode::Done;
+    std::string text;
+    InForce inForce;
+};
+
+DocumentAndForce readBoth(const CommandOptions &options, const std::string &file)
+{
+    const CheckedText checked = readChecked(options, file);
+    if (checked.code != ExitCode::Done)
+        return {checked.code, {}, {}};
+    const std::optional<InForce> inForce = readInForce(options);
+    if (!inForce)
+        return {ExitCode::Unreachable, {}, {}};
+    return {ExitCode::Done, checked.text, *inForce};
+}
+
 } // namespace
 
 ExitCode showStatus(const CommandOptions &options)
@@ -331,33 +373,19 @@
 
 ExitCode checkDocument(const CommandOptions &options, const std::string &file)
 {
-    const std::optional<std::string> text = readFile(file);
-    if (!text) {
-        std::cerr << file << ": cannot be read; check the name and the rights\n";
-        return ExitCode::Usage;
-    }
-    const std::vector<Problem> problems =
-        options.delta ? parseDelta(*text).problems : parseManifest(*text).problems;
-    printProblems(file, problems);
-    if (!problems.empty())
-        return ExitCode::Invalid;
-    std::cout << file << ": ok\n";
-    return ExitCode::Done;
+    return readChecked(options, file).code;
 }
 
 ExitCode showDifference(const CommandOptions &options, const std::string &file)
 {
-    const ExitCode checked = checkDocument(options, file);
-    if (checked != ExitCode::Done)
-        return checked;
-    const std::optional<InForce> inForce = readInForce(options);
-    if (!inForce)
-        return ExitCode::Unreachable;
-    const Parsed<Manifest> next = resultOf(options, *readFile(file), inForce->manifest);
+    const DocumentAndForce both = readBoth(options, file);
+    if (both.code != ExitCode::Done)
+        return both.code;
+    const Parsed<Manifest> next = resultOf(options, both.text, both.inForce.manifest);
     printProblems(file, next.problems);
     if (!next.ok())
         return ExitCode::Invalid;
-    const Manifest &before = inForce->manifest;
+    const Manifest &before = both.inForce.manifest;
     const Manifest &after = next.value;
     printAdapters("-", before.adapters, after.adapters);
     printAdapters("+", after.adapters, before.adapters);
@@ -372,23 +400,19 @@
 
 ExitCode publishDocument(const CommandOptions &options, const std::string &file)
 {
-    const ExitCode checked = checkDocument(options, file);
-    if (checked != ExitCode::Done)
-        return checked;
-    const std::optional<InForce> inForce = readInForce(options);
-    if (!inForce)
-        return ExitCode::Unreachable;
-    const std::string text = *readFile(file);
-    const std::string body = writePublication(options.delta ? "delta" : "manifest", inForce->mark,
-                                              options.acknowledge, text);
+    const DocumentAndForce both = readBoth(options, file);
+    if (both.code != ExitCode::Done)
+        return both.code;
+    const std::string body = writePublication(options.delta ? "delta" : "manifest",
+                                              both.inForce.mark, options.acknowledge, both.text);
     // The same judgement that every VM will make, made here first, so that a mistake is told
     // before it is on the log.
     AcceptedManifest trial;
-    trial.manifest = inForce->manifest;
-    trial.mark = inForce->mark;
+    trial.manifest = both.inForce.manifest;
+    trial.mark = both.inForce.mark;
     trial.based = true;
-    trial.readThrough = inForce->mark.offset;
-    const JudgedRecord judged = judge(trial, ManifestRecord{inForce->mark.offset + 1, body});
+    trial.readThrough = both.inForce.mark.offset;
+    const JudgedRecord judged = judge(trial, ManifestRecord{both.inForce.mark.offset + 1, body});
     printProblems(file, judged.problems);
     if (judged.verdict != RecordVerdict::Accepted)
         return codeOf(std::string(verdictName(judged.verdict)));
