--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -13,11 +13,18 @@
 constexpr Duration orderTimeout = std::chrono::milliseconds(250);
 constexpr Duration reportTimeout = std::chrono::milliseconds(300);
 /** A load that is not done by then is worth trying elsewhere; the longest take about a second. */
-constexpr Duration loadPatience = std::chrono::milliseconds(1200);
+constexpr Duration loadPatience = std::chrono::milliseconds(800);
 /** Every slot in use: some call is likely to end within this. */
 constexpr Duration slotPatience = std::chrono::milliseconds(120);
 constexpr Duration slotLook = std::chrono::milliseconds(25);
-constexpr Duration afterBusy = std::chrono::milliseconds(80);
+/** After a refused order, and twice that after each further one; reports lag by about 100 ms. */
+constexpr Duration afterRefusal = std::chrono::milliseconds(60);
+constexpr int mostDoublings = 3;
+/** Reports lag, so a model that has been loaded shows a little later. */
+constexpr Duration modelTimeSlack = std::chrono::milliseconds(150);
+constexpr Duration tendEvery = std::chrono::milliseconds(250);
+/** Window in which loads of models from the weight store are bounded. */
+constexpr Duration modelLoadWindow = std::chrono::seconds(5);
 constexpr Duration renewEvery = std::chrono::milliseconds(500);
 constexpr Duration renewTimeout = std::chrono::milliseconds(400);
 constexpr Duration peerSilence = std::chrono::milliseconds(2000);
@@ -57,11 +64,19 @@
     return loads;
 }
 
+/** An engine that refuses orders is left alone for a while, or all who wait for it would storm it. */
+void backOff(HeldDesk &held, Instant now)
+{
+    held.retryAt = now + afterRefusal * (1 << std::min(held.refusals, mostDoublings));
+    ++held.refusals;
+}
+
 /** Shows what the desk holds to this gateway's own choices. */
 void publishDesk(GatewayNode &node, const std::string &target)
 {
     TargetRuntime &runtime = runtimeOf(node, target);
     runtime.resident.clear();
+    runtime.models = deskOf(node, target).desk.models;
     for (const auto &[adapter, slot] : deskOf(node, target).desk.slots) {
         if (!slot.loading)
             runtime.resident[adapter] = slot.version;
@@ -90,10 +105,19 @@
     const bool taken = report && takeReport(held.desk, *report, BootClock::now());
     if (taken)
         publishDesk(node, target);
+    else
+        backOff(held, BootClock::now());
     held.changed.notifyAll();
     co_return taken;
 }
 
+Duration modelTime(const GatewayNode &node, const TargetEntry &entry)
+{
+    const EngineSpec *spec = specOf(node, entry);
+    const ModelSpec *model = spec != nullptr ? baseModel(*spec) : nullptr;
+    return model != nullptr ? model->loadTime + modelTimeSlack : modelTimeSlack;
+}
+
 /** Gives one order and notes its outcome; the lease is looked at right before it is written. */
 asio::awaitable<OrderOutcome> giveOrder(GatewayNode &node, std::string target, EngineOrder order,
                                         std::string adapter)
@@ -113,14 +137,21 @@
     held.ordering = false;
     const Instant now = BootClock::now();
     const bool done = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Holds;
-    if (done && order.load)
+    const bool ofModel = order.adapter.empty();
+    if (done && ofModel)
+        held.desk.modelReadyAt = now + modelTime(node, *entry);
+    else if (done && order.load)
         noteLoadAccepted(held.desk, adapter, order.version, expected, now);
-    if (done && !order.load)
+    else if (done)
         noteUnloaded(held.desk, adapter);
     if (done && !(order.load && outcome == OrderOutcome::Holds))
         noteSequence(held.desk);
-    if (!done)
+    if (done) {
+        held.refusals = 0;
+    } else {
         forgetSequence(held.desk);
+        backOff(held, now);
+    }
     logEvent(EventId::OrderGiven,
              {{"target", target},
               {"operation", order.load ? "load" : "unload"},
@@ -185,18 +216,27 @@
         if (spec == nullptr || !mayOrderNow(node, target))
             co_return loadReply(v1::LOAD_OUTCOME_NOT_HOLDER);
         HeldDesk &held = deskOf(node, target);
-        held.desk.adapterSlots = spec->adapterSlots;
+        const ModelSpec *model = baseModel(*spec);
+        held.desk.adapterSlots = model != nullptr ? adapterCapacity(*spec, *model) : 0;
         if (held.ordering) {
             co_await held.changed.wait(orderTimeout);
             continue;
         }
+        const Instant now = BootClock::now();
+        const bool modelUnderWay = now < held.desk.modelReadyAt;
+        if (modelUnderWay)
+            co_return loadReply(v1::LOAD_OUTCOME_NO_SLOT);
+        if (now < held.retryAt) {
+            co_await held.changed.wait(held.retryAt - now);
+            continue;
+        }
         if (held.desk.sequence < 0) {
-            const bool reported = co_await readReport(node, target);
-            if (!reported)
-                co_await held.changed.wait(afterBusy);
+            co_await readReport(node, target);
             continue;
         }
-        const Instant now = BootClock::now();
+        // Without its base model an engine refuses every load of an adapter.
+        if (held.desk.models.count(request.model()) == 0)
+            co_return loadReply(v1::LOAD_OUTCOME_NO_SLOT);
         noteRuns(held.desk, totalUse(node, target).adapterRuns, now);
         if (settleLoads(held.desk, now))
             publishDesk(node, target);
@@ -218,10 +258,7 @@
             break;
         case DeskStep::Unload: {
             EngineOrder order = unloadOrder(choice.victim);
-            const OrderOutcome outcome =
-                co_await giveOrder(node, target, std::move(order), choice.victim);
-            if (outcome == OrderOutcome::Busy)
-                co_await held.changed.wait(afterBusy);
+            co_await giveOrder(node, target, std::move(order), choice.victim);
             break;
         }
         case DeskStep::Load: {
@@ -232,8 +269,6 @@
             const OrderOutcome outcome = co_await giveOrder(node, target, std::move(order), key);
             if (outcome == OrderOutcome::Invalid)
                 co_return loadReply(v1::LOAD_OUTCOME_REFUSED);
-            if (outcome == OrderOutcome::Busy)
-                co_await held.changed.wait(afterBusy);
             break;
         }
         }
@@ -316,6 +351,61 @@
     }
 }
 
+namespace {
+
+/** This gateway's share of the loads of models that the weight store allows in a window. */
+bool mayLoadModel(GatewayNode &node, const EngineSpec &spec, Instant now)
+{
+    while (!node.modelLoads.empty() && now - node.modelLoads.front() > modelLoadWindow)
+        node.modelLoads.pop_front();
+    const double allowed = spec.modelLoadsPerSecond * toSeconds(modelLoadWindow);
+    const double share = std::max(1.0, allowed / liveGateways(node));
+    return static_cast<double>(node.modelLoads.size()) < share;
+}
+
+/** One step towards an engine that holds its base model. */
+asio::awaitable<void> tendEngine(GatewayNode &node, std::string target)
+{
+    HeldDesk &held = deskOf(node, target);
+    const TargetEntry *entry = entryOf(node, target);
+    const EngineSpec *spec = entry != nullptr ? specOf(node, *entry) : nullptr;
+    const ModelSpec *model = spec != nullptr ? baseModel(*spec) : nullptr;
+    const Instant now = BootClock::now();
+    if (model == nullptr || entry->leaving || held.ordering || now < held.retryAt)
+        co_return;
+    if (now < held.desk.modelReadyAt)
+        co_return;
+    const bool expected = held.desk.modelReadyAt != Instant{};
+    held.desk.modelReadyAt = Instant{};
+    if (expected || held.desk.sequence < 0) {
+        co_await readReport(node, target);
+        co_return;
+    }
+    if (held.desk.models.count(model->name) > 0 || !mayLoadModel(node, *spec, now))
+        co_return;
+    EngineOrder order;
+    order.model = model->name;
+    const OrderOutcome outcome = co_await giveOrder(node, target, std::move(order), model->name);
+    if (outcome == OrderOutcome::Accepted)
+        node.modelLoads.push_back(now);
+}
+
+} // namespace
+
+asio::awaitable<void> tendLoop(GatewayNode &node)
+{
+    while (!node.stopped) {
+        std::vector<std::string> mine;
+        for (const auto &[id, record] : node.book.records) {
+            if (mayOrderNow(node, id))
+                mine.push_back(id);
+        }
+        for (const std::string &id : mine)
+            spawn(node, "tend engine", tendEngine(node, id));
+        co_await pauseFor(node, tendEvery);
+    }
+}
+
 asio::awaitable<void> leaseLoop(GatewayNode &node)
 {
     while (!node.stopped && !node.shuttingDown) {
--- a/libs/gateway/src/EngineOrders.h
+++ b/libs/gateway/src/EngineOrders.h
@@ -23,6 +23,9 @@
 asio::awaitable<gateway::v1::LoadReply> loadHere(GatewayNode &node,
                                                  gateway::v1::LoadRequest request);
 
+/** Has engines that lost their base model load it again, for as long as the gateway runs. */
+asio::awaitable<void> tendLoop(GatewayNode &node);
+
 /** Renews the lease for as long as the gateway runs. */
 asio::awaitable<void> leaseLoop(GatewayNode &node);
 
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -45,6 +45,7 @@
         runtime.resident.clear();
         for (const HeldAdapter &held : entry.adapters)
             runtime.resident[held.adapter] = held.version;
+        runtime.models = std::set<std::string>(entry.models.begin(), entry.models.end());
     }
     if (isNew)
         logEvent(EventId::TargetListed,
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -48,6 +48,7 @@
     TargetPool pool;
     TargetUse own;
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
+    std::set<std::string> models; ///< base models that are there
     Instant residentTold{}; ///< last word of the VM that orders this engine
 };
 
@@ -77,6 +78,8 @@
 
     OrderDesk desk;
     bool ordering = false; ///< an order or report is under way
+    Instant retryAt{}; ///< no order or report before this
+    int refusals = 0; ///< in a row
     Signal changed;
 };
 
@@ -107,6 +110,7 @@
     HolderLease lease;
     std::unordered_map<std::string, std::unique_ptr<HeldDesk>> desks;
     std::map<std::pair<std::string, std::string>, std::shared_ptr<Signal>> loadsAsked;
+    std::deque<Instant> modelLoads; ///< ordered by this gateway lately
 
     Signal engineChanged; ///< residents or loads of engines changed
     Signal newsDue;
--- a/libs/gateway/src/PeerNews.cpp
+++ b/libs/gateway/src/PeerNews.cpp
@@ -36,6 +36,8 @@
         const auto desk = node.desks.find(id);
         if (desk == node.desks.end() || desk->second->desk.sequence < 0)
             continue;
+        for (const std::string &model : desk->second->desk.models)
+            engine->add_models(model);
         for (const auto &[adapter, slot] : desk->second->desk.slots) {
             v1::Slot *told = engine->add_slots();
             told->set_adapter(adapter);
@@ -118,11 +120,13 @@
     const Instant now = BootClock::now();
     for (const v1::HeldEngine &engine : news.held()) {
         held.insert(engine.target());
-        if (engine.slots().empty() || mayOrderNow(node, engine.target()))
+        const bool toldNothing = engine.slots().empty() && engine.models().empty();
+        if (toldNothing || mayOrderNow(node, engine.target()))
             continue;
         TargetRuntime &runtime = runtimeOf(node, engine.target());
         runtime.residentTold = now;
         runtime.resident.clear();
+        runtime.models = std::set<std::string>(engine.models().begin(), engine.models().end());
         for (const v1::Slot &slot : engine.slots()) {
             if (!slot.loading())
                 runtime.resident[slot.adapter()] = slot.version();
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -9,8 +9,12 @@
 
 namespace {
 
-/** A call waits this long for room at a full engine before it is refused. */
-constexpr Duration roomPatience = std::chrono::milliseconds(400);
+/**
+ * A call waits for its place this long at most, and no longer than this share of the time that its
+ * caller has left; then it is refused while the caller can still come back.
+ */
+constexpr Duration placePatience = std::chrono::milliseconds(2000);
+constexpr double placeShare = 0.35;
 constexpr Duration roomLook = std::chrono::milliseconds(40);
 
 /** Callers of refused calls come back after about a load's time. */
@@ -66,6 +70,7 @@
         view.heldTokens = use.heldTokens;
         view.runs = use.runs;
         view.usable = isUsable(node, entry.id, now);
+        view.hasModel = runtime.models.count(run.facts.model) > 0;
         view.hasHolder = isOrderable(node, entry.id)
             && std::find(run.unloadable.begin(), run.unloadable.end(), entry.id)
                 == run.unloadable.end();
@@ -84,7 +89,8 @@
     need.promptTokens = run.facts.promptTokens;
     need.outputTokens = run.facts.maxOutputTokens;
     need.zone = node.settings.zone;
-    const Instant begun = BootClock::now();
+    const Duration share = fromSeconds(toSeconds(timeLeft(run)) * placeShare);
+    const Instant refuseAt = BootClock::now() + std::min(placePatience, share);
     Placement placement;
     while (!run.cancelled()) {
         const std::vector<EngineView> views = engineViews(run, spec);
@@ -93,11 +99,11 @@
             placement.refusal = refusal("no engine can be reached", comeBackLater);
             co_return placement;
         }
+        if (BootClock::now() >= refuseAt && choice.step != EngineStep::Send) {
+            placement.refusal = refusal("no engine has room", comeBackSoon);
+            co_return placement;
+        }
         if (choice.step == EngineStep::Full) {
-            if (BootClock::now() - begun > roomPatience) {
-                placement.refusal = refusal("no engine has room", comeBackSoon);
-                co_return placement;
-            }
             run.unloadable.clear();
             co_await node.engineChanged.wait(roomLook);
             continue;
--- a/libs/serving/include/serving/EngineBoard.h
+++ b/libs/serving/include/serving/EngineBoard.h
@@ -27,6 +27,7 @@
     double heldTokens = 0; ///< tokens in memory for all running calls
     int runs = 0; ///< calls under way, of all VMs
     bool usable = true; ///< neither leaving nor ejected
+    bool hasModel = true; ///< the base model is there; without it nothing runs
     bool hasHolder = false; ///< some VM may order it now
 };
 
--- a/libs/serving/include/serving/OrderDesk.h
+++ b/libs/serving/include/serving/OrderDesk.h
@@ -4,6 +4,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,8 @@
     std::int64_t sequence = -1; ///< orders the engine has accepted; below 0: not known
     std::int64_t leastSequence = 0; ///< a report that counts fewer is older than what is known
     std::unordered_map<std::string, SlotUse> slots; ///< by adapter key
+    std::set<std::string> models; ///< base models that are there
+    Instant modelReadyAt{}; ///< when the model under way is expected; zero: none is
     std::list<std::string> hostCopies; ///< adapters that load fast again, newest first
 };
 
@@ -36,6 +39,7 @@
 struct EngineReport
 {
     std::int64_t sequence = 0;
+    std::set<std::string> models;
     std::unordered_map<std::string, std::int64_t> resident;
     std::unordered_map<std::string, std::int64_t> incoming;
 };
@@ -48,7 +52,7 @@
     Wait, ///< it is being loaded
     Unload, ///< unload `victim` first
     Load, ///< order the load
-    NoSlot, ///< every slot is in use
+    NoSlot, ///< every slot that would have to go is in use
 };
 
 struct DeskChoice
--- a/libs/serving/include/serving/ServiceSpec.h
+++ b/libs/serving/include/serving/ServiceSpec.h
@@ -16,6 +16,7 @@
     double weightsMb = 0;
     int adapters = 0; ///< how many adapters exist
     double adapterMb = 0;
+    Duration loadTime{}; ///< of the model from the weight store, alone
 
     auto operator<=>(const ModelSpec &) const = default;
 };
@@ -27,11 +28,21 @@
     double kvTokens = 0; ///< tokens that fit into the memory for running and cached prompts
     double weightsMb = 0; ///< memory for weights of models and adapters together
     int adapterSlots = 0;
+    double modelLoadsPerSecond = 0; ///< from the weight store, over all engines
     std::vector<ModelSpec> models;
 
     auto operator<=>(const EngineSpec &) const = default;
 };
 
+/**
+ * Adapters that an engine holds beside `model` without passing its slots or its memory; an engine
+ * that is ordered to hold more crashes.
+ */
+int adapterCapacity(const EngineSpec &engine, const ModelSpec &model) noexcept;
+
+/** The model whose adapters are served; null if the engine has none. */
+const ModelSpec *baseModel(const EngineSpec &engine) noexcept;
+
 /** A service: plain targets, or engines if `engine` is set. */
 struct ServiceSpec
 {
--- a/libs/serving/src/EngineBoard.cpp
+++ b/libs/serving/src/EngineBoard.cpp
@@ -89,7 +89,7 @@
                           const std::vector<std::string> &tried, const EngineWeights &weights)
 {
     const auto usable = [&](const EngineView &engine) {
-        return engine.usable && !isTried(tried, engine.id);
+        return engine.usable && engine.hasModel && !isTried(tried, engine.id);
     };
     const auto ready = [&](const EngineView &engine) {
         return usable(engine) && hasRoom(engine, need, weights) && hasAdapter(engine, need);
--- a/libs/serving/src/OrderDesk.cpp
+++ b/libs/serving/src/OrderDesk.cpp
@@ -13,8 +13,16 @@
  */
 constexpr std::size_t hostCopiesCountedOn = 40;
 
-/** A slot whose calls ended this long ago may still have one on its way to the engine. */
-constexpr Duration settleAfterUse = std::chrono::milliseconds(150);
+/**
+ * A slot that was in use this recently may have a call on its way: VMs tell each other every 200 ms
+ * what they use.
+ */
+constexpr Duration settleAfterUse = std::chrono::milliseconds(350);
+
+bool isInUse(const SlotUse &slot, Instant now)
+{
+    return slot.loading || slot.runs > 0 || now - slot.usedAt < settleAfterUse;
+}
 
 /**
  * Times until calls for a loaded adapter are accepted: 250 ms from the weight store and 25 ms from
@@ -41,8 +49,7 @@
     std::string idlest;
     Instant oldest{};
     for (const auto &[adapter, slot] : desk.slots) {
-        const bool inUse = slot.loading || slot.runs > 0 || now - slot.usedAt < settleAfterUse;
-        if (inUse || adapter == except)
+        if (isInUse(slot, now) || adapter == except)
             continue;
         if (!idlest.empty() && slot.usedAt >= oldest)
             continue;
@@ -85,6 +92,7 @@
         slots[adapter] = slot;
     }
     desk.slots = std::move(slots);
+    desk.models = report.models;
     desk.sequence = report.sequence;
     desk.leastSequence = report.sequence;
     return true;
@@ -98,8 +106,14 @@
         const SlotUse &slot = found->second;
         if (slot.version >= version)
             return {slot.loading ? DeskStep::Wait : DeskStep::Ready, {}};
-        // An older version is replaced in its own slot; the engine lets its runs end first.
-        return {slot.loading ? DeskStep::Wait : DeskStep::Load, {}};
+        if (slot.loading)
+            return {DeskStep::Wait, {}};
+        // An engine that is told to replace or unload an adapter in use takes no other order until
+        // those calls have ended, which can be many seconds. The old version stays until it is
+        // idle; meanwhile the new one is loaded elsewhere.
+        if (isInUse(slot, now))
+            return {DeskStep::NoSlot, {}};
+        return {DeskStep::Unload, adapter};
     }
     if (loadsUnderWay(desk) >= maxLoadsPerEngine)
         return {DeskStep::Wait, {}};
