Engines: loads of all VMs counted, a count of orders that ran ahead corrected

Cause: load times were reckoned from the own engines' loads alone, so adapters counted as resident too early; an engine answers 200 without counting when it has nothing to unload, after which every report looked older than what was known and the engine got no order for 40 s. Change: peers tell their loads; a report that cannot lag any more is taken; a refused call doubts the slot.

--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -32,6 +32,7 @@
 
     std::vector<std::string> tried; ///< targets that were sent to, or could not be reached
     std::vector<std::string> unloadable; ///< engines that will not load the adapter now
+    bool missed = false; ///< an engine lacked the adapter that it was taken to hold
     int sends = 0;
     bool mayHaveRun = false;
     bool callerGone = false;
--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -20,6 +20,7 @@
 /** After a refused order, and twice that after each further one; reports lag by about 100 ms. */
 constexpr Duration afterRefusal = std::chrono::milliseconds(60);
 constexpr int mostDoublings = 3;
+constexpr Duration longestBackOffWait = std::chrono::milliseconds(130);
 /** Reports lag, so a model that has been loaded shows a little later. */
 constexpr Duration modelTimeSlack = std::chrono::milliseconds(150);
 constexpr Duration tendEvery = std::chrono::milliseconds(250);
@@ -61,6 +62,8 @@
         for (const auto &[adapter, slot] : desk->desk.slots)
             loads += slot.loading ? 1 : 0;
     }
+    for (const auto &[endpoint, peer] : node.peers)
+        loads += peer.loads;
     return loads;
 }
 
@@ -118,6 +121,14 @@
     return model != nullptr ? model->loadTime + modelTimeSlack : modelTimeSlack;
 }
 
+/** An engine that refused a call for an adapter may not hold it after all; a report has to tell. */
+void doubtSlot(HeldDesk &held, const std::string &adapter)
+{
+    const auto slot = held.desk.slots.find(adapter);
+    if (slot != held.desk.slots.end() && !slot->second.loading && !held.ordering)
+        forgetSequence(held.desk);
+}
+
 /** Gives one order and notes its outcome; the lease is looked at right before it is written. */
 asio::awaitable<OrderOutcome> giveOrder(GatewayNode &node, std::string target, EngineOrder order,
                                         std::string adapter)
@@ -130,7 +141,7 @@
     order.token = node.lease.generation;
     order.expectedSequence = held.desk.sequence;
     const EngineAddress address{target, entry->endpoint};
-    const Duration expected = loadTime(held.desk, adapter, loadsUnderWay(node));
+    const Duration expected = loadTime(held.desk, adapter, loadsUnderWay(node) + 1);
     held.ordering = true;
     const OrderOutcome outcome =
         co_await node.platform->order(node.http, address, order, orderTimeout);
@@ -145,7 +156,7 @@
     else if (done)
         noteUnloaded(held.desk, adapter);
     if (done && !(order.load && outcome == OrderOutcome::Holds))
-        noteSequence(held.desk);
+        noteSequence(held.desk, now);
     if (done) {
         held.refusals = 0;
     } else {
@@ -210,6 +221,8 @@
     const Instant begun = BootClock::now();
     const std::string target = request.target();
     const std::string key = adapterKey(request.model(), request.adapter());
+    if (request.missed())
+        doubtSlot(deskOf(node, target), key);
     while (BootClock::now() - begun < loadPatience) {
         const TargetEntry *entry = entryOf(node, target);
         const EngineSpec *spec = entry != nullptr ? specOf(node, *entry) : nullptr;
@@ -226,6 +239,9 @@
         const bool modelUnderWay = now < held.desk.modelReadyAt;
         if (modelUnderWay)
             co_return loadReply(v1::LOAD_OUTCOME_NO_SLOT);
+        // The caller may find another engine sooner than this one takes orders again.
+        if (held.retryAt - now > longestBackOffWait)
+            co_return loadReply(v1::LOAD_OUTCOME_NO_SLOT);
         if (now < held.retryAt) {
             co_await held.changed.wait(held.retryAt - now);
             continue;
@@ -277,7 +293,8 @@
 }
 
 asio::awaitable<bool> askLoad(GatewayNode &node, std::string target, std::string model,
-                              std::string adapter, std::int64_t version, Duration patience)
+                              std::string adapter, std::int64_t version, bool missed,
+                              Duration patience)
 {
     const Duration most = std::min(patience, loadPatience);
     const auto key = std::make_pair(target, adapter);
@@ -296,6 +313,7 @@
     request.set_model(model);
     request.set_adapter(adapter.substr(adapter.find('/') + 1));
     request.set_version(version);
+    request.set_missed(missed);
     const Instant begun = BootClock::now();
     std::optional<v1::LoadReply> reply;
     if (mayOrderNow(node, target)) {
--- a/libs/gateway/src/EngineOrders.h
+++ b/libs/gateway/src/EngineOrders.h
@@ -14,10 +14,12 @@
 
 /**
  * Has an adapter loaded, by this gateway or by the one that orders the engine. Calls that want the
- * same wait for one order. True once calls for it are accepted.
+ * same wait for one order. `missed`: the engine refused a call although it was taken to hold the
+ * adapter. True once calls for it are accepted.
  */
 asio::awaitable<bool> askLoad(GatewayNode &node, std::string target, std::string model,
-                              std::string adapter, std::int64_t version, Duration patience);
+                              std::string adapter, std::int64_t version, bool missed,
+                              Duration patience);
 
 /** Carries out a load for this gateway or a peer. */
 asio::awaitable<gateway::v1::LoadReply> loadHere(GatewayNode &node,
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -370,6 +370,8 @@
         }
         if (facts.misdirected) {
             runtimeOf(this->node, target.id).resident.erase(this->run.facts.adapter);
+            this->run.missed = true;
+            this->run.tried.pop_back();
             co_return;
         }
         noteEnd(this->run, target, SendOutcome::Refused);
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -67,6 +67,7 @@
     std::int64_t configVersion = 0;
     std::unordered_map<std::string, TargetUse> uses; ///< by target id
     std::unordered_set<std::string> held; ///< engines that it may order
+    int loads = 0; ///< under way at those engines
 };
 
 /** An engine that this VM orders. */
--- a/libs/gateway/src/PeerNews.cpp
+++ b/libs/gateway/src/PeerNews.cpp
@@ -117,9 +117,12 @@
 void takeHeld(GatewayNode &node, PeerState &peer, const v1::News &news)
 {
     std::unordered_set<std::string> held;
+    peer.loads = 0;
     const Instant now = BootClock::now();
     for (const v1::HeldEngine &engine : news.held()) {
         held.insert(engine.target());
+        for (const v1::Slot &slot : engine.slots())
+            peer.loads += slot.loading() ? 1 : 0;
         const bool toldNothing = engine.slots().empty() && engine.models().empty();
         if (toldNothing || mayOrderNow(node, engine.target()))
             continue;
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -111,7 +111,8 @@
         const std::string id = views[choice.engine].id;
         if (choice.step == EngineStep::Load) {
             const bool loaded = co_await askLoad(node, id, run.facts.model, need.adapter,
-                                                 need.version, timeLeft(run));
+                                                 need.version, run.missed, timeLeft(run));
+            run.missed = false;
             if (!loaded) {
                 run.unloadable.push_back(id);
                 continue;
--- a/libs/serving/include/serving/OrderDesk.h
+++ b/libs/serving/include/serving/OrderDesk.h
@@ -29,6 +29,7 @@
     int adapterSlots = 0;
     std::int64_t sequence = -1; ///< orders the engine has accepted; below 0: not known
     std::int64_t leastSequence = 0; ///< a report that counts fewer is older than what is known
+    Instant acceptedAt{}; ///< of the last order
     std::unordered_map<std::string, SlotUse> slots; ///< by adapter key
     std::set<std::string> models; ///< base models that are there
     Instant modelReadyAt{}; ///< when the model under way is expected; zero: none is
@@ -75,7 +76,7 @@
 void noteUnloaded(OrderDesk &desk, const std::string &adapter);
 
 /** An order was accepted; the engine counts one more. */
-void noteSequence(OrderDesk &desk);
+void noteSequence(OrderDesk &desk, Instant now);
 
 /** It is not known whether the last order was accepted; a report has to tell. */
 void forgetSequence(OrderDesk &desk);
--- a/libs/serving/src/OrderDesk.cpp
+++ b/libs/serving/src/OrderDesk.cpp
@@ -32,6 +32,12 @@
 constexpr Duration storeLoad = std::chrono::milliseconds(265);
 constexpr Duration hostCopyLoad = std::chrono::milliseconds(40);
 
+/** A report that shows a load under way after its expected end is looked at again after this. */
+constexpr Duration loadLook = std::chrono::milliseconds(120);
+
+/** Reports are "some hundred ms" old, by the platform's word. */
+constexpr Duration longestReportLag = std::chrono::milliseconds(500);
+
 /** Loads that the users' weight stores carry at full speed; more share it. */
 constexpr int loadsAtFullSpeed = 8;
 
@@ -68,10 +74,13 @@
 } // namespace
 
 // Reports lag by some hundred ms. One from before the last accepted order would show that order's
-// slot as free; the engine's count of orders tells such a report from a current one.
+// slot as free; the engine's count of orders tells such a report from a current one. The count known
+// here can be too high by itself, when the engine took an order as done without counting it, so a
+// report that cannot lag any more is always taken.
 bool takeReport(OrderDesk &desk, const EngineReport &report, Instant now)
 {
-    if (report.sequence < desk.leastSequence)
+    const bool mayLag = now - desk.acceptedAt < longestReportLag;
+    if (report.sequence < desk.leastSequence && mayLag)
         return false;
     std::unordered_map<std::string, SlotUse> slots;
     for (const auto &[adapter, version] : report.resident) {
@@ -88,7 +97,9 @@
         SlotUse slot;
         slot.version = version;
         slot.loading = true;
-        slot.readyAt = now;
+        const auto known = desk.slots.find(adapter);
+        const bool expectedLater = known != desk.slots.end() && known->second.readyAt > now;
+        slot.readyAt = expectedLater ? known->second.readyAt : now + loadLook;
         slots[adapter] = slot;
     }
     desk.slots = std::move(slots);
@@ -143,8 +154,9 @@
     desk.slots.erase(adapter);
 }
 
-void noteSequence(OrderDesk &desk)
+void noteSequence(OrderDesk &desk, Instant now)
 {
+    desk.acceptedAt = now;
     ++desk.sequence;
     desk.leastSequence = desk.sequence;
 }
