Engines weighed by expected first event, cached beginnings and pauses of running streams

Change: cost of an engine = wait + uncached part + load + pauses; parts of prompts read there before are remembered; a copy is loaded where the first event would be late otherwise. Not settled: the threshold for copies is tuned next.

--- a/libs/gateway/src/CallRun.cpp
+++ b/libs/gateway/src/CallRun.cpp
@@ -38,6 +38,19 @@
     return std::max(run.deadline - BootClock::now(), Duration::zero());
 }
 
+void notePiece(CallRun &run)
+{
+    const Instant now = BootClock::now();
+    if (run.firstPieceAt == Instant{}) {
+        run.firstPieceAt = now;
+        run.node.metrics.record(Timing::FirstPiece, toSeconds(now - run.arrivedAt));
+    } else {
+        run.longestGap = std::max(run.longestGap, now - run.lastPieceAt);
+        run.node.metrics.record(Timing::BetweenPieces, toSeconds(now - run.lastPieceAt));
+    }
+    run.lastPieceAt = now;
+}
+
 void cancelRun(CallRun &run)
 {
     if (run.connection)
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -34,6 +34,11 @@
     std::vector<std::string> unloadable; ///< engines that will not load the adapter now
     bool missed = false; ///< an engine lacked the adapter that it was taken to hold
     int sends = 0;
+    Duration placing{}; ///< time spent on finding targets, loads included
+    int loads = 0; ///< adapter loads that were waited for
+    Instant firstPieceAt{}; ///< of the answer, towards the caller; zero: none yet
+    Instant lastPieceAt{};
+    Duration longestGap{}; ///< between two pieces
     bool mayHaveRun = false;
     bool callerGone = false;
     bool timedOut = false;
@@ -50,6 +55,9 @@
 
 using CallRunPtr = std::shared_ptr<CallRun>;
 
+/** A piece of the answer goes to the caller now. */
+void notePiece(CallRun &run);
+
 /** Time until the deadline, never negative. */
 Duration timeLeft(const CallRun &run);
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -153,6 +153,7 @@
         const std::string out = takeEvents(this->events, piece);
         if (out.empty())
             co_return true;
+        notePiece(this->run);
         this->run.caller.expires_after(writePatience);
         if (!this->headSent) {
             const bool headed = co_await this->writeHead(exchange);
@@ -235,6 +236,34 @@
                   {"call", run.facts.attemptId}});
 }
 
+std::string millis(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+void noteAnswered(CallRun &run, const TargetEntry &target)
+{
+    const Instant now = BootClock::now();
+    const Instant first = run.firstPieceAt == Instant{} ? now : run.firstPieceAt;
+    run.node.metrics.add(Counter::RequestsAnswered);
+    logEvent(EventId::CallAnswered,
+             {{"call", run.facts.attemptId},
+              {"route", run.route->name},
+              {"adapter", run.facts.adapter},
+              {"target", target.id},
+              {"firstMs", millis(first - run.arrivedAt)},
+              {"wholeMs", millis(now - run.arrivedAt)},
+              {"placingMs", millis(run.placing)},
+              {"longestGapMs", millis(run.longestGap)},
+              {"loads", std::to_string(run.loads)},
+              {"sends", std::to_string(run.sends)},
+              {"promptTokens", std::to_string(static_cast<int>(run.facts.promptTokens))},
+              {"late", first - run.arrivedAt > run.route->latencyObjective
+                       || run.longestGap > run.route->gapObjective
+                   ? "yes"
+                   : "no"}});
+}
+
 /** The life of one call after its route is known. */
 class CallServing
 {
@@ -248,7 +277,9 @@
     asio::awaitable<void> serve()
     {
         while (true) {
+            const Instant placingFrom = BootClock::now();
             Placement placement = co_await placeCall(this->run);
+            this->run.placing += BootClock::now() - placingFrom;
             if (this->run.callerGone)
                 co_return;
             if (!placement.target) {
@@ -259,6 +290,8 @@
             this->run.tried.push_back(target.id);
             const SendEnd end = co_await this->sendTo(target);
             this->run.connection.reset();
+            if (end == SendEnd::Done)
+                noteAnswered(this->run, target);
             const bool over = end == SendEnd::Done || end == SendEnd::CallerLost;
             if (over || this->run.callerGone)
                 co_return;
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -49,6 +49,7 @@
     TargetUse own;
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
     std::set<std::string> models; ///< base models that are there
+    std::unordered_set<std::string> cachedParts; ///< of prompts, by adapter and part
     Instant residentTold{}; ///< last word of the VM that orders this engine
 };
 
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -22,8 +22,34 @@
 /** Without any target: entries are listed again within seconds. */
 constexpr Duration comeBackLater = std::chrono::milliseconds(800);
 
-/** Part of a prompt that is read anew on an engine that holds its adapter; the rest is cached. */
-constexpr double uncachedShare = 0.4;
+/** Parts of prompts that are remembered for an engine; about twice what its memory can hold. */
+constexpr std::size_t mostCachedParts = 256;
+
+std::string partKey(const CallRun &run, const PromptPart &part)
+{
+    return run.facts.adapter + "|" + part.id;
+}
+
+/** Tokens at the beginning of the call's prompt that own calls have had read there before. */
+double cachedTokens(const CallRun &run, const TargetRuntime &runtime)
+{
+    double tokens = 0;
+    for (const PromptPart &part : run.facts.prompt) {
+        if (runtime.cachedParts.count(partKey(run, part)) == 0)
+            return tokens;
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+void rememberParts(const CallRun &run, TargetRuntime &runtime)
+{
+    // What an engine keeps is not known exactly; starting anew now and then only costs estimates.
+    if (runtime.cachedParts.size() > mostCachedParts)
+        runtime.cachedParts.clear();
+    for (const PromptPart &part : run.facts.prompt)
+        runtime.cachedParts.insert(partKey(run, part));
+}
 
 OwnAnswer refusal(std::string reason, Duration retryAfter)
 {
@@ -69,6 +95,7 @@
         view.waitingTokens = use.waitingTokens;
         view.heldTokens = use.heldTokens;
         view.runs = use.runs;
+        view.cachedTokens = cachedTokens(run, runtime);
         view.usable = isUsable(node, entry.id, now);
         view.hasModel = runtime.models.count(run.facts.model) > 0;
         view.hasHolder = isOrderable(node, entry.id)
@@ -110,6 +137,7 @@
         }
         const std::string id = views[choice.engine].id;
         if (choice.step == EngineStep::Load) {
+            ++run.loads;
             const bool loaded = co_await askLoad(node, id, run.facts.model, need.adapter,
                                                  need.version, run.missed, timeLeft(run));
             run.missed = false;
@@ -172,9 +200,10 @@
 }
 
 UseGuard::UseGuard(CallRun &run, const std::string &target)
-    : runtime(runtimeOf(run.node, target))
+    : run(run)
+    , runtime(runtimeOf(run.node, target))
     , adapter(run.facts.adapter)
-    , waiting(run.facts.promptTokens * uncachedShare)
+    , waiting(run.facts.promptTokens - cachedTokens(run, this->runtime))
     , held(run.facts.promptTokens + run.facts.maxOutputTokens)
 {
     this->runtime.own.runs += 1;
@@ -186,7 +215,7 @@
 
 UseGuard::~UseGuard()
 {
-    this->noteFirstEvent();
+    this->runtime.own.waitingTokens -= this->waiting;
     this->runtime.own.runs -= 1;
     this->runtime.own.heldTokens -= this->held;
     if (this->adapter.empty())
@@ -198,8 +227,11 @@
 
 void UseGuard::noteFirstEvent()
 {
+    if (this->waiting == 0)
+        return;
     this->runtime.own.waitingTokens -= this->waiting;
     this->waiting = 0;
+    rememberParts(this->run, this->runtime);
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/Placing.h
+++ b/libs/gateway/src/Placing.h
@@ -33,6 +33,7 @@
     void noteFirstEvent();
 
 private:
+    CallRun &run;
     TargetRuntime &runtime;
     std::string adapter;
     double waiting;
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -57,6 +57,7 @@
     CallFailed = 7041,
     CallBounced = 7042,
     StreamCut = 7043,
+    CallAnswered = 7044,
 };
 
 enum class EventLevel : std::uint8_t { Info, Warning, Error };
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -125,6 +125,8 @@
     EventRow{EventId::StreamCut, "stream-cut", EventLevel::Warning,
              "a stream was broken off after it had begun",
              "look for call-bounced with the same call"},
+    EventRow{EventId::CallAnswered, "call-answered", EventLevel::Info,
+             "the caller has its whole answer; the fields tell where its time went", "none"},
 };
 
 struct LogSetup
--- a/libs/serving/include/serving/EngineBoard.h
+++ b/libs/serving/include/serving/EngineBoard.h
@@ -26,6 +26,7 @@
     double waitingTokens = 0; ///< prompt tokens sent by all VMs that have no first event yet
     double heldTokens = 0; ///< tokens in memory for all running calls
     int runs = 0; ///< calls under way, of all VMs
+    double cachedTokens = 0; ///< of this call's prompt that the engine need not read again
     bool usable = true; ///< neither leaving nor ejected
     bool hasModel = true; ///< the base model is there; without it nothing runs
     bool hasHolder = false; ///< some VM may order it now
@@ -65,8 +66,21 @@
     double loadMs = 280;
     /** What one more running call costs the others, ms: it lengthens each step a little. */
     double runMs = 4;
-    /** A second copy of an adapter displaces another: it must save this much more, ms. */
-    double copyMs = 250;
+    /**
+     * A first event expected within this is good enough, ms: 0.6 of the users' shortest objective
+     * leaves room for what VMs do not yet know of each other. Later than that, a second copy of
+     * the adapter is weighed.
+     */
+    double calmMs = 600;
+    /** A second copy displaces another adapter and fetches weights: it must save this more, ms. */
+    double copyMs = 100;
+    /**
+     * Prompt tokens that are read between two events of the running streams without a pause over
+     * the users' objective of 400 ms: five steps with a piece of 2,048 tokens take about that.
+     */
+    double gapTokens = 8000;
+    /** What it costs to pass that once over for each running stream, ms. */
+    double gapMs = 10;
     /** A home is left for the next one if it is behind the least busy engine by this, ms. */
     double spillMs = 300;
     /** Part of the engine's memory that may be filled by running calls. */
@@ -75,9 +89,13 @@
     auto operator<=>(const EngineWeights &) const = default;
 };
 
-/** Expected wait for the first event at this engine beside the call's own prompt, ms. */
+/** Expected wait at this engine before the call's own prompt is read, ms. */
 double expectedWaitMs(const EngineView &engine, const EngineWeights &weights) noexcept;
 
+/** Cost of the call at this engine, ms: its first event, a load if needed, and others' pauses. */
+double expectedCostMs(const EngineView &engine, const EngineNeed &need,
+                      const EngineWeights &weights);
+
 /** True if the engine has the adapter in the version that the call needs. */
 bool hasAdapter(const EngineView &engine, const EngineNeed &need);
 
--- a/libs/serving/src/EngineBoard.cpp
+++ b/libs/serving/src/EngineBoard.cpp
@@ -20,21 +20,22 @@
     return engine.runs == 0 || engine.heldTokens + wanted <= weights.memoryShare * engine.kvTokens;
 }
 
-/** Index of the engine with the least wait that `accepts`; nothing if none does. */
+/** Index of the engine with the least cost that `accepts`; nothing if none does. */
 template <typename Accepts>
-std::optional<std::size_t> leastWait(const std::vector<EngineView> &engines,
-                                     const EngineWeights &weights, Accepts accepts)
+std::optional<std::size_t> leastCost(const std::vector<EngineView> &engines,
+                                     const EngineNeed &need, const EngineWeights &weights,
+                                     Accepts accepts)
 {
     std::optional<std::size_t> best;
-    double bestWait = std::numeric_limits<double>::infinity();
+    double bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t index = 0; index < engines.size(); ++index) {
         if (!accepts(engines[index]))
             continue;
-        const double wait = expectedWaitMs(engines[index], weights);
-        if (wait >= bestWait)
+        const double cost = expectedCostMs(engines[index], need, weights);
+        if (cost >= bestCost)
             continue;
         best = index;
-        bestWait = wait;
+        bestCost = cost;
     }
     return best;
 }
@@ -43,21 +44,21 @@
 // home that is not far behind the least busy engine keeps an adapter's calls, its host copies and
 // the cached beginnings of its prompts together, also when it comes back later.
 std::optional<std::size_t> firstHome(const std::vector<EngineView> &engines,
-                                     const std::string &adapter, const EngineWeights &weights,
+                                     const EngineNeed &need, const EngineWeights &weights,
                                      const std::vector<bool> &eligible)
 {
     double least = std::numeric_limits<double>::infinity();
     for (std::size_t index = 0; index < engines.size(); ++index) {
         if (eligible[index])
-            least = std::min(least, expectedWaitMs(engines[index], weights));
+            least = std::min(least, expectedCostMs(engines[index], need, weights));
     }
-    const std::uint64_t key = stableHash(adapter);
+    const std::uint64_t key = stableHash(need.adapter);
     std::optional<std::size_t> best;
     std::uint64_t bestScore = 0;
     for (std::size_t index = 0; index < engines.size(); ++index) {
         if (!eligible[index])
             continue;
-        if (expectedWaitMs(engines[index], weights) > least + weights.spillMs)
+        if (expectedCostMs(engines[index], need, weights) > least + weights.spillMs)
             continue;
         const std::uint64_t score = rendezvousScore(key, engines[index].hash);
         if (best && score <= bestScore)
@@ -75,6 +76,17 @@
     return engine.waitingTokens / weights.promptTokensPerMs + weights.runMs * engine.runs;
 }
 
+double expectedCostMs(const EngineView &engine, const EngineNeed &need,
+                      const EngineWeights &weights)
+{
+    const bool there = hasAdapter(engine, need);
+    const double fresh = need.promptTokens - (there ? engine.cachedTokens : 0);
+    const double over = std::max(engine.waitingTokens + fresh - weights.gapTokens, 0.0);
+    const double pauses = weights.gapMs * engine.runs * over / weights.gapTokens;
+    return expectedWaitMs(engine, weights) + fresh / weights.promptTokensPerMs + pauses
+        + (there ? 0 : weights.loadMs);
+}
+
 bool hasAdapter(const EngineView &engine, const EngineNeed &need)
 {
     if (need.adapter.empty())
@@ -94,7 +106,7 @@
     const auto ready = [&](const EngineView &engine) {
         return usable(engine) && hasRoom(engine, need, weights) && hasAdapter(engine, need);
     };
-    const std::optional<std::size_t> resident = leastWait(engines, weights, ready);
+    const std::optional<std::size_t> resident = leastCost(engines, need, weights, ready);
     if (need.adapter.empty()) {
         if (resident)
             return {EngineStep::Send, *resident};
@@ -110,11 +122,11 @@
         anyLoadable = anyLoadable || loadable[index];
     }
     const std::optional<std::size_t> home =
-        anyLoadable ? firstHome(engines, need.adapter, weights, loadable) : std::nullopt;
+        anyLoadable ? firstHome(engines, need, weights, loadable) : std::nullopt;
     if (resident) {
-        const double stay = expectedWaitMs(engines[*resident], weights);
-        const bool copyPays = home
-            && stay > expectedWaitMs(engines[*home], weights) + weights.loadMs + weights.copyMs;
+        const double stay = expectedCostMs(engines[*resident], need, weights);
+        const bool copyPays = home && stay > weights.calmMs
+            && stay > expectedCostMs(engines[*home], need, weights) + weights.copyMs;
         return copyPays ? EngineChoice{EngineStep::Load, *home}
                         : EngineChoice{EngineStep::Send, *resident};
     }
