Orders go on while the store is away for all VMs of a zone

A cut zone loses the store as well. Change: a lease goes on while every known VM of the zone said within the last second that it cannot reach the store and knows no newer generation; a VM that no holder can know waits.

--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -34,7 +34,7 @@
     std::function<void(TargetEntry)> target;
     std::function<void(std::string id)> targetRemoved;
     std::function<void(std::vector<TargetEntry>)> wholeList;
-    std::function<void(Endpoint)> peer; ///< another VM of the system
+    std::function<void(Endpoint, std::string zone)> peer; ///< another VM of the system
     std::function<void(bool reachable, std::string why)> storeReachable;
 };
 
@@ -105,6 +105,9 @@
     asio::awaitable<std::optional<LeaseGrant>> (*renew)(HttpClient &, const GatewaySettings &,
                                                         LeaseRenewal, Duration);
     asio::awaitable<void> (*leave)(HttpClient &, const GatewaySettings &, LeaseRenewal, Duration);
+    /** Notes in the store that this member orders a partition in this generation. */
+    asio::awaitable<bool> (*noteOrdering)(HttpClient &, const GatewaySettings &, LeaseRenewal,
+                                          int partition, Duration);
 };
 
 /** Makes a platform known under its name; called by plug-ins before main. */
--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -27,6 +27,7 @@
 /** Window in which loads of models from the weight store are bounded. */
 constexpr Duration modelLoadWindow = std::chrono::seconds(5);
 constexpr Duration renewEvery = std::chrono::milliseconds(500);
+constexpr Duration extendEvery = std::chrono::milliseconds(100);
 constexpr Duration renewTimeout = std::chrono::milliseconds(400);
 constexpr Duration peerSilence = std::chrono::milliseconds(2000);
 
@@ -67,6 +68,25 @@
     return loads;
 }
 
+/**
+ * A holder that is cut off from the store orders on by the word of the VMs it knows. One that has
+ * not heard of this VM would not ask it, so a VM that is new waits: until it has heard all VMs of
+ * its zone that the store names, or until such a cut would have ended; those of the users' list
+ * last 12 s at most.
+ */
+constexpr Duration newcomerWait = std::chrono::seconds(15);
+
+bool mayBeUnknownToHolder(const GatewayNode &node, Instant now)
+{
+    if (now - node.bootedAt >= newcomerWait)
+        return false;
+    for (const auto &[endpoint, peer] : node.peers) {
+        if (peer.zone == node.settings.zone && peer.heardAt == Instant{})
+            return true;
+    }
+    return false;
+}
+
 /** An engine that refuses orders is left alone for a while, or all who wait for it would storm it. */
 void backOff(HeldDesk &held, Instant now)
 {
@@ -207,6 +227,8 @@
     const TargetEntry *entry = entryOf(node, target);
     if (entry == nullptr || entry->zone != node.settings.zone || node.shuttingDown)
         return false;
+    if (mayBeUnknownToHolder(node, BootClock::now()))
+        return false;
     const int partition = partitionOf(stableHash(target), node.settings.partitions);
     return mayOrder(node.lease, partition, BootClock::now());
 }
@@ -424,17 +446,74 @@
     }
 }
 
+namespace {
+
+std::vector<MateWord> matesOf(const GatewayNode &node)
+{
+    std::vector<MateWord> mates;
+    for (const auto &[endpoint, peer] : node.peers) {
+        const bool mate =
+            peer.zone == node.settings.zone && peer.heardAt != Instant{} && !peer.stopping;
+        if (mate)
+            mates.push_back({peer.heardAt, peer.leaseGeneration, peer.storeAway});
+    }
+    return mates;
+}
+
+LeaseRenewal renewalOf(const GatewayNode &node)
+{
+    LeaseRenewal renewal;
+    renewal.group = "monsoonbay-" + node.settings.zone;
+    renewal.member = node.settings.vm;
+    renewal.generation = node.lease.generation;
+    renewal.ttl = node.settings.lease.ttl;
+    return renewal;
+}
+
+/** Notes in the store which partitions are ordered, so that a restart need not wait. */
+asio::awaitable<void> noteOrdering(GatewayNode &node)
+{
+    const LeaseRenewal renewal = renewalOf(node);
+    const std::map<int, Instant> held = node.lease.orderFrom;
+    for (const auto &[partition, from] : held) {
+        const bool orders = mayOrder(node.lease, partition, BootClock::now());
+        const bool noted = node.notedOrdering[partition] == renewal.generation;
+        if (!orders || noted || renewal.generation != node.lease.generation)
+            continue;
+        const bool done = co_await node.platform->noteOrdering(node.http, node.settings, renewal,
+                                                               partition, renewTimeout);
+        if (!done)
+            co_return;
+        node.notedOrdering[partition] = renewal.generation;
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> extendLoop(GatewayNode &node)
+{
+    while (!node.stopped) {
+        const std::size_t before = node.lease.orderFrom.size();
+        if (node.renewalFailing)
+            extendLease(node.lease, matesOf(node), node.settings.lease, BootClock::now());
+        if (before > 0 && node.lease.orderFrom.empty())
+            logEvent(EventId::LeaseChanged,
+                     {{"generation", std::to_string(node.lease.generation)},
+                      {"partitions", "0"},
+                      {"before", std::to_string(before)},
+                      {"why", "the store is away, and not all VMs of the zone say so"}});
+        co_await pauseFor(node, extendEvery);
+    }
+}
+
 asio::awaitable<void> leaseLoop(GatewayNode &node)
 {
     while (!node.stopped && !node.shuttingDown) {
-        LeaseRenewal renewal;
-        renewal.group = "monsoonbay-" + node.settings.zone;
-        renewal.member = node.settings.vm;
-        renewal.generation = node.lease.generation;
-        renewal.ttl = node.settings.lease.ttl;
+        const LeaseRenewal renewal = renewalOf(node);
         const Instant sentAt = BootClock::now();
         const auto grant =
             co_await node.platform->renew(node.http, node.settings, renewal, renewTimeout);
+        node.renewalFailing = !grant;
         if (grant && !node.shuttingDown) {
             const std::size_t before = node.lease.orderFrom.size();
             renewLease(node.lease, *grant, node.settings.lease, sentAt, BootClock::now());
@@ -444,6 +523,8 @@
                           {"partitions", std::to_string(grant->partitions.size())},
                           {"before", std::to_string(before)}});
         }
+        if (grant && !node.shuttingDown)
+            spawn(node, "note ordering", noteOrdering(node));
         // What another gateway may have ordered meanwhile is not known here any more.
         for (const auto &[target, desk] : node.desks) {
             if (!mayOrderNow(node, target))
@@ -455,10 +536,7 @@
 
 asio::awaitable<void> leaveLease(GatewayNode &node)
 {
-    LeaseRenewal renewal;
-    renewal.group = "monsoonbay-" + node.settings.zone;
-    renewal.member = node.settings.vm;
-    renewal.generation = node.lease.generation;
+    const LeaseRenewal renewal = renewalOf(node);
     dropLease(node.lease);
     co_await node.platform->leave(node.http, node.settings, renewal, renewTimeout);
 }
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -122,8 +122,8 @@
         noteWholeList(node.book, std::move(entries), BootClock::now());
         sweep(node);
     };
-    sink.peer = [&node](const Endpoint &endpoint) {
-        addPeer(node, endpoint);
+    sink.peer = [&node](const Endpoint &endpoint, const std::string &zone) {
+        addPeer(node, endpoint, zone);
     };
     sink.storeReachable = [&node](bool reachable, const std::string &why) {
         if (reachable == node.storeUp)
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -66,6 +66,7 @@
         this->node.links.listen(this->node.context, settings.peers, std::move(handlers));
         spawn(this->node, "follow platform", followPlatform(this->node));
         spawn(this->node, "lease", leaseLoop(this->node));
+        spawn(this->node, "extend lease", extendLoop(this->node));
         spawn(this->node, "tend", tendLoop(this->node));
         spawn(this->node, "news", newsLoop(this->node));
         spawn(this->node, "sweep", sweepLoop(this->node));
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -21,6 +21,7 @@
     , random(std::random_device()())
     , boot(this->random())
     , routes(std::make_shared<RouteTable>())
+    , bootedAt(BootClock::now())
     , engineChanged(this->context)
     , newsDue(this->context)
 { }
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -63,6 +63,9 @@
     Instant heardAt{}; ///< zero: never
     Instant addedAt{};
     bool stopping = false;
+    std::string zone; ///< empty: not known
+    std::int64_t leaseGeneration = 0;
+    bool storeAway = false;
     bool telling = false; ///< a message to it is under way
     bool tellAgain = false; ///< something changed meanwhile
     std::int64_t configVersion = 0;
@@ -110,6 +113,9 @@
     GatewayPeers links;
 
     HolderLease lease;
+    Instant bootedAt;
+    bool renewalFailing = false;
+    std::map<int, std::int64_t> notedOrdering; ///< generation noted in the store, by partition
     std::unordered_map<std::string, std::unique_ptr<HeldDesk>> desks;
     std::map<std::pair<std::string, std::string>, std::shared_ptr<Signal>> loadsAsked;
     std::deque<Instant> modelLoads; ///< ordered by this gateway lately
--- a/libs/gateway/src/PeerNews.cpp
+++ b/libs/gateway/src/PeerNews.cpp
@@ -83,6 +83,9 @@
     }
     news->set_config_version(node.routes->config().version);
     news->set_stopping(node.shuttingDown);
+    news->set_zone(node.settings.zone);
+    news->set_lease_generation(node.lease.generation);
+    news->set_store_away(node.renewalFailing);
     return news;
 }
 
@@ -153,7 +156,7 @@
 
 } // namespace
 
-void addPeer(GatewayNode &node, const Endpoint &endpoint)
+void addPeer(GatewayNode &node, const Endpoint &endpoint, const std::string &zone)
 {
     if (endpoint == node.settings.peers)
         return;
@@ -162,6 +165,7 @@
         return;
     found->second.endpoint = endpoint;
     found->second.addedAt = BootClock::now();
+    found->second.zone = zone;
     node.newsDue.notifyAll();
 }
 
@@ -172,7 +176,7 @@
     const Endpoint endpoint{news.from().address(), static_cast<std::uint16_t>(news.from().port())};
     if (endpoint == node.settings.peers)
         return reply;
-    addPeer(node, endpoint);
+    addPeer(node, endpoint, news.zone());
     PeerState &peer = node.peers[endpoint];
     const bool reborn = peer.boot != news.from().boot();
     if (!reborn && news.sequence() <= peer.sequence)
@@ -184,11 +188,14 @@
     peer.sequence = news.sequence();
     peer.heardAt = BootClock::now();
     peer.stopping = news.stopping();
+    peer.zone = news.zone();
+    peer.leaseGeneration = news.lease_generation();
+    peer.storeAway = news.store_away();
     peer.configVersion = news.config_version();
     takeHeld(node, peer, news);
     takeUses(peer, news);
     for (const v1::Vm &known : news.known())
-        addPeer(node, Endpoint{known.address(), static_cast<std::uint16_t>(known.port())});
+        addPeer(node, Endpoint{known.address(), static_cast<std::uint16_t>(known.port())}, {});
     for (const std::string &id : news.leaving())
         noteLeavingByPeer(node, id);
     if (!news.config().empty())
@@ -216,7 +223,7 @@
     while (!node.stopped) {
         forgetSilent(node, BootClock::now());
         for (const Endpoint &seed : node.settings.seeds)
-            addPeer(node, seed);
+            addPeer(node, seed, {});
         tellAll(node);
         co_await node.newsDue.wait(newsEvery);
         co_await pauseFor(node, newsGather);
--- a/libs/gateway/src/PeerNews.h
+++ b/libs/gateway/src/PeerNews.h
@@ -4,8 +4,8 @@
 
 namespace monsoonbay {
 
-/** Adds a gateway to those that are told news. */
-void addPeer(GatewayNode &node, const Endpoint &endpoint);
+/** Adds a gateway to those that are told news; `zone` is empty if it is not known. */
+void addPeer(GatewayNode &node, const Endpoint &endpoint, const std::string &zone);
 
 /** Takes what a peer tells. */
 gateway::v1::NewsReply takeNews(GatewayNode &node, const gateway::v1::News &news);
--- a/libs/serving/include/serving/HolderLease.h
+++ b/libs/serving/include/serving/HolderLease.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "core/Time.h"
@@ -13,13 +12,18 @@
  * The right of a VM to give orders to the engines of some partitions.
  *
  * A partition is dealt by the platform's store to one member of a group. Its holder orders from
- * `orderFrom` until the lease ends, both by a clock that counts through a pause of the VM.
+ * `orderFrom` until the lease ends, by a clock that counts through a pause of the VM. While the
+ * store is away the lease goes on as long as all VMs that could have been dealt its partitions say
+ * that they cannot reach the store either.
  */
 struct HolderLease
 {
     std::int64_t generation = 0; ///< also the fencing token of orders
-    Instant until{}; ///< no order at or after this
+    Instant until{}; ///< the store deals anew after this
+    Instant goesOnUntil{}; ///< by the word of the other VMs; may be later than `until`
     std::map<int, Instant> orderFrom; ///< by partition held
+
+    bool operator==(const HolderLease &) const = default;
 };
 
 /** Times that keep two holders apart. */
@@ -28,21 +32,48 @@
     Duration ttl = std::chrono::milliseconds(2000); ///< silence after which the store deals anew
     Duration margin = std::chrono::milliseconds(300); ///< an order is under way this long at most
     Duration apart = std::chrono::milliseconds(3000); ///< between the orders of two holders
+    /** The word of another VM counts this long; news come five times as often. */
+    Duration wordHolds = std::chrono::milliseconds(1000);
 
     auto operator<=>(const LeaseTiming &) const = default;
 };
 
+/** A partition that the store deals to this VM. */
+struct GrantedPartition
+{
+    int partition = 0;
+    std::int64_t orderedIn = 0; ///< generation in which its holder last noted that it orders
+
+    auto operator<=>(const GrantedPartition &) const = default;
+};
+
 /** What the store answered when the lease was renewed. */
 struct LeaseGrant
 {
     std::int64_t generation = 0;
-    std::vector<int> partitions;
+    std::vector<GrantedPartition> partitions;
+
+    auto operator<=>(const LeaseGrant &) const = default;
+};
+
+/** What another VM that may be dealt the same partitions said last. */
+struct MateWord
+{
+    Instant heardAt{};
+    std::int64_t generation = 0; ///< newest that it knows
+    bool storeAway = false; ///< its own last renewal failed
+
+    auto operator<=>(const MateWord &) const = default;
 };
 
 /** Takes an answer to a renewal that was sent at `sentAt` and arrived at `now`. */
 void renewLease(HolderLease &lease, const LeaseGrant &grant, const LeaseTiming &timing,
                 Instant sentAt, Instant now);
 
+/** The last renewal failed: lets the lease go on if all mates allow it, or drops it in time. */
+void extendLease(HolderLease &lease, const std::vector<MateWord> &mates, const LeaseTiming &timing,
+                 Instant now);
+
 /** Gives up all rights at once. */
 void dropLease(HolderLease &lease);
 
--- a/libs/serving/src/HolderLease.cpp
+++ b/libs/serving/src/HolderLease.cpp
@@ -4,34 +4,83 @@
 
 namespace monsoonbay {
 
+namespace {
+
+Instant endOf(const HolderLease &lease)
+{
+    return std::max(lease.until, lease.goesOnUntil);
+}
+
+/** Until when the mates' words let the lease go on; zero: they do not. */
+Instant endByWords(const HolderLease &lease, const std::vector<MateWord> &mates,
+                   const LeaseTiming &timing, Instant now)
+{
+    Instant end = now + timing.wordHolds;
+    for (const MateWord &mate : mates) {
+        const bool mayHoldNow = !mate.storeAway || mate.generation > lease.generation;
+        if (mayHoldNow)
+            return Instant{};
+        end = std::min(end, mate.heardAt + timing.wordHolds);
+    }
+    return end;
+}
+
+} // namespace
+
 // The former holder of a partition may not know yet that it was dealt anew: it learns that at its
 // next renewal, and if that fails it orders on until its lease ends, `ttl` after it sent its last
 // successful renewal. Only `apart` after that may another VM order, or the engine would see two
 // holders take turns. Which of these happened cannot be told from here, so the longest is waited.
+//
+// A VM that was restarted is dealt the same partitions in the same generation if it is back before
+// its membership ends. Holders note in the store the generation in which they order; if it is the
+// current one, no partition has moved since, and the former holder was this VM itself.
 void renewLease(HolderLease &lease, const LeaseGrant &grant, const LeaseTiming &timing,
                 Instant sentAt, Instant now)
 {
+    const bool unbroken = now < endOf(lease);
     std::map<int, Instant> orderFrom;
-    const bool unbroken = now < lease.until;
-    for (const int partition : grant.partitions) {
-        const auto held = lease.orderFrom.find(partition);
+    for (const GrantedPartition &granted : grant.partitions) {
+        const auto held = lease.orderFrom.find(granted.partition);
         const bool goesOn = held != lease.orderFrom.end() && unbroken;
-        orderFrom[partition] = goesOn ? held->second : now + timing.ttl + timing.apart;
+        const bool wasOwn = grant.generation > 0 && granted.orderedIn == grant.generation;
+        Instant from = now + timing.ttl + timing.wordHolds + timing.apart;
+        if (wasOwn)
+            from = now;
+        if (goesOn)
+            from = std::min(held->second, from);
+        orderFrom[granted.partition] = from;
     }
     lease.orderFrom = std::move(orderFrom);
     lease.generation = std::max(lease.generation, grant.generation);
     lease.until = std::max(lease.until, sentAt + timing.ttl - timing.margin);
+    lease.goesOnUntil = Instant{};
+}
+
+// The store deals a partition to another VM only when that VM renews, and a mate that says it
+// cannot reach the store has not. Should it reach the store right after its word, it waits `ttl`,
+// `wordHolds` and `apart` before it orders, while this VM stops at the latest `wordHolds` after the
+// word. A pause of this VM shows as old words, and the lease is dropped at the first look.
+void extendLease(HolderLease &lease, const std::vector<MateWord> &mates, const LeaseTiming &timing,
+                 Instant now)
+{
+    if (now >= endOf(lease)) {
+        dropLease(lease);
+        return;
+    }
+    lease.goesOnUntil = endByWords(lease, mates, timing, now);
 }
 
 void dropLease(HolderLease &lease)
 {
     lease.orderFrom.clear();
     lease.until = Instant{};
+    lease.goesOnUntil = Instant{};
 }
 
 bool mayOrder(const HolderLease &lease, int partition, Instant now) noexcept
 {
-    if (now >= lease.until)
+    if (now >= endOf(lease))
         return false;
     const auto held = lease.orderFrom.find(partition);
     return held != lease.orderFrom.end() && now >= held->second;
