A restarted VM goes on ordering what it held

Trial before: the group's committed offset as a note; the store refuses offsets past the end. Change: a VM notes in its own record the generation in which it orders all it holds; the same generation after a restart means that no partition has moved.

--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -35,6 +35,8 @@
     std::function<void(std::string id)> targetRemoved;
     std::function<void(std::vector<TargetEntry>)> wholeList;
     std::function<void(Endpoint, std::string zone)> peer; ///< another VM of the system
+    /** The generation in which this VM noted that it orders, before it was started. */
+    std::function<void(std::int64_t generation)> orderedBefore;
     std::function<void(bool reachable, std::string why)> storeReachable;
 };
 
@@ -105,9 +107,9 @@
     asio::awaitable<std::optional<LeaseGrant>> (*renew)(HttpClient &, const GatewaySettings &,
                                                         LeaseRenewal, Duration);
     asio::awaitable<void> (*leave)(HttpClient &, const GatewaySettings &, LeaseRenewal, Duration);
-    /** Notes in the store that this member orders a partition in this generation. */
-    asio::awaitable<bool> (*noteOrdering)(HttpClient &, const GatewaySettings &, LeaseRenewal,
-                                          int partition, Duration);
+    /** Notes in the store that this VM orders all that it holds in this generation. */
+    asio::awaitable<bool> (*noteOrdering)(HttpClient &, const GatewaySettings &,
+                                          std::int64_t generation);
 };
 
 /** Makes a platform known under its name; called by plug-ins before main. */
--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -470,22 +470,16 @@
     return renewal;
 }
 
-/** Notes in the store which partitions are ordered, so that a restart need not wait. */
+/** Notes in the store that all partitions held are ordered, so that a restart need not wait. */
 asio::awaitable<void> noteOrdering(GatewayNode &node)
 {
-    const LeaseRenewal renewal = renewalOf(node);
-    const std::map<int, Instant> held = node.lease.orderFrom;
-    for (const auto &[partition, from] : held) {
-        const bool orders = mayOrder(node.lease, partition, BootClock::now());
-        const bool noted = node.notedOrdering[partition] == renewal.generation;
-        if (!orders || noted || renewal.generation != node.lease.generation)
-            continue;
-        const bool done = co_await node.platform->noteOrdering(node.http, node.settings, renewal,
-                                                               partition, renewTimeout);
-        if (!done)
-            co_return;
-        node.notedOrdering[partition] = renewal.generation;
-    }
+    const std::int64_t generation = node.lease.generation;
+    const bool due = node.notedOrdering != generation && ordersAll(node.lease, BootClock::now());
+    if (!due)
+        co_return;
+    const bool done = co_await node.platform->noteOrdering(node.http, node.settings, generation);
+    if (done)
+        node.notedOrdering = generation;
 }
 
 } // namespace
@@ -511,11 +505,12 @@
     while (!node.stopped && !node.shuttingDown) {
         const LeaseRenewal renewal = renewalOf(node);
         const Instant sentAt = BootClock::now();
-        const auto grant =
+        auto grant =
             co_await node.platform->renew(node.http, node.settings, renewal, renewTimeout);
         node.renewalFailing = !grant;
         if (grant && !node.shuttingDown) {
             const std::size_t before = node.lease.orderFrom.size();
+            grant->orderedIn = node.orderedBefore;
             renewLease(node.lease, *grant, node.settings.lease, sentAt, BootClock::now());
             if (before != node.lease.orderFrom.size())
                 logEvent(EventId::LeaseChanged,
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -115,7 +115,8 @@
     HolderLease lease;
     Instant bootedAt;
     bool renewalFailing = false;
-    std::map<int, std::int64_t> notedOrdering; ///< generation noted in the store, by partition
+    std::int64_t orderedBefore = 0; ///< generation noted by the boot before; 0: none
+    std::int64_t notedOrdering = 0; ///< generation noted by this boot
     std::unordered_map<std::string, std::unique_ptr<HeldDesk>> desks;
     std::map<std::pair<std::string, std::string>, std::shared_ptr<Signal>> loadsAsked;
     std::deque<Instant> modelLoads; ///< ordered by this gateway lately
--- a/libs/serving/include/serving/HolderLease.h
+++ b/libs/serving/include/serving/HolderLease.h
@@ -38,20 +38,13 @@
     auto operator<=>(const LeaseTiming &) const = default;
 };
 
-/** A partition that the store deals to this VM. */
-struct GrantedPartition
-{
-    int partition = 0;
-    std::int64_t orderedIn = 0; ///< generation in which its holder last noted that it orders
-
-    auto operator<=>(const GrantedPartition &) const = default;
-};
-
 /** What the store answered when the lease was renewed. */
 struct LeaseGrant
 {
     std::int64_t generation = 0;
-    std::vector<GrantedPartition> partitions;
+    std::vector<int> partitions;
+    /** Generation in which this VM noted that it orders all that it holds; 0: none is known. */
+    std::int64_t orderedIn = 0;
 
     auto operator<=>(const LeaseGrant &) const = default;
 };
@@ -77,6 +70,9 @@
 /** Gives up all rights at once. */
 void dropLease(HolderLease &lease);
 
+/** True if no partition held has to be waited for any more. */
+bool ordersAll(const HolderLease &lease, Instant now) noexcept;
+
 /** Ask directly before each order. */
 bool mayOrder(const HolderLease &lease, int partition, Instant now) noexcept;
 
--- a/libs/serving/src/HolderLease.cpp
+++ b/libs/serving/src/HolderLease.cpp
@@ -33,23 +33,24 @@
 // holders take turns. Which of these happened cannot be told from here, so the longest is waited.
 //
 // A VM that was restarted is dealt the same partitions in the same generation if it is back before
-// its membership ends. Holders note in the store the generation in which they order; if it is the
-// current one, no partition has moved since, and the former holder was this VM itself.
+// its membership ends. A VM notes in the store the generation in which it orders all that it holds;
+// if that is still the current one, no partition has moved since, and the former holder of those
+// granted now was this VM itself.
 void renewLease(HolderLease &lease, const LeaseGrant &grant, const LeaseTiming &timing,
                 Instant sentAt, Instant now)
 {
     const bool unbroken = now < endOf(lease);
     std::map<int, Instant> orderFrom;
-    for (const GrantedPartition &granted : grant.partitions) {
-        const auto held = lease.orderFrom.find(granted.partition);
+    for (const int partition : grant.partitions) {
+        const auto held = lease.orderFrom.find(partition);
         const bool goesOn = held != lease.orderFrom.end() && unbroken;
-        const bool wasOwn = grant.generation > 0 && granted.orderedIn == grant.generation;
+        const bool wasOwn = grant.generation > 0 && grant.orderedIn == grant.generation;
         Instant from = now + timing.ttl + timing.wordHolds + timing.apart;
         if (wasOwn)
             from = now;
         if (goesOn)
             from = std::min(held->second, from);
-        orderFrom[granted.partition] = from;
+        orderFrom[partition] = from;
     }
     lease.orderFrom = std::move(orderFrom);
     lease.generation = std::max(lease.generation, grant.generation);
@@ -78,6 +79,14 @@
     lease.goesOnUntil = Instant{};
 }
 
+bool ordersAll(const HolderLease &lease, Instant now) noexcept
+{
+    if (lease.orderFrom.empty() || now >= endOf(lease))
+        return false;
+    return std::all_of(lease.orderFrom.begin(), lease.orderFrom.end(),
+                       [now](const auto &held) { return now >= held.second; });
+}
+
 bool mayOrder(const HolderLease &lease, int partition, Instant now) noexcept
 {
     if (now >= endOf(lease))
