--- a/build.sh
+++ b/build.sh
@@ -37,7 +37,7 @@
 }
 
 sources() {
-    find libs tools tests -name '*.pb.*' -prune -o \( -name '*.cpp' -o -name '*.h' \) -print 2>/dev/null
+    find libs platform tools tests -name '*.pb.*' -prune -o \( -name '*.cpp' -o -name '*.h' \) -print 2>/dev/null
 }
 
 check_format() {
@@ -46,7 +46,7 @@
 
 lint() {
     # Only our own translation units; the generated code is not ours to tidy.
-    sources | grep '\.cpp$' | grep -v '/tests/' \
+    sources | grep '\.cpp$' | grep -vE '/(tests|e2e)/' \
         | xargs -P "$(nproc)" -n 4 clang-tidy -p "$build" --quiet 2>/dev/null
 }
 
--- a/libs/gateway/include/gateway/Gateway.h
+++ b/libs/gateway/include/gateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 
 #include "gateway/GatewaySettings.h"
@@ -14,6 +15,17 @@
     bool operator==(const GatewayShutdown &) const = default;
 };
 
+/** Ports in use; they differ from the settings where those asked for port 0. */
+struct GatewayPorts
+{
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t operators = 0;
+    std::uint16_t peers = 0;
+
+    auto operator<=>(const GatewayPorts &) const = default;
+};
+
 /** One gateway: takes callers' calls and sends each to a target that can run it. */
 class Gateway
 {
@@ -25,6 +37,8 @@
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
+    GatewayPorts ports() const;
+
     /** Serves on the calling thread until a shutdown has ended. */
     GatewayShutdown run();
 
--- a/libs/gateway/src/CallerFront.cpp
+++ b/libs/gateway/src/CallerFront.cpp
@@ -208,6 +208,12 @@
 
 CallerFront::~CallerFront() = default;
 
+std::uint16_t CallerFront::port() const
+{
+    boost::system::error_code ignored;
+    return this->impl->acceptor.local_endpoint(ignored).port();
+}
+
 void CallerFront::stopAccepting()
 {
     this->impl->stopping = true;
--- a/libs/gateway/src/CallerFront.h
+++ b/libs/gateway/src/CallerFront.h
@@ -15,6 +15,8 @@
     CallerFront(const CallerFront &) = delete;
     CallerFront &operator=(const CallerFront &) = delete;
 
+    std::uint16_t port() const;
+
     void stopAccepting();
 
     /** Closes connections on which no call is being served. */
--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -26,7 +26,8 @@
 constexpr Duration tendEvery = std::chrono::milliseconds(250);
 /** Window in which loads of models from the weight store are bounded. */
 constexpr Duration modelLoadWindow = std::chrono::seconds(5);
-constexpr Duration renewEvery = std::chrono::milliseconds(500);
+/** Renewals in the time that a lease lasts; one may be lost. */
+constexpr int renewalsPerLease = 4;
 constexpr Duration extendEvery = std::chrono::milliseconds(100);
 constexpr Duration renewTimeout = std::chrono::milliseconds(400);
 constexpr Duration peerSilence = std::chrono::milliseconds(2000);
@@ -87,7 +88,8 @@
     return false;
 }
 
-/** An engine that refuses orders is left alone for a while, or all who wait for it would storm it. */
+/** An engine that refuses orders is left alone for a while, or all who wait for it would storm it.
+ */
 void backOff(HeldDesk &held, Instant now)
 {
     held.retryAt = now + afterRefusal * (1 << std::min(held.refusals, mostDoublings));
@@ -505,8 +507,7 @@
     while (!node.stopped && !node.shuttingDown) {
         const LeaseRenewal renewal = renewalOf(node);
         const Instant sentAt = BootClock::now();
-        auto grant =
-            co_await node.platform->renew(node.http, node.settings, renewal, renewTimeout);
+        auto grant = co_await node.platform->renew(node.http, node.settings, renewal, renewTimeout);
         node.renewalFailing = !grant;
         if (grant && !node.shuttingDown) {
             const std::size_t before = node.lease.orderFrom.size();
@@ -525,7 +526,7 @@
             if (!mayOrderNow(node, target))
                 forgetSequence(desk->desk);
         }
-        co_await pauseFor(node, renewEvery);
+        co_await pauseFor(node, node.settings.lease.ttl / renewalsPerLease);
     }
 }
 
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -125,7 +125,9 @@
     sink.peer = [&node](const Endpoint &endpoint, const std::string &zone) {
         addPeer(node, endpoint, zone);
     };
-    sink.orderedBefore = [&node](std::int64_t generation) { node.orderedBefore = generation; };
+    sink.orderedBefore = [&node](std::int64_t generation) {
+        node.orderedBefore = generation;
+    };
     sink.storeReachable = [&node](bool reachable, const std::string &why) {
         if (reachable == node.storeUp)
             return;
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -258,7 +258,8 @@
               {"loads", std::to_string(run.loads)},
               {"sends", std::to_string(run.sends)},
               {"promptTokens", std::to_string(static_cast<int>(run.facts.promptTokens))},
-              {"late", first - run.arrivedAt > run.route->latencyObjective
+              {"late",
+               first - run.arrivedAt > run.route->latencyObjective
                        || run.longestGap > run.route->gapObjective
                    ? "yes"
                    : "no"}});
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -63,7 +63,8 @@
         handlers.load = [this](gateway::v1::LoadRequest request) {
             return loadHere(this->node, std::move(request));
         };
-        this->node.links.listen(this->node.context, settings.peers, std::move(handlers));
+        this->node.settings.peers.port =
+            this->node.links.listen(this->node.context, settings.peers, std::move(handlers));
         spawn(this->node, "follow platform", followPlatform(this->node));
         spawn(this->node, "lease", leaseLoop(this->node));
         spawn(this->node, "extend lease", extendLoop(this->node));
@@ -120,6 +121,16 @@
     this->impl->node.links.close();
 }
 
+GatewayPorts Gateway::ports() const
+{
+    GatewayPorts ports;
+    ports.callers = this->impl->front.port();
+    ports.readiness = this->impl->readiness.port();
+    ports.operators = this->impl->operators.port();
+    ports.peers = this->impl->node.settings.peers.port;
+    return ports;
+}
+
 GatewayShutdown Gateway::run()
 {
     this->impl->node.context.run();
--- a/libs/gateway/src/GatewayPeers.cpp
+++ b/libs/gateway/src/GatewayPeers.cpp
@@ -148,8 +148,8 @@
     this->close();
 }
 
-void GatewayPeers::listen(asio::io_context &context, const Endpoint &endpoint,
-                          GatewayPeerHandlers handlers)
+std::uint16_t GatewayPeers::listen(asio::io_context &context, const Endpoint &endpoint,
+                                   GatewayPeerHandlers handlers)
 {
     this->impl->service = std::make_unique<GatewayService>(context, std::move(handlers));
     grpc::ServerBuilder builder;
@@ -165,6 +165,7 @@
     if (!this->impl->server)
         throw std::system_error(std::make_error_code(std::errc::address_in_use),
                                 "peers " + endpoint.text());
+    return static_cast<std::uint16_t>(port);
 }
 
 void GatewayPeers::close()
--- a/libs/gateway/src/GatewayPeers.h
+++ b/libs/gateway/src/GatewayPeers.h
@@ -32,8 +32,9 @@
     GatewayPeers(const GatewayPeers &) = delete;
     GatewayPeers &operator=(const GatewayPeers &) = delete;
 
-    /** Throws std::system_error if the address is taken. */
-    void listen(asio::io_context &context, const Endpoint &endpoint, GatewayPeerHandlers handlers);
+    /** Returns the port in use. Throws std::system_error if the address is taken. */
+    std::uint16_t listen(asio::io_context &context, const Endpoint &endpoint,
+                         GatewayPeerHandlers handlers);
 
     /** Ends all calls; none is answered after this. */
     void close();
--- a/libs/observe/tests/Catalogue.cpp
+++ b/libs/observe/tests/Catalogue.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include "observe/EventLimiter.h"
 #include "observe/Events.h"
 #include "observe/Metrics.h"
 #include "observe/Traces.h"
@@ -70,3 +71,19 @@
                             "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-0"})
         cr_assert_not(parseTraceparent(bad).has_value(), "%s", bad);
 }
+
+Test(events, a_kind_is_bounded_and_what_was_left_out_is_told)
+{
+    EventLimiter limiter(3);
+    const Instant start = Instant{} + std::chrono::seconds(100);
+    int written = 0;
+    for (int event = 0; event < 50; ++event)
+        written += limiter.admit(EventId::CallRefused, start).has_value() ? 1 : 0;
+    cr_assert_eq(written, 3);
+    cr_assert(limiter.admit(EventId::TargetGone, start).has_value(),
+              "another kind has its own bound");
+    const auto next = limiter.admit(EventId::CallRefused, start + std::chrono::seconds(1));
+    cr_assert_eq(next.value_or(0), 47);
+    cr_assert_eq(limiter.admit(EventId::CallRefused, start + std::chrono::seconds(1)).value_or(9),
+                 0);
+}
--- a/libs/serving/src/EngineBoard.cpp
+++ b/libs/serving/src/EngineBoard.cpp
@@ -22,9 +22,8 @@
 
 /** Index of the engine with the least cost that `accepts`; nothing if none does. */
 template <typename Accepts>
-std::optional<std::size_t> leastCost(const std::vector<EngineView> &engines,
-                                     const EngineNeed &need, const EngineWeights &weights,
-                                     Accepts accepts)
+std::optional<std::size_t> leastCost(const std::vector<EngineView> &engines, const EngineNeed &need,
+                                     const EngineWeights &weights, Accepts accepts)
 {
     std::optional<std::size_t> best;
     double bestCost = std::numeric_limits<double>::infinity();
@@ -43,8 +42,8 @@
 // Each adapter has an order of homes that all VMs agree on without a message. Loading at the first
 // home that is not far behind the least busy engine keeps an adapter's calls, its host copies and
 // the cached beginnings of its prompts together, also when it comes back later.
-std::optional<std::size_t> firstHome(const std::vector<EngineView> &engines,
-                                     const EngineNeed &need, const EngineWeights &weights,
+std::optional<std::size_t> firstHome(const std::vector<EngineView> &engines, const EngineNeed &need,
+                                     const EngineWeights &weights,
                                      const std::vector<bool> &eligible)
 {
     double least = std::numeric_limits<double>::infinity();
--- a/libs/serving/src/OrderDesk.cpp
+++ b/libs/serving/src/OrderDesk.cpp
@@ -74,9 +74,9 @@
 } // namespace
 
 // Reports lag by some hundred ms. One from before the last accepted order would show that order's
-// slot as free; the engine's count of orders tells such a report from a current one. The count known
-// here can be too high by itself, when the engine took an order as done without counting it, so a
-// report that cannot lag any more is always taken.
+// slot as free; the engine's count of orders tells such a report from a current one. The count
+// known here can be too high by itself, when the engine took an order as done without counting it,
+// so a report that cannot lag any more is always taken.
 bool takeReport(OrderDesk &desk, const EngineReport &report, Instant now)
 {
     const bool mayLag = now - desk.acceptedAt < longestReportLag;
--- a/libs/serving/tests/Events.cpp
+++ b/libs/serving/tests/Events.cpp
@@ -45,8 +45,9 @@
     }));
 }
 
-// Symptom: a caller got an event twice, or a part of one. Sequence: a run breaks in the middle of an
-// event; a second run goes on, beginning some events earlier. Cause: bytes passed on as they came.
+// Symptom: a caller got an event twice, or a part of one. Sequence: a run breaks in the middle of
+// an event; a second run goes on, beginning some events earlier. Cause: bytes passed on as they
+// came.
 Test(events, a_stream_that_goes_on_elsewhere_is_whole)
 {
     cr_assert(rc::check("resume", [] {
--- a/libs/serving/tests/Leases.cpp
+++ b/libs/serving/tests/Leases.cpp
@@ -67,10 +67,10 @@
 {
     cr_assert(rc::check("drawn", [] {
         std::vector<Toggle> schedule;
-        const auto drawn = *rc::gen::resize(
-            12,
-            rc::gen::container<std::vector<std::pair<int, int>>>(
-                rc::gen::pair(rc::gen::inRange(0, ticks), rc::gen::inRange(0, kinds))));
+        const auto drawn =
+            *rc::gen::resize(12,
+                             rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
+                                 rc::gen::inRange(0, ticks), rc::gen::inRange(0, kinds))));
         for (const auto &[tick, kind] : drawn)
             schedule.push_back(toggleAt(tick, kind));
         const LeaseTiming timing;
--- a/libs/serving/tests/Orders.cpp
+++ b/libs/serving/tests/Orders.cpp
@@ -12,7 +12,8 @@
 constexpr int slotCount = 3;
 const Instant start = Instant{} + 1000s;
 
-/** An engine as the platform describes it: it counts accepted orders and checks the expected count. */
+/** An engine as the platform describes it: it counts accepted orders and checks the expected count.
+ */
 struct FakeEngine
 {
     std::int64_t sequence = 0;
--- a/libs/serving/tests/Routes.cpp
+++ b/libs/serving/tests/Routes.cpp
@@ -49,7 +49,8 @@
         ServingConfig config;
         const auto prefixes = *rc::gen::container<std::vector<std::vector<int>>>(drawnParts);
         for (const std::vector<int> &parts : prefixes)
-            config.routes.push_back(route("h" + std::to_string(parts.size() % 2), drawnPath(parts)));
+            config.routes.push_back(
+                route("h" + std::to_string(parts.size() % 2), drawnPath(parts)));
         const RouteTable table(config);
         std::string path = drawnPath(*drawnParts);
         if (*rc::gen::arbitrary<bool>())
