--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -243,7 +243,7 @@
 asio::awaitable<v1::LoadReply> loadHere(GatewayNode &node, v1::LoadRequest request)
 {
     const Instant begun = BootClock::now();
-    const std::string target = request.target();
+    const std::string &target = request.target();
     const std::string key = adapterKey(request.model(), request.adapter());
     if (request.missed())
         doubtSlot(deskOf(node, target), key);
