--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -35,6 +35,8 @@
     std::function<void(std::string id)> targetRemoved;
     std::function<void(std::vector<TargetEntry>)> wholeList;
     std::function<void(Endpoint, std::string zone)> peer; ///< another VM of the system
+    /** True if peers are heard who would tell what this VM reads late. */
+    std::function<bool()> isBacked;
     /** The generation in which this VM noted that it orders, before it was started. */
     std::function<void(std::int64_t generation)> orderedBefore;
     std::function<void(bool reachable, std::string why)> storeReachable;
--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -30,7 +30,6 @@
 constexpr int renewalsPerLease = 4;
 constexpr Duration extendEvery = std::chrono::milliseconds(100);
 constexpr Duration renewTimeout = std::chrono::milliseconds(400);
-constexpr Duration peerSilence = std::chrono::milliseconds(2000);
 
 const TargetEntry *entryOf(const GatewayNode &node, const std::string &target)
 {
@@ -50,8 +49,7 @@
 {
     const Instant now = BootClock::now();
     for (const auto &[endpoint, peer] : node.peers) {
-        const bool live = peer.heardAt != Instant{} && now - peer.heardAt < peerSilence;
-        if (live && !peer.stopping && peer.held.count(target) > 0)
+        if (isLive(node, peer, now) && !peer.stopping && peer.held.count(target) > 0)
             return &peer;
     }
     return nullptr;
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** With this many peers heard lately, news that this VM reads late reaches it through them. */
+constexpr int backingPeers = 2;
+
 constexpr Duration sweepEvery = std::chrono::milliseconds(500);
 
 /** Word of the VM that orders an engine goes before the engine's own entry, which lags, for this.
@@ -28,7 +31,7 @@
               {"before", std::to_string(before)},
               {"routes", std::to_string(node.routes->config().routes.size())},
               {"source", source}});
-    node.newsDue.notifyAll();
+    tellUrgently(node);
 }
 
 void takeTarget(GatewayNode &node, TargetEntry entry)
@@ -56,7 +59,7 @@
     noteListed(node.book, std::move(entry));
     if (leaving && !wasLeaving) {
         logEvent(EventId::TargetLeaving, {{"target", id}, {"source", "list"}});
-        node.newsDue.notifyAll();
+        tellUrgently(node);
     }
     if (isNew)
         node.engineChanged.notifyAll();
@@ -125,6 +128,7 @@
     sink.peer = [&node](const Endpoint &endpoint, const std::string &zone) {
         addPeer(node, endpoint, zone);
     };
+    sink.isBacked = [&node] { return liveGateways(node) > backingPeers; };
     sink.orderedBefore = [&node](std::int64_t generation) {
         node.orderedBefore = generation;
     };
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -80,6 +80,7 @@
         logEvent(EventId::ShutdownBegun,
                  {{"inFlight", std::to_string(this->node.callsInFlight)},
                   {"connections", std::to_string(this->node.connections)}});
+        this->node.newsUrgent = true;
         tellAll(this->node);
         co_await leaveLease(this->node);
         const Instant limit = begun + this->node.settings.shutdownLimit;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -8,9 +8,17 @@
 
 namespace {
 
-/** A peer that has been silent for this long counts as gone; it tells news several times a s. */
+/** A peer that has been silent for this long counts as gone, or for three times its spacing. */
 constexpr Duration peerSilence = std::chrono::milliseconds(2000);
 
+constexpr Duration leastSpacing = std::chrono::milliseconds(200);
+
+/**
+ * Each VM tells each other one, so the messages grow with the square of the VMs; this spacing for
+ * each peer keeps those that a VM sends to other zones at about 40 a second.
+ */
+constexpr Duration spacingPerPeer = std::chrono::milliseconds(25);
+
 } // namespace
 
 GatewayNode::GatewayNode(const GatewaySettings &settings)
@@ -36,12 +44,23 @@
     return *runtime;
 }
 
+Duration newsSpacing(const GatewayNode &node) noexcept
+{
+    return std::max(leastSpacing, spacingPerPeer * static_cast<int>(node.peers.size()));
+}
+
+bool isLive(const GatewayNode &node, const PeerState &peer, Instant now) noexcept
+{
+    const Duration silence = std::max(peerSilence, 3 * newsSpacing(node));
+    return peer.heardAt != Instant{} && now - peer.heardAt < silence;
+}
+
 int liveGateways(const GatewayNode &node)
 {
     const Instant now = BootClock::now();
     int live = 1;
     for (const auto &[endpoint, peer] : node.peers) {
-        if (peer.heardAt != Instant{} && now - peer.heardAt < peerSilence)
+        if (isLive(node, peer, now))
             ++live;
     }
     return live;
@@ -72,7 +91,7 @@
         add(own->second->own);
     const Instant now = BootClock::now();
     for (const auto &[endpoint, peer] : node.peers) {
-        if (now - peer.heardAt >= peerSilence)
+        if (!isLive(node, peer, now))
             continue;
         const auto use = peer.uses.find(target);
         if (use != peer.uses.end())
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -67,7 +67,7 @@
     std::int64_t leaseGeneration = 0;
     bool storeAway = false;
     bool telling = false; ///< a message to it is under way
-    bool tellAgain = false; ///< something changed meanwhile
+    Instant toldAt{}; ///< when the last message to it was begun
     std::int64_t configVersion = 0;
     std::unordered_map<std::string, TargetUse> uses; ///< by target id
     std::unordered_set<std::string> held; ///< engines that it may order
@@ -123,6 +123,7 @@
 
     Signal engineChanged; ///< residents or loads of engines changed
     Signal newsDue;
+    bool newsUrgent = false; ///< all peers are to hear of a change at once
     bool storeUp = false;
     bool shuttingDown = false;
     bool stopped = false;
@@ -133,6 +134,12 @@
 /** State of a target; made on first use. */
 TargetRuntime &runtimeOf(GatewayNode &node, const std::string &target);
 
+/** Time between regular news to a gateway of another availability zone. */
+Duration newsSpacing(const GatewayNode &node) noexcept;
+
+/** True if this peer was heard lately. */
+bool isLive(const GatewayNode &node, const PeerState &peer, Instant now) noexcept;
+
 /** Gateways heard lately, this one among them. */
 int liveGateways(const GatewayNode &node);
 
--- a/libs/gateway/src/PeerNews.cpp
+++ b/libs/gateway/src/PeerNews.cpp
@@ -204,20 +204,44 @@
     return reply;
 }
 
+namespace {
+
+/** VMs of the own zone hold one another's leases, so they are told at every turn. */
+bool isDue(const GatewayNode &node, const PeerState &peer, Instant now)
+{
+    if (peer.telling)
+        return false;
+    const bool mate = peer.zone == node.settings.zone || peer.zone.empty();
+    return mate || node.newsUrgent || now - peer.toldAt >= newsSpacing(node);
+}
+
+} // namespace
+
 void tellAll(GatewayNode &node)
 {
-    const std::shared_ptr<v1::News> news = newsOf(node);
+    const Instant now = BootClock::now();
     std::vector<Endpoint> endpoints;
     for (auto &[endpoint, peer] : node.peers) {
-        if (peer.telling)
+        if (!isDue(node, peer, now))
             continue;
         peer.telling = true;
+        peer.toldAt = now;
         endpoints.push_back(endpoint);
     }
+    node.newsUrgent = false;
+    if (endpoints.empty())
+        return;
+    const std::shared_ptr<v1::News> news = newsOf(node);
     for (const Endpoint &endpoint : endpoints)
         spawn(node, "tell peer", tellPeer(node, endpoint, news));
 }
 
+void tellUrgently(GatewayNode &node)
+{
+    node.newsUrgent = true;
+    node.newsDue.notifyAll();
+}
+
 asio::awaitable<void> newsLoop(GatewayNode &node)
 {
     while (!node.stopped) {
--- a/libs/gateway/src/PeerNews.h
+++ b/libs/gateway/src/PeerNews.h
@@ -13,7 +13,10 @@
 /** Tells all peers what changed here, regularly and soon after a change. */
 asio::awaitable<void> newsLoop(GatewayNode &node);
 
-/** Tells all peers at once. */
+/** Tells the peers whose turn it is; all of them if there is something urgent. */
 void tellAll(GatewayNode &node);
 
+/** Something that every VM has to know at once has changed. */
+void tellUrgently(GatewayNode &node);
+
 } // namespace monsoonbay
