--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -412,7 +412,11 @@
     const EngineSpec *spec = entry != nullptr ? specOf(node, *entry) : nullptr;
     const ModelSpec *model = spec != nullptr ? baseModel(*spec) : nullptr;
     const Instant now = BootClock::now();
-    if (model == nullptr || entry->leaving || held.ordering || now < held.retryAt)
+    if (model == nullptr || entry->leaving)
+        co_return;
+    // Before anybody asks for a load: peers are told how many slots are idle.
+    held.desk.adapterSlots = adapterCapacity(*spec, *model);
+    if (held.ordering || now < held.retryAt)
         co_return;
     if (now < held.desk.modelReadyAt)
         co_return;
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -53,6 +53,7 @@
     std::set<std::string> models; ///< base models that are there
     std::unordered_set<std::string> cachedParts; ///< of prompts, by adapter and part
     Instant residentTold{}; ///< last word of the VM that orders this engine
+    int idleSlots = 0; ///< by that word
 };
 
 /** Another gateway. */
--- a/libs/gateway/src/PeerNews.cpp
+++ b/libs/gateway/src/PeerNews.cpp
@@ -36,6 +36,8 @@
         const auto desk = node.desks.find(id);
         if (desk == node.desks.end() || desk->second->desk.sequence < 0)
             continue;
+        noteRuns(desk->second->desk, totalUse(node, id).adapterRuns, BootClock::now());
+        engine->set_idle_slots(idleSlots(desk->second->desk, BootClock::now()));
         for (const std::string &model : desk->second->desk.models)
             engine->add_models(model);
         for (const auto &[adapter, slot] : desk->second->desk.slots) {
@@ -131,6 +133,7 @@
             continue;
         TargetRuntime &runtime = runtimeOf(node, engine.target());
         runtime.residentTold = now;
+        runtime.idleSlots = engine.idle_slots();
         ResidentVersions resident;
         runtime.models = std::set<std::string>(engine.models().begin(), engine.models().end());
         for (const v1::Slot &slot : engine.slots()) {
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -17,6 +17,9 @@
 constexpr double placeShare = 0.35;
 constexpr Duration roomLook = std::chrono::milliseconds(40);
 
+/** What the holder of an engine says of its slots is used for this long. */
+constexpr Duration holderWordHolds = std::chrono::milliseconds(500);
+
 /** Callers of refused calls come back after about a load's time. */
 constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
 /** Without any target: entries are listed again within seconds. */
@@ -76,6 +79,19 @@
         view.usable = true;
 }
 
+/** Slots of an engine that could take another adapter, as far as is known here. */
+int idleSlotsAt(GatewayNode &node, const std::string &target, const TargetUse &use, int capacity)
+{
+    const int unused = capacity - static_cast<int>(use.adapterRuns.size());
+    const auto desk = node.desks.find(target);
+    if (desk != node.desks.end() && mayOrderNow(node, target) && desk->second->desk.sequence >= 0)
+        return std::min(unused, idleSlots(desk->second->desk, BootClock::now()));
+    const TargetRuntime &runtime = runtimeOf(node, target);
+    const bool told = runtime.residentTold != Instant{}
+        && BootClock::now() - runtime.residentTold < holderWordHolds;
+    return told ? std::min(unused, runtime.idleSlots) : unused;
+}
+
 std::vector<EngineView> engineViews(CallRun &run, const ServiceSpec &spec)
 {
     GatewayNode &node = run.node;
@@ -102,7 +118,7 @@
         view.hasModel = runtime.models.count(run.facts.model) > 0;
         view.warm = std::find(runtime.warm.begin(), runtime.warm.end(), run.facts.adapter)
             != runtime.warm.end();
-        view.idleSlots = capacity - static_cast<int>(use.adapterRuns.size());
+        view.idleSlots = idleSlotsAt(node, entry.id, use, capacity);
         view.hasHolder = isOrderable(node, entry.id)
             && std::find(run.unloadable.begin(), run.unloadable.end(), entry.id)
                 == run.unloadable.end();
--- a/libs/serving/include/serving/OrderDesk.h
+++ b/libs/serving/include/serving/OrderDesk.h
@@ -84,6 +84,9 @@
 /** Takes how many calls of all VMs use each adapter now. */
 void noteRuns(OrderDesk &desk, const std::map<std::string, int> &runs, Instant now);
 
+/** Slots that could take another adapter now. */
+int idleSlots(const OrderDesk &desk, Instant now);
+
 /** Expected time of a load. `loadsElsewhere`: loads under way at all engines. */
 Duration loadTime(const OrderDesk &desk, const std::string &adapter, int loadsElsewhere);
 bool hasHostCopy(const OrderDesk &desk, const std::string &adapter);
--- a/libs/serving/src/OrderDesk.cpp
+++ b/libs/serving/src/OrderDesk.cpp
@@ -176,6 +176,14 @@
     }
 }
 
+int idleSlots(const OrderDesk &desk, Instant now)
+{
+    const auto used = std::count_if(desk.slots.begin(), desk.slots.end(), [now](const auto &slot) {
+        return isInUse(slot.second, now);
+    });
+    return desk.adapterSlots - static_cast<int>(used);
+}
+
 Duration loadTime(const OrderDesk &desk, const std::string &adapter, int loadsElsewhere)
 {
     const Duration alone = hasHostCopy(desk, adapter) ? hostCopyLoad : storeLoad;
