A VM that gives partitions up tells so; its successor waits less

Cause: in an incident with a rolling restart nobody ordered the leaving VM's engines for 6 s at each step ('no engine has room' from 8 s to 16 s), as the successor waited for a lease that might still be used. Change: releases are told with the generation and the time; they count only if no other holder can have been in between. The exhaustive lease model holds with them.

--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "PeerNews.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -536,7 +537,8 @@
 asio::awaitable<void> leaveLease(GatewayNode &node)
 {
     const LeaseRenewal renewal = renewalOf(node);
-    dropLease(node.lease);
+    dropLease(node.lease, BootClock::now());
+    tellUrgently(node);
     co_await node.platform->leave(node.http, node.settings, renewal, renewTimeout);
 }
 
--- a/libs/gateway/src/PeerNews.cpp
+++ b/libs/gateway/src/PeerNews.cpp
@@ -68,6 +68,32 @@
     }
 }
 
+void fillReleases(const GatewayNode &node, v1::News &news)
+{
+    const Instant now = BootClock::now();
+    for (const Release &release : node.lease.releases) {
+        v1::Released *told = news.add_released();
+        told->set_partition(release.partition);
+        told->set_generation(release.generation);
+        const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - release.at);
+        told->set_ago_ms(ago.count());
+    }
+}
+
+// A message that was long under way makes a release look younger than it is, which only lengthens
+// the wait.
+void takeReleases(GatewayNode &node, const v1::News &news)
+{
+    const Instant now = BootClock::now();
+    for (const v1::Released &told : news.released()) {
+        Release release;
+        release.partition = told.partition();
+        release.generation = told.generation();
+        release.at = now - std::chrono::milliseconds(told.ago_ms());
+        noteRelease(node.lease, release, node.settings.lease);
+    }
+}
+
 std::shared_ptr<v1::News> newsOf(GatewayNode &node)
 {
     auto news = std::make_shared<v1::News>();
@@ -88,6 +114,7 @@
     news->set_zone(node.settings.zone);
     news->set_lease_generation(node.lease.generation);
     news->set_store_away(node.renewalFailing);
+    fillReleases(node, *news);
     return news;
 }
 
@@ -195,6 +222,8 @@
     peer.zone = news.zone();
     peer.leaseGeneration = news.lease_generation();
     peer.storeAway = news.store_away();
+    if (news.zone() == node.settings.zone)
+        takeReleases(node, news);
     peer.configVersion = news.config_version();
     takeHeld(node, peer, news);
     takeUses(peer, news);
--- a/libs/serving/include/serving/HolderLease.h
+++ b/libs/serving/include/serving/HolderLease.h
@@ -8,6 +8,16 @@
 
 namespace monsoonbay {
 
+/** A partition that a VM ordered until it gave it up. */
+struct Release
+{
+    int partition = 0;
+    std::int64_t generation = 0; ///< the last in which that VM held it
+    Instant at{}; ///< no order of that VM after this
+
+    auto operator<=>(const Release &) const = default;
+};
+
 /**
  * The right of a VM to give orders to the engines of some partitions.
  *
@@ -22,6 +32,8 @@
     Instant until{}; ///< the store deals anew after this
     Instant goesOnUntil{}; ///< by the word of the other VMs; may be later than `until`
     std::map<int, Instant> orderFrom; ///< by partition held
+    std::map<int, std::int64_t> gainedIn; ///< generation that brought each partition held
+    std::vector<Release> releases; ///< of this VM, to be told to the others
 
     bool operator==(const HolderLease &) const = default;
 };
@@ -68,7 +80,10 @@
                  Instant now);
 
 /** Gives up all rights at once. */
-void dropLease(HolderLease &lease);
+void dropLease(HolderLease &lease, Instant now);
+
+/** Another VM has told that it gave up a partition: the wait for it may be shorter. */
+void noteRelease(HolderLease &lease, const Release &release, const LeaseTiming &timing);
 
 /** True if no partition held has to be waited for any more. */
 bool ordersAll(const HolderLease &lease, Instant now) noexcept;
--- a/libs/serving/src/HolderLease.cpp
+++ b/libs/serving/src/HolderLease.cpp
@@ -25,6 +25,22 @@
     return end;
 }
 
+/** Releases older than this no longer shorten anybody's wait. */
+constexpr Duration releaseTold = std::chrono::seconds(8);
+
+/** Notes what is given up, as far as this VM ordered it until now. */
+void release(HolderLease &lease, const std::map<int, Instant> &keeps, Instant now)
+{
+    std::erase_if(lease.releases,
+                  [now](const Release &old) { return now - old.at > releaseTold; });
+    const bool unbroken = now < endOf(lease);
+    for (const auto &[partition, from] : lease.orderFrom) {
+        const bool ordered = unbroken && now >= from;
+        if (ordered && keeps.count(partition) == 0)
+            lease.releases.push_back({partition, lease.generation, now});
+    }
+}
+
 } // namespace
 
 // The former holder of a partition may not know yet that it was dealt anew: it learns that at its
@@ -41,6 +57,7 @@
 {
     const bool unbroken = now < endOf(lease);
     std::map<int, Instant> orderFrom;
+    std::map<int, std::int64_t> gainedIn;
     for (const int partition : grant.partitions) {
         const auto held = lease.orderFrom.find(partition);
         const bool goesOn = held != lease.orderFrom.end() && unbroken;
@@ -51,7 +68,10 @@
         if (goesOn)
             from = std::min(held->second, from);
         orderFrom[partition] = from;
+        gainedIn[partition] = goesOn ? lease.gainedIn[partition] : grant.generation;
     }
+    release(lease, orderFrom, now);
+    lease.gainedIn = std::move(gainedIn);
     lease.orderFrom = std::move(orderFrom);
     lease.generation = std::max(lease.generation, grant.generation);
     lease.until = std::max(lease.until, sentAt + timing.ttl - timing.margin);
@@ -66,19 +86,35 @@
                  Instant now)
 {
     if (now >= endOf(lease)) {
-        dropLease(lease);
+        dropLease(lease, now);
         return;
     }
     lease.goesOnUntil = endByWords(lease, mates, timing, now);
 }
 
-void dropLease(HolderLease &lease)
+void dropLease(HolderLease &lease, Instant now)
 {
+    release(lease, {}, now);
+    lease.gainedIn.clear();
     lease.orderFrom.clear();
     lease.until = Instant{};
     lease.goesOnUntil = Instant{};
 }
 
+// The word of a former holder replaces the wait for the end of its lease, not the time that has to
+// pass between two holders. It only counts if that VM held the partition right before this one: a
+// holder in between would have a generation of its own.
+void noteRelease(HolderLease &lease, const Release &release, const LeaseTiming &timing)
+{
+    const auto held = lease.orderFrom.find(release.partition);
+    const auto gained = lease.gainedIn.find(release.partition);
+    if (held == lease.orderFrom.end() || gained == lease.gainedIn.end())
+        return;
+    if (gained->second != release.generation + 1)
+        return;
+    held->second = std::min(held->second, release.at + timing.apart + timing.margin);
+}
+
 bool ordersAll(const HolderLease &lease, Instant now) noexcept
 {
     if (lease.orderFrom.empty() || now >= endOf(lease))
--- a/libs/serving/tests/Engines.cpp
+++ b/libs/serving/tests/Engines.cpp
@@ -16,6 +16,7 @@
     view.hash = stableHash(id);
     view.slots = 8;
     view.kvTokens = 100000;
+    view.idleSlots = 4;
     view.hasHolder = true;
     view.resident = resident;
     return view;
@@ -67,6 +68,29 @@
     const EngineChoice choice = chooseEngine(views, need(5000), {}, weights);
     cr_assert(choice.step == EngineStep::Load);
     cr_assert_eq(choice.engine, 1);
+    // The last idle slot is kept for an adapter that is nowhere yet.
+    views[1].idleSlots = 1;
+    cr_assert(chooseEngine(views, need(5000), {}, weights).step == EngineStep::Send);
+}
+
+// Symptom: nearly every load fetched weights anew. Answer: an engine that held the adapter lately
+// goes before the first home, unless it is far behind.
+Test(engines, an_engine_that_held_the_adapter_lately_goes_first)
+{
+    std::vector<EngineView> views{engine("e1"), engine("e2"), engine("e3")};
+    const EngineChoice home = chooseEngine(views, need(), {}, weights);
+    const std::size_t other = (home.engine + 1) % views.size();
+    views[other].warm = true;
+    cr_assert_eq(chooseEngine(views, need(), {}, weights).engine, other);
+    views[other].waitingTokens = 60000;
+    cr_assert_eq(chooseEngine(views, need(), {}, weights).engine, home.engine);
+}
+
+Test(engines, an_engine_without_an_idle_slot_is_not_asked_to_load)
+{
+    std::vector<EngineView> views{engine("e1")};
+    views[0].idleSlots = 0;
+    cr_assert(chooseEngine(views, need(), {}, weights).step == EngineStep::Full);
 }
 
 Test(engines, an_older_version_does_not_count_as_resident)
--- a/libs/serving/tests/LeaseModel.cpp
+++ b/libs/serving/tests/LeaseModel.cpp
@@ -69,6 +69,8 @@
         return;
     const ModelVm &vm = play.vms[static_cast<std::size_t>(index)];
     ModelVm &other = play.vms[static_cast<std::size_t>(1 - index)];
+    for (const Release &release : vm.lease.releases)
+        noteRelease(other.lease, release, play.timing);
     other.heardMate = true;
     other.mate.heardAt = now;
     other.mate.generation = vm.lease.generation;
--- a/libs/serving/tests/Leases.cpp
+++ b/libs/serving/tests/Leases.cpp
@@ -134,6 +134,46 @@
     cr_assert(!ordersAll(moved, now + 10ms));
 }
 
+// Symptom: in a rolling restart nobody ordered an engine for 6 s at each step. Answer: the VM that
+// gives a partition up says so, and only the time between two holders is waited.
+Test(leases, a_handed_over_partition_is_waited_for_less)
+{
+    const LeaseTiming timing;
+    HolderLease leaver;
+    LeaseGrant grant;
+    grant.generation = 4;
+    grant.partitions = {1};
+    grant.orderedIn = 4;
+    renewLease(leaver, grant, timing, modelStart, modelStart);
+    dropLease(leaver, modelStart + 400ms);
+    cr_assert_eq(leaver.releases.size(), 1);
+    HolderLease successor;
+    grant.generation = 5;
+    grant.orderedIn = 0;
+    renewLease(successor, grant, timing, modelStart + 500ms, modelStart + 500ms);
+    HolderLease later = successor;
+    noteRelease(successor, leaver.releases.front(), timing);
+    cr_assert(!mayOrder(successor, 1, modelStart + 500ms));
+    cr_assert_eq(successor.orderFrom.at(1).time_since_epoch().count(),
+                 (modelStart + 400ms + timing.apart + timing.margin).time_since_epoch().count());
+    later.gainedIn[1] = 6; // somebody may have held it in between
+    noteRelease(later, leaver.releases.front(), timing);
+    cr_assert(later.orderFrom.at(1) > successor.orderFrom.at(1));
+}
+
+// A VM that was itself still waiting cannot vouch for the one before it.
+Test(leases, who_never_ordered_releases_nothing)
+{
+    const LeaseTiming timing;
+    HolderLease waiting;
+    LeaseGrant grant;
+    grant.generation = 4;
+    grant.partitions = {1};
+    renewLease(waiting, grant, timing, modelStart, modelStart);
+    dropLease(waiting, modelStart + 400ms);
+    cr_assert(waiting.releases.empty());
+}
+
 Test(leases, a_partition_that_was_taken_away_is_not_ordered)
 {
     const LeaseTiming timing;
