--- a/libs/gateway/src/EngineOrders.h
+++ b/libs/gateway/src/EngineOrders.h
@@ -9,9 +9,6 @@
 /** True if some reachable gateway may order this engine now. */
 bool isOrderable(const GatewayNode &node, const std::string &target);
 
-/** True if this gateway may order it now. */
-bool mayOrderNow(const GatewayNode &node, const std::string &target);
-
 /**
  * Has an adapter loaded, by this gateway or by the one that orders the engine. Calls that want the
  * same wait for one order. `missed`: the engine refused a call although it was taken to hold the
@@ -28,15 +25,6 @@
 /** Has engines that lost their base model load it again, for as long as the gateway runs. */
 asio::awaitable<void> tendLoop(GatewayNode &node);
 
-/** Renews the lease for as long as the gateway runs. */
-asio::awaitable<void> leaseLoop(GatewayNode &node);
-
-/** Lets the lease go on, or drops it in time, while the store cannot be reached. */
-asio::awaitable<void> extendLoop(GatewayNode &node);
-
-/** Gives the lease back, so that another gateway need not wait for its end. */
-asio::awaitable<void> leaveLease(GatewayNode &node);
-
 /** Takes a new version of an adapter: engines that hold an older one replace it. */
 void noteAdapterVersion(GatewayNode &node, const std::string &adapter, std::int64_t version);
 
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -129,7 +129,9 @@
     sink.peer = [&node](const Endpoint &endpoint, const std::string &zone) {
         addPeer(node, endpoint, zone);
     };
-    sink.isBacked = [&node] { return liveGateways(node) > backingPeers; };
+    sink.isBacked = [&node] {
+        return liveGateways(node) > backingPeers;
+    };
     sink.orderedBefore = [&node](std::int64_t generation) {
         node.orderedBefore = generation;
     };
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -1,30 +1,19 @@
 #include "Forwarding.h"
 
 #include <algorithm>
-#include <array>
-
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/write.hpp>
 
+#include "PassedHeaders.h"
 #include "Placing.h"
+#include "StreamRelay.h"
 #include "TargetExchange.h"
 #include "observe/Events.h"
-#include "serving/EventStream.h"
 
 namespace monsoonbay {
 
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
 namespace {
 
-constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
-
 /** Taken off what the caller will wait, so that a target never works past the caller's patience. */
 constexpr Duration timeMargin = std::chrono::milliseconds(10);
 
@@ -36,9 +25,6 @@
 
 constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
 
-/** A caller that takes nothing of its answer for this long is given up. */
-constexpr Duration writePatience = std::chrono::seconds(10);
-
 /** How one send ended. */
 enum class SendEnd : std::uint8_t {
     Done, ///< the caller has its whole answer
@@ -56,50 +42,6 @@
     HttpReply reply;
 };
 
-// Headers that concern one connection only; everything else goes through as it is.
-bool isPassedOn(const http::fields::value_type &header)
-{
-    switch (header.name()) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::proxy_authenticate:
-    case http::field::proxy_authorization:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-    case http::field::content_length:
-    case http::field::expect:
-        return false;
-    default:
-        return true;
-    }
-}
-
-/** The names that a Connection header lists besides the fixed ones. */
-bool isNamedByConnection(std::string_view connection, std::string_view name)
-{
-    return http::token_list(beast::string_view(connection.data(), connection.size()))
-        .exists(beast::string_view(name.data(), name.size()));
-}
-
-template <typename Fields> std::vector<HttpHeader> passedHeaders(const Fields &fields)
-{
-    const auto listed = fields[http::field::connection];
-    const std::string_view connection(listed.data(), listed.size());
-    std::vector<HttpHeader> headers;
-    for (const auto &header : fields) {
-        if (!isPassedOn(header))
-            continue;
-        const std::string name(header.name_string());
-        if (!connection.empty() && isNamedByConnection(connection, name))
-            continue;
-        headers.push_back({name, std::string(header.value())});
-    }
-    return headers;
-}
-
 std::shared_ptr<HttpRequest> requestFor(const CallRun &run, const SendFacts &facts)
 {
     auto request = std::make_shared<HttpRequest>();
@@ -122,92 +64,6 @@
     return head[http::field::content_type].starts_with("text/event-stream");
 }
 
-/** Passes the events of one call on to its caller, over all its runs. */
-class StreamRelay
-{
-public:
-    explicit StreamRelay(CallRun &run)
-        : run(run)
-    {
-        if (run.facts.resumeAfter)
-            this->events.lastId = run.facts.resumeAfter;
-    }
-
-    bool begun() const noexcept
-    {
-        return this->headSent;
-    }
-
-    std::optional<std::uint64_t> lastId() const noexcept
-    {
-        return this->events.lastId;
-    }
-
-    void restart()
-    {
-        restartEvents(this->events);
-    }
-
-    asio::awaitable<bool> pass(const TargetExchange &exchange, std::string piece)
-    {
-        const std::string out = takeEvents(this->events, piece);
-        if (out.empty())
-            co_return true;
-        notePiece(this->run);
-        this->run.caller.expires_after(writePatience);
-        if (!this->headSent) {
-            const bool headed = co_await this->writeHead(exchange);
-            if (!headed)
-                co_return false;
-        }
-        const auto chunk = http::make_chunk(asio::buffer(out));
-        auto [error, bytes] = co_await asio::async_write(this->run.caller, chunk, quietly);
-        co_return !error;
-    }
-
-    /** Ends the answer as complete; a part of an event that is left belongs to the answer. */
-    asio::awaitable<bool> finish(const TargetExchange &exchange)
-    {
-        this->run.caller.expires_after(writePatience);
-        if (!this->headSent) {
-            const bool headed = co_await this->writeHead(exchange);
-            if (!headed)
-                co_return false;
-        }
-        if (!this->events.pending.empty()) {
-            const std::string rest = std::move(this->events.pending);
-            const auto chunk = http::make_chunk(asio::buffer(rest));
-            auto [error, bytes] = co_await asio::async_write(this->run.caller, chunk, quietly);
-            if (error)
-                co_return false;
-        }
-        const auto last = http::make_chunk_last();
-        auto [error, bytes] = co_await asio::async_write(this->run.caller, last, quietly);
-        co_return !error;
-    }
-
-private:
-    asio::awaitable<bool> writeHead(const TargetExchange &exchange)
-    {
-        http::response<http::empty_body> head(static_cast<http::status>(exchange.status()), 11);
-        for (const HttpHeader &header : passedHeaders(exchange.head()))
-            head.insert(header.name, header.value);
-        this->run.closeAfter = this->run.closeAfter || this->run.node.shuttingDown;
-        head.keep_alive(this->run.request->keep_alive() && !this->run.closeAfter);
-        head.chunked(true);
-        this->headSent = true;
-        this->run.answerBegun = true;
-        http::response_serializer<http::empty_body> serializer(head);
-        auto [error, bytes] =
-            co_await http::async_write_header(this->run.caller, serializer, quietly);
-        co_return !error;
-    }
-
-    CallRun &run;
-    EventStream events;
-    bool headSent = false;
-};
-
 /** Reads a whole answer; false if it broke off. */
 asio::awaitable<bool> readWhole(TargetExchange &exchange, std::string &body)
 {
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "EngineOrders.h"
 #include "Feeds.h"
 #include "GatewayNode.h"
+#include "LeaseKeeping.h"
 #include "PeerNews.h"
 #include "observe/Events.h"
 #include "transport/HttpServer.h"
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -47,6 +47,12 @@
     return *runtime;
 }
 
+const TargetEntry *entryOf(const GatewayNode &node, const std::string &target)
+{
+    const auto found = node.book.records.find(target);
+    return found == node.book.records.end() ? nullptr : &found->second.entry;
+}
+
 void noteResident(TargetRuntime &runtime, ResidentVersions resident)
 {
     for (const auto &[adapter, version] : resident) {
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -143,6 +143,9 @@
 /** True if this peer was heard lately. */
 bool isLive(const GatewayNode &node, const PeerState &peer, Instant now) noexcept;
 
+/** The listed entry of a target; null if it is not listed. */
+const TargetEntry *entryOf(const GatewayNode &node, const std::string &target);
+
 /** Sets what an engine holds, and remembers what it held. */
 void noteResident(TargetRuntime &runtime, ResidentVersions resident);
 
--- /dev/null
+++ b/libs/gateway/src/LeaseKeeping.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+
+#include "GatewayNode.h"
+
+namespace monsoonbay {
+
+/** True if this gateway may order it now. */
+bool mayOrderNow(const GatewayNode &node, const std::string &target);
+
+/** Renews the lease for as long as the gateway runs. */
+asio::awaitable<void> leaseLoop(GatewayNode &node);
+
+/** Lets the lease go on, or drops it in time, while the store cannot be reached. */
+asio::awaitable<void> extendLoop(GatewayNode &node);
+
+/** Gives the lease back, so that another gateway need not wait for its end. */
+asio::awaitable<void> leaveLease(GatewayNode &node);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/PeerNews.cpp
+++ b/libs/gateway/src/PeerNews.cpp
@@ -2,6 +2,7 @@
 
 #include "EngineOrders.h"
 #include "Feeds.h"
+#include "LeaseKeeping.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "EngineOrders.h"
+#include "LeaseKeeping.h"
 #include "serving/PlainChoice.h"
 
 namespace monsoonbay {
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -44,7 +44,6 @@
     int status() const;
     const ResponseHead &head() const;
     const AnswerFacts &facts() const noexcept;
-    bool isHttpKeepAlive() const;
     TargetConnectionPtr connection() const noexcept;
 
     /** The answer is not read to its end; the connection will not be reused. */
--- a/libs/serving/src/EngineBoard.cpp
+++ b/libs/serving/src/EngineBoard.cpp
@@ -46,8 +46,8 @@
 // home that is not far behind the least busy engine keeps an adapter's calls, its host copies and
 // the cached beginnings of its prompts together, also when it comes back later. An engine that held
 // the adapter lately goes first: loading it there is fast and fetches no weights.
-std::optional<std::size_t> firstHome(const std::vector<EngineView> &engines,
-                                     const EngineNeed &need, const EngineWeights &weights,
+std::optional<std::size_t> firstHome(const std::vector<EngineView> &engines, const EngineNeed &need,
+                                     const EngineWeights &weights,
                                      const std::vector<bool> &eligible)
 {
     double least = std::numeric_limits<double>::infinity();
@@ -127,8 +127,7 @@
         const EngineView &engine = engines[index];
         anyUsable = anyUsable || usable(engine);
         loadable[index] = !need.adapter.empty() && usable(engine) && engine.hasHolder
-            && engine.idleSlots > 0 && hasRoom(engine, need, weights)
-            && !hasAdapter(engine, need);
+            && engine.idleSlots > 0 && hasRoom(engine, need, weights) && !hasAdapter(engine, need);
         anyLoadable = anyLoadable || loadable[index];
     }
     const std::optional<std::size_t> home =
--- a/libs/serving/src/HolderLease.cpp
+++ b/libs/serving/src/HolderLease.cpp
@@ -31,8 +31,7 @@
 /** Notes what is given up, as far as this VM ordered it until now. */
 void release(HolderLease &lease, const std::map<int, Instant> &keeps, Instant now)
 {
-    std::erase_if(lease.releases,
-                  [now](const Release &old) { return now - old.at > releaseTold; });
+    std::erase_if(lease.releases, [now](const Release &old) { return now - old.at > releaseTold; });
     const bool unbroken = now < endOf(lease);
     for (const auto &[partition, from] : lease.orderFrom) {
         const bool ordered = unbroken && now >= from;
--- a/libs/serving/src/OrderDesk.cpp
+++ b/libs/serving/src/OrderDesk.cpp
@@ -178,9 +178,8 @@
 
 int idleSlots(const OrderDesk &desk, Instant now)
 {
-    const auto used = std::count_if(desk.slots.begin(), desk.slots.end(), [now](const auto &slot) {
-        return isInUse(slot.second, now);
-    });
+    const auto used = std::count_if(desk.slots.begin(), desk.slots.end(),
+                                    [now](const auto &slot) { return isInUse(slot.second, now); });
     return desk.adapterSlots - static_cast<int>(used);
 }
 
