A caller that sends too much reads why

Cause: calls::limits_are_kept failed once beside other tests: 413 was written and the connection closed with bytes unread, which resets it; the reset can overtake the answer. With a body of 30 MB the test failed every time; now what the caller still sends is read for up to a second.

--- a/libs/gateway/src/CallerFront.cpp
+++ b/libs/gateway/src/CallerFront.cpp
@@ -1,5 +1,6 @@
 #include "CallerFront.h"
 
+#include <array>
 #include <unordered_set>
 
 #include <boost/asio/as_tuple.hpp>
@@ -27,6 +28,9 @@
 /** Time for the body of a request, beside that for its header. */
 constexpr Duration bodyTimeout = std::chrono::seconds(10);
 
+/** For what a refused caller still sends; long enough for some megabytes on the users' links. */
+constexpr Duration drainPatience = std::chrono::milliseconds(1000);
+
 constexpr std::string_view expectContinue = "100-continue";
 
 struct CallerConnection
@@ -60,6 +64,23 @@
     return !cut && error.category() == http::make_error_code(http::error::end_of_stream).category();
 }
 
+// Closing a connection on which bytes wait to be read resets it, and the reset can overtake the
+// answer: the caller of a request that is too long would see a broken connection and not why. So
+// what it still sends is read and thrown away for a moment.
+asio::awaitable<void> drain(CallerConnection &connection)
+{
+    boost::system::error_code ignored;
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection.stream.expires_after(drainPatience);
+    std::array<char, 8192> space{};
+    while (true) {
+        auto [error, bytes] =
+            co_await connection.stream.async_read_some(asio::buffer(space), quietly);
+        if (error)
+            co_return;
+    }
+}
+
 asio::awaitable<void> refuseRequest(CallerConnection &connection, beast::error_code error)
 {
     if (!canBeTold(error))
@@ -71,6 +92,7 @@
     response.prepare_payload();
     connection.stream.expires_after(bodyTimeout);
     co_await http::async_write(connection.stream, response, quietly);
+    co_await drain(connection);
 }
 
 std::string hostOf(const HttpRequest &request)
