--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -46,6 +46,15 @@
 
 namespace {
 
+/** Time until every partition held may be ordered. */
+long waitMs(const HolderLease &lease, Instant now)
+{
+    Instant last = now;
+    for (const auto &[partition, from] : lease.orderFrom)
+        last = std::max(last, from);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(last - now).count();
+}
+
 std::vector<MateWord> matesOf(const GatewayNode &node)
 {
     std::vector<MateWord> mates;
@@ -113,6 +122,7 @@
                 logEvent(EventId::LeaseChanged,
                          {{"generation", std::to_string(grant->generation)},
                           {"partitions", std::to_string(grant->partitions.size())},
+                          {"ordersAllInMs", std::to_string(waitMs(node.lease, BootClock::now()))},
                           {"before", std::to_string(before)}});
         }
         if (grant && !node.shuttingDown)
