An order's answer may find its engine's entry gone

Read as a newcomer: giveOrder used the list's entry after waiting for the answer, by when it may have been removed with its target; that would read freed memory. What is needed of it is taken before. No test: it needs an engine that leaves the list within the 4 ms of a model order.

--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -135,6 +135,8 @@
     order.expectedSequence = held.desk.sequence;
     const EngineAddress address{target, entry->endpoint};
     const Duration expected = loadTime(held.desk, adapter, loadsUnderWay(node) + 1);
+    // The entry may be gone by the time the answer is there.
+    const Duration expectedForModel = modelTime(node, *entry);
     held.ordering = true;
     const OrderOutcome outcome =
         co_await node.platform->order(node.http, address, order, orderTimeout);
@@ -143,7 +145,7 @@
     const bool done = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Holds;
     const bool ofModel = order.adapter.empty();
     if (done && ofModel)
-        held.desk.modelReadyAt = now + modelTime(node, *entry);
+        held.desk.modelReadyAt = now + expectedForModel;
     else if (done && order.load)
         noteLoadAccepted(held.desk, adapter, order.version, expected, now);
     else if (done)
