A seed's zone is taken when it is told; what nothing used goes

Cause: a peer that was added as a seed, without a zone, kept none when the store named it, so a VM that starts during a cut did not wait for it (two VMs might have ordered one engine). Also, without effect: zones that the choice of an engine never looked at, a settings key that was taken and ignored (logFormat: now a clear error), one constant that stood twice, two constants of one name and different values.

--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -30,7 +30,6 @@
     RetryPolicy retries;
     LeaseTiming lease;
     EngineWeights weights;
-    std::string logFormat = "json";
     int logLinesPerSecond = 40; ///< of one kind of event
 
     bool operator==(const GatewaySettings &) const = default;
--- a/libs/gateway/src/CallRun.cpp
+++ b/libs/gateway/src/CallRun.cpp
@@ -21,9 +21,6 @@
 
 constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
 
-/** A caller that takes nothing of its answer for this long is given up. */
-constexpr Duration writePatience = std::chrono::seconds(10);
-
 } // namespace
 
 CallRun::CallRun(GatewayNode &node, beast::tcp_stream &caller, HttpRequest request)
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -13,6 +13,9 @@
 
 namespace monsoonbay {
 
+/** A caller that takes nothing of its answer for this long is given up. */
+constexpr Duration writePatience = std::chrono::seconds(10);
+
 /** One caller's call while it is being served. */
 struct CallRun
 {
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -99,7 +99,7 @@
         reader.onlyKeys(root, "",
                         {"vm", "zone", "platform", "callers", "readiness", "operators", "peers",
                          "seeds", "store", "partitions", "heartbeatMs", "shutdownMs", "retries",
-                         "lease", "logFormat", "logLinesPerSecond"});
+                         "lease", "logLinesPerSecond"});
         settings.vm = reader.text(root, "", "vm");
         settings.zone = reader.text(root, "", "zone");
         settings.platform = reader.text(root, "", "platform");
--- a/libs/gateway/src/PeerNews.cpp
+++ b/libs/gateway/src/PeerNews.cpp
@@ -193,11 +193,14 @@
     if (endpoint == node.settings.peers)
         return;
     const auto [found, added] = node.peers.try_emplace(endpoint);
+    // Seeds are added before their zone is known. A VM of the own zone has to be known as one: a VM
+    // that starts during a cut waits until it has heard all of these.
+    if (!zone.empty())
+        found->second.zone = zone;
     if (!added)
         return;
     found->second.endpoint = endpoint;
     found->second.addedAt = BootClock::now();
-    found->second.zone = zone;
     node.newsDue.notifyAll();
 }
 
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -19,7 +19,7 @@
 constexpr Duration roomLook = std::chrono::milliseconds(40);
 
 /** What the holder of an engine says of its slots is used for this long. */
-constexpr Duration holderWordHolds = std::chrono::milliseconds(500);
+constexpr Duration idleSlotsTold = std::chrono::milliseconds(500);
 
 /** Callers of refused calls come back after about a load's time. */
 constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
@@ -89,7 +89,7 @@
         return std::min(unused, idleSlots(desk->second->desk, BootClock::now()));
     const TargetRuntime &runtime = runtimeOf(node, target);
     const bool told = runtime.residentTold != Instant{}
-        && BootClock::now() - runtime.residentTold < holderWordHolds;
+        && BootClock::now() - runtime.residentTold < idleSlotsTold;
     return told ? std::min(unused, runtime.idleSlots) : unused;
 }
 
@@ -107,7 +107,6 @@
         EngineView view;
         view.id = entry.id;
         view.hash = runtime.hash;
-        view.zone = entry.zone;
         view.slots = spec.engine->slots;
         view.kvTokens = spec.engine->kvTokens;
         view.resident = &runtime.resident;
@@ -137,7 +136,6 @@
     need.version = versionInForce(node, need.adapter);
     need.promptTokens = run.facts.promptTokens;
     need.outputTokens = run.facts.maxOutputTokens;
-    need.zone = node.settings.zone;
     const Duration share = fromSeconds(toSeconds(timeLeft(run)) * placeShare);
     const Instant refuseAt = BootClock::now() + std::min(placePatience, share);
     Placement placement;
--- a/libs/serving/include/serving/EngineBoard.h
+++ b/libs/serving/include/serving/EngineBoard.h
@@ -19,7 +19,6 @@
 {
     std::string id;
     std::uint64_t hash = 0; ///< of the id, for the order of homes
-    std::string zone;
     int slots = 1;
     double kvTokens = 0;
     const ResidentVersions *resident = nullptr; ///< not owned; null: none
@@ -41,7 +40,6 @@
     std::int64_t version = 0; ///< the version in force, 0: any
     double promptTokens = 0;
     double outputTokens = 0;
-    std::string zone; ///< of the VM that sends
 };
 
 enum class EngineStep : std::uint8_t {
