Leaving is told on; notes count for their engine; deferred unloads are waited for; news every 60 ms

Test peers::leaving_is_told_on_whatever_older_entries_say failed first. Cause 2: notes of use that overtook each other dropped what the other told of other engines; new holders unloaded adapters in use before they were told, and chose an adapter whose unload waits for its calls again and again (1 engine, 8 orders in 3 s).

--- a/libs/core/include/core/Time.h
+++ b/libs/core/include/core/Time.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
+#include <string>
 
 namespace monsoonbay {
 
@@ -32,4 +34,15 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+inline std::int64_t toMillis(Duration duration) noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/** Whole milliseconds, as logs tell them. */
+inline std::string millisText(Duration duration)
+{
+    return std::to_string(toMillis(duration));
+}
+
 } // namespace monsoonbay
--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -120,6 +120,10 @@
     const Duration expected = loadTime(held.desk, adapter, loadsUnderWay(node) + 1, node.loadPace);
     // The entry may be gone by the time the answer is there.
     const Duration expectedForModel = modelTime(node, *entry);
+    const auto slot = held.desk.slots.find(adapter);
+    const Duration unusedFor = slot != held.desk.slots.end()
+        ? BootClock::now() - slot->second.usedAt
+        : Duration::zero();
     held.ordering = true;
     const OrderOutcome outcome =
         co_await node.platform->order(node.http, address, order, orderTimeout);
@@ -131,11 +135,17 @@
         held.desk.modelReadyAt = now + expectedForModel;
     else if (done && order.load)
         noteLoadAccepted(held.desk, adapter, order.version, expected, now);
+    else if (outcome == OrderOutcome::Accepted)
+        noteUnloadDeferred(held.desk, adapter);
     else if (done)
         noteUnloaded(held.desk, adapter);
     if (done && !(order.load && outcome == OrderOutcome::Holds))
         noteSequence(held.desk, now);
-    if (done) {
+    const bool deferred = !order.load && outcome == OrderOutcome::Accepted;
+    if (deferred) {
+        backOff(held, now);
+        forgetSequence(held.desk);
+    } else if (done) {
         held.refusals = 0;
     } else {
         forgetSequence(held.desk);
@@ -148,6 +158,7 @@
               {"version", std::to_string(order.version)},
               {"token", std::to_string(order.token)},
               {"expected", std::to_string(order.expectedSequence)},
+              {"unusedMs", millisText(unusedFor)},
               {"outcome", std::to_string(static_cast<int>(outcome))}});
     publishDesk(node, target);
     held.changed.notifyAll();
@@ -228,6 +239,7 @@
         const DeskChoice choice = nextDeskStep(held.desk, key, request.version(), now);
         switch (choice.step) {
         case DeskStep::Ready:
+            noteCallComing(held.desk, key, now);
             co_return loadReply(v1::LOAD_OUTCOME_READY, heldVersion(held.desk, key));
         case DeskStep::Wait: {
             const auto slot = held.desk.slots.find(key);
@@ -370,7 +382,7 @@
         co_return;
     const bool expected = held.desk.modelReadyAt != Instant{};
     held.desk.modelReadyAt = Instant{};
-    if (expected || held.desk.sequence < 0) {
+    if (expected || held.desk.sequence < 0 || awaitsDrop(held.desk)) {
         co_await readReport(node, target);
         co_return;
     }
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -42,9 +42,11 @@
 void takeTarget(GatewayNode &node, TargetEntry entry)
 {
     const std::string id = entry.id;
-    const bool leaving = entry.leaving;
     const auto known = node.book.records.find(id);
     const bool wasLeaving = known != node.book.records.end() && known->second.entry.leaving;
+    // An older entry may be read after another VM's word, and must not be told on in its place.
+    entry.leaving = entry.leaving || wasLeaving;
+    const bool leaving = entry.leaving;
     const bool isNew = known == node.book.records.end();
     TargetRuntime &runtime = runtimeOf(node, id);
     // What the list says of an engine lags; the VM that orders it tells better.
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -92,11 +92,6 @@
                   {"call", run.facts.attemptId}});
 }
 
-std::string millis(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 void noteAnswered(CallRun &run, const TargetEntry &target)
 {
     const Instant now = BootClock::now();
@@ -107,10 +102,10 @@
               {"route", run.route->name},
               {"adapter", run.facts.adapter},
               {"target", target.id},
-              {"firstMs", millis(first - run.arrivedAt)},
-              {"wholeMs", millis(now - run.arrivedAt)},
-              {"placingMs", millis(run.placing)},
-              {"longestGapMs", millis(run.longestGap)},
+              {"firstMs", millisText(first - run.arrivedAt)},
+              {"wholeMs", millisText(now - run.arrivedAt)},
+              {"placingMs", millisText(run.placing)},
+              {"longestGapMs", millisText(run.longestGap)},
               {"loads", std::to_string(run.loads)},
               {"sends", std::to_string(run.sends)},
               {"promptTokens", std::to_string(static_cast<int>(run.facts.promptTokens))},
@@ -191,6 +186,8 @@
 
     asio::awaitable<SendEnd> sendTo(const TargetEntry &target)
     {
+        // Counted from here on: the engine's holder may otherwise give the slot away meanwhile.
+        UseGuard use(this->run, target.id);
         TargetExchange exchange(this->node, target, this->run.facts.attemptId);
         const bool connected = co_await exchange.connect();
         if (!connected) {
@@ -207,7 +204,6 @@
         facts.expectedVersion = versionInForce(this->node, this->run.facts.adapter);
         facts.urgency = this->run.route->priority;
         facts.resumeAfter = this->relay.lastId();
-        UseGuard use(this->run, target.id);
         ++this->run.sends;
         const bool mayHaveRunBefore = this->run.mayHaveRun;
         this->run.mayHaveRun = true;
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -67,8 +67,6 @@
     double capacity = 0;
     std::uint64_t boot = 0; ///< 0: never heard
     std::uint64_t sequence = 0; ///< of its newest report
-    std::uint64_t noteBoot = 0; ///< its boot when it last told its calls
-    std::uint64_t noteSequence = 0; ///< of its newest word on its calls
     Instant addedAt{};
     Instant heardAt{}; ///< it reported, asked or answered; zero: never
     Instant reportedAt{}; ///< its newest report
@@ -125,7 +123,9 @@
 /** Another VM's calls at an engine that this VM orders. */
 struct ToldRuns
 {
-    std::map<std::string, int> byAdapter;
+    std::map<std::string, int> byAdapter; ///< empty: it has none any more
+    std::uint64_t boot = 0; ///< of the VM
+    std::uint64_t sequence = 0; ///< of the note; an older one that arrives late is dropped
     Instant at{};
 
     auto operator<=>(const ToldRuns &) const = default;
--- a/libs/gateway/src/GatewayPeers.cpp
+++ b/libs/gateway/src/GatewayPeers.cpp
@@ -137,7 +137,8 @@
         auto call = std::make_shared<Call>();
         call->stub = this->stubFor(peer);
         call->request = std::move(request);
-        call->context.set_deadline(std::chrono::system_clock::now() + timeout);
+        // A span, as the time of day may jump.
+        call->context.set_deadline(gpr_time_from_millis(toMillis(timeout), GPR_TIMESPAN));
         OpenCalls &open = this->calls;
         const std::uint64_t number = open.add([call] { call->context.TryCancel(); });
         const auto start = [call, method, &open, number](Completion completion) {
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -145,8 +145,7 @@
 {
     told.set_partition(release.partition);
     told.set_generation(release.generation);
-    const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - release.at);
-    told.set_ago_ms(ago.count());
+    told.set_ago_ms(toMillis(now - release.at));
 }
 
 // A message that was long under way makes a release look younger than it is, which only lengthens
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -20,10 +20,11 @@
  * Regular reports carry the load of engines; with older figures gateways pile onto the same one.
  * A relay answers all VMs of its zone, so large zones report a little less often.
  */
-constexpr Duration leastReportSpacing = std::chrono::milliseconds(120);
+constexpr Duration leastReportSpacing = std::chrono::milliseconds(60);
 constexpr Duration reportSpacingPerMate = std::chrono::milliseconds(8);
-/** Between the relays of two zones; bytes between zones are paid for. */
-constexpr Duration zoneSpacing = std::chrono::milliseconds(200);
+/** Between the relays of two zones; bytes between zones are paid for, and grow with the VMs. */
+constexpr Duration leastZoneSpacing = std::chrono::milliseconds(60);
+constexpr Duration zoneSpacingPerVm = std::chrono::milliseconds(3);
 /** Reports after a change wait this long for further changes. */
 constexpr Duration reportGather = std::chrono::milliseconds(15);
 /** A relay that does not answer in this time is passed over; it answers in a few ms. */
@@ -274,13 +275,10 @@
             encodeTarget(target, fact, *digest.add_targets());
     });
     const Instant now = BootClock::now();
-    const auto msSince = [now](Instant then) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(now - then).count();
-    };
     digest.set_list_known(node.book.lastRead != Instant{});
-    digest.set_list_age_ms(msSince(node.book.lastRead));
+    digest.set_list_age_ms(toMillis(now - node.book.lastRead));
     if (node.book.failingSince != Instant{})
-        digest.set_list_failing_ms(msSince(node.book.failingSince));
+        digest.set_list_failing_ms(toMillis(now - node.book.failingSince));
 }
 
 void fillUses(GatewayNode &node, const PeerState &asker, v1::Digest &digest)
@@ -418,7 +416,9 @@
     peer.starting = digest.starting();
     peer.stopping = digest.stopping();
     peer.storeAway = digest.store_away();
-    if (!digest.config().empty())
+    // Several peers may send the same one; reading it takes long when it has many routes.
+    const bool newer = mayReplace(node.routes->config().version, digest.config_version());
+    if (newer && !digest.config().empty())
         takeConfigDocument(node, digest.config(), "peer " + peer.name);
     for (const v1::AdapterVersion &told : digest.versions())
         noteAdapterVersion(node, told.adapter(), told.version());
@@ -548,7 +548,8 @@
                       static_cast<void>(answered); // it is noted with the peer
                   }(node, zone.peers[*best]->endpoint));
         }
-        co_await pauseFor(node, zoneSpacing);
+        co_await pauseFor(node,
+                          std::max(leastZoneSpacing, zoneSpacingPerVm * liveGateways(node)));
     }
 }
 
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -49,7 +49,7 @@
     for (const auto &[adapter, slot] : desk.slots) {
         if (slot.loading)
             ++record.loading;
-        else
+        else if (!slot.leaving)
             record.resident[adapter] = slot.version;
     }
     const EngineRecord *known = node.facts.engines.find(target);
--- a/libs/gateway/src/UseNotes.cpp
+++ b/libs/gateway/src/UseNotes.cpp
@@ -48,10 +48,11 @@
         const auto desk = node.desks.find(target);
         if (desk != node.desks.end())
             desk->second->changed.notifyAll();
-        const PeerState *holder = holderOf(node, target);
-        if (holder == nullptr || mayOrderNow(node, target))
+        // Also one that did not answer lately: it may still give slots away.
+        const EngineRecord *record = node.facts.engines.find(target);
+        if (record == nullptr || !record->holderLive || record->holder == node.settings.peers)
             continue;
-        *notes[holder->endpoint].add_engines() = runsAt(node, target);
+        *notes[record->holder].add_engines() = runsAt(node, target);
     }
     node.runsChanged.clear();
     for (auto &[holder, note] : notes) {
@@ -102,27 +103,19 @@
 v1::UseNoted takeUseNote(GatewayNode &node, const v1::UseNote &note)
 {
     const Endpoint from = decodeEndpoint(note.from());
-    const auto known = node.peers.find(from);
-    if (known != node.peers.end()) {
-        PeerState &peer = known->second;
-        const bool older =
-            peer.noteBoot == note.from().boot() && note.sequence() <= peer.noteSequence;
-        if (older)
-            return {};
-        peer.noteBoot = note.from().boot();
-        peer.noteSequence = note.sequence();
-    }
     const Instant now = BootClock::now();
     for (const v1::EngineRuns &told : note.engines()) {
-        ToldRuns runs;
+        ToldRuns &runs = node.toldRuns[told.target()][from];
+        // Notes overtake one another; each tells of other engines, so each counts for its own.
+        const bool older = runs.boot == note.from().boot() && note.sequence() <= runs.sequence;
+        if (older)
+            continue;
+        runs.boot = note.from().boot();
+        runs.sequence = note.sequence();
         runs.at = now;
+        runs.byAdapter.clear();
         for (const v1::AdapterUse &use : told.adapters())
             runs.byAdapter[use.adapter()] = use.runs();
-        std::map<Endpoint, ToldRuns> &byVm = node.toldRuns[told.target()];
-        if (runs.byAdapter.empty())
-            byVm.erase(from);
-        else
-            byVm[from] = std::move(runs);
         const auto held = node.desks.find(told.target());
         if (held != node.desks.end())
             held->second->changed.notifyAll();
--- a/libs/gateway/tests/Peers.cpp
+++ b/libs/gateway/tests/Peers.cpp
@@ -1,3 +1,4 @@
+#include "Feeds.h"
 #include "GatewayNode.h"
 #include "PeerExchange.h"
 
@@ -21,3 +22,52 @@
     addPeer(node, seed, {});
     cr_assert_eq(node.peers.at(seed).zone, "zone-a");
 }
+
+namespace {
+
+TargetEntry listedTarget(const std::string &id, bool leaving)
+{
+    TargetEntry entry;
+    entry.id = id;
+    entry.service = "engines";
+    entry.leaving = leaving;
+    return entry;
+}
+
+gateway::v1::Report reportFrom(const std::string &name, std::uint64_t knownBoot,
+                               std::uint64_t knownChange, std::uint64_t sequence)
+{
+    gateway::v1::Report report;
+    report.mutable_from()->set_name(name);
+    report.mutable_from()->set_address("10.0.0.7");
+    report.mutable_from()->set_port(7380);
+    report.mutable_from()->set_boot(5);
+    report.mutable_from()->set_zone("zone-a");
+    report.set_sequence(sequence);
+    report.set_known_boot(knownBoot);
+    report.set_known_change(knownChange);
+    return report;
+}
+
+} // namespace
+
+// Symptom: two VMs went on sending to a target for two seconds after it had said that it is
+// leaving; their relay knew after 0.3 s. Sequence: another zone tells the relay that the target is
+// leaving; then the relay reads the target's last two entries, one from before and the one that
+// says it. Cause: the older entry was told on as "stays", and the newer one held for nothing new.
+Test(peers, leaving_is_told_on_whatever_older_entries_say)
+{
+    GatewaySettings settings;
+    settings.vm = "vm-1";
+    settings.zone = "zone-a";
+    settings.peers = {"10.0.0.1", 7380};
+    GatewayNode node(settings);
+    takeTargetsByPeer(node, {listedTarget("t", false)}, false);
+    const auto first = answerReport(node, reportFrom("vm-7", 0, 0, 1));
+    noteLeavingByPeer(node, "t");
+    takeTargetsByPeer(node, {listedTarget("t", false)}, false);
+    takeTargetsByPeer(node, {listedTarget("t", true)}, false);
+    const auto second = answerReport(node, reportFrom("vm-7", node.boot, first.change(), 2));
+    cr_assert_eq(second.targets_size(), 1);
+    cr_assert(second.targets(0).leaving());
+}
--- a/libs/serving/include/serving/OrderDesk.h
+++ b/libs/serving/include/serving/OrderDesk.h
@@ -20,6 +20,7 @@
     bool loading = false;
     Instant readyAt{}; ///< while loading: when it is expected to be there
     Instant usedAt{}; ///< last time some VM was seen to use it
+    bool leaving = false; ///< it will be dropped when the calls that use it have ended
     bool fetched = false; ///< from the weight store, not from the engine's own memory
     int runs = 0; ///< calls that use it now, as far as the VMs have told
 };
@@ -76,6 +77,15 @@
                       Duration loadTime, Instant now);
 void noteUnloaded(OrderDesk &desk, const std::string &adapter);
 
+/** The engine drops it only when its calls have ended: somebody used it after all. */
+void noteUnloadDeferred(OrderDesk &desk, const std::string &adapter);
+
+/** True if some adapter will be dropped when its calls have ended: only a report tells when. */
+bool awaitsDrop(const OrderDesk &desk) noexcept;
+
+/** A call for it has been let through and is on its way. */
+void noteCallComing(OrderDesk &desk, const std::string &adapter, Instant now);
+
 /** An order was accepted; the engine counts one more. */
 void noteSequence(OrderDesk &desk, Instant now);
 
--- a/libs/serving/src/OrderDesk.cpp
+++ b/libs/serving/src/OrderDesk.cpp
@@ -21,7 +21,7 @@
 
 bool isInUse(const SlotUse &slot, Instant now)
 {
-    return slot.loading || slot.runs > 0 || now - slot.usedAt < settleAfterUse;
+    return slot.loading || slot.leaving || slot.runs > 0 || now - slot.usedAt < settleAfterUse;
 }
 
 /**
@@ -37,6 +37,15 @@
 constexpr Duration slowerBy = std::chrono::milliseconds(15);
 constexpr Duration slowestAlone = std::chrono::milliseconds(600);
 
+/**
+ * Slots that a new holder finds may be in use by calls that it has not been told of yet; VMs learn
+ * who the new holder is within this.
+ */
+constexpr Duration newHolderTold = std::chrono::milliseconds(600);
+
+/** From the word that an adapter is there to the note of the call that asked for it. */
+constexpr Duration callOnItsWay = std::chrono::milliseconds(100);
+
 /** A report that shows a load under way after its expected end is looked at again after this. */
 constexpr Duration loadLook = std::chrono::milliseconds(120);
 
@@ -97,6 +106,8 @@
         const auto known = desk.slots.find(adapter);
         if (known != desk.slots.end())
             slot = known->second;
+        else
+            slot.usedAt = now + newHolderTold;
         slot.version = version;
         slot.loading = false;
         slots[adapter] = slot;
@@ -124,6 +135,8 @@
     const auto found = desk.slots.find(adapter);
     if (found != desk.slots.end()) {
         const SlotUse &slot = found->second;
+        if (slot.leaving)
+            return {DeskStep::NoSlot, {}};
         if (slot.version >= version)
             return {slot.loading ? DeskStep::Wait : DeskStep::Ready, {}};
         if (slot.loading)
@@ -164,6 +177,28 @@
     desk.slots.erase(adapter);
 }
 
+// Such an adapter must not be chosen again as the one to go, nor counted as free: the engine takes
+// no other order before those calls have ended, and refuses new calls for it meanwhile.
+void noteUnloadDeferred(OrderDesk &desk, const std::string &adapter)
+{
+    const auto slot = desk.slots.find(adapter);
+    if (slot != desk.slots.end())
+        slot->second.leaving = true;
+}
+
+bool awaitsDrop(const OrderDesk &desk) noexcept
+{
+    return std::any_of(desk.slots.begin(), desk.slots.end(),
+                       [](const auto &slot) { return slot.second.leaving; });
+}
+
+void noteCallComing(OrderDesk &desk, const std::string &adapter, Instant now)
+{
+    const auto slot = desk.slots.find(adapter);
+    if (slot != desk.slots.end())
+        slot->second.usedAt = std::max(slot->second.usedAt, now + callOnItsWay);
+}
+
 void noteSequence(OrderDesk &desk, Instant now)
 {
     desk.acceptedAt = now;
