--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -307,6 +307,8 @@
             const auto asked = node.peers.find(peer);
             if (!reply && asked != node.peers.end())
                 asked->second.loadFailedAt = BootClock::now();
+            if (reply && reply->outcome() == v1::LOAD_OUTCOME_NOT_HOLDER)
+                noteNotHolder(node, target, peer);
         }
     }
     const bool ready = reply && reply->outcome() == v1::LOAD_OUTCOME_READY;
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -130,13 +130,17 @@
     sweep(node);
 }
 
-// The other VM follows the list and has waited for entries that may come back.
-void dropTargetByPeer(GatewayNode &node, const std::string &target)
+// The relay of this VM follows the list and has waited for entries that may come back. Another
+// zone's may not have seen the same outage.
+void dropTargetByPeer(GatewayNode &node, const std::string &target, bool ownRelay)
 {
     const auto found = node.book.records.find(target);
     if (found == node.book.records.end())
         return;
-    found->second.gone = true;
+    if (ownRelay)
+        found->second.gone = true;
+    else
+        noteRemoved(node.book, target, BootClock::now());
     sweep(node);
 }
 
--- a/libs/gateway/src/Feeds.h
+++ b/libs/gateway/src/Feeds.h
@@ -19,7 +19,7 @@
 void takeTargetsByPeer(GatewayNode &node, std::vector<TargetEntry> entries, bool complete);
 
 /** A VM that reads the list says that this target is gone. */
-void dropTargetByPeer(GatewayNode &node, const std::string &target);
+void dropTargetByPeer(GatewayNode &node, const std::string &target, bool ownRelay);
 
 /** Forgets targets that are gone, now and then. */
 asio::awaitable<void> sweepLoop(GatewayNode &node);
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -144,6 +144,11 @@
 /** Beginning of the name under which another zone as a whole reports; see UseLedger. */
 constexpr std::string_view zoneReporter = "zone ";
 
+inline std::string zoneReporterName(const std::string &zone)
+{
+    return std::string(zoneReporter) + zone;
+}
+
 /** What the relay told last. */
 struct UpstreamWord
 {
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -91,7 +91,7 @@
 {
     // A zone is reported by whichever VM relays it; the newest word replaces the former relay's.
     return vm.zone() == node.settings.zone ? decodeEndpoint(vm).text()
-                                           : std::string(zoneReporter) + vm.zone();
+                                           : zoneReporterName(vm.zone());
 }
 
 /** What this VM has under way, and the busy slots of the engines that it orders. */
@@ -177,6 +177,13 @@
     report->set_vms(static_cast<std::uint32_t>(zoneVms(node)));
     for (const auto &[target, use] : zoneUses(node))
         encodeUse(target, use, *report->add_uses());
+    for (const auto &[target, entry] : node.facts.engines.all()) {
+        const bool held = entry.value.holderLive && zoneOfTarget(node, target) == node.settings.zone;
+        const bool ours =
+            entry.value.holder == node.settings.peers || node.enginesBelow.count(target) > 0;
+        if (held && (ours || !mate))
+            report->add_holds(target);
+    }
     if (!mate)
         return report;
     // The receiver's boot is not known before its answer; a new one is told all again.
@@ -187,12 +194,6 @@
         if (ours)
             encodeEngine(target, record, *report->add_engines());
     });
-    for (const auto &[target, entry] : node.facts.engines.all()) {
-        const bool ours = entry.value.holderLive
-            && (entry.value.holder == node.settings.peers || node.enginesBelow.count(target) > 0);
-        if (ours)
-            report->add_holds(target);
-    }
     fillReleases(node, BootClock::now(), *report->mutable_released());
     return report;
 }
@@ -242,7 +243,7 @@
 
 // The relay reads the list itself; what another VM says of it is only taken for what the relay
 // cannot have seen, or when it cannot read.
-void takeTargets(GatewayNode &node, const v1::Digest &digest)
+void takeTargets(GatewayNode &node, const v1::Digest &digest, bool ownRelay)
 {
     const bool follows = !node.relaying || !node.storeUp;
     std::vector<TargetEntry> listed;
@@ -251,7 +252,7 @@
         TargetFact fact = decodeTarget(told);
         if (fact.gone) {
             if (follows)
-                dropTargetByPeer(node, fact.entry.id);
+                dropTargetByPeer(node, fact.entry.id, ownRelay);
             continue;
         }
         if (fact.entry.leaving)
@@ -261,7 +262,7 @@
     }
     if (!follows)
         return;
-    takeTargetsByPeer(node, std::move(listed), digest.complete() && digest.list_known());
+    takeTargetsByPeer(node, std::move(listed), ownRelay && digest.complete() && digest.list_known());
     if (digest.list_known())
         noteListReadByPeer(node.book, now - std::chrono::milliseconds(digest.list_age_ms()),
                            std::chrono::milliseconds(digest.list_failing_ms()), now);
@@ -365,14 +366,8 @@
         node.enginesBelow.insert(state.target());
         takeEngineRecord(node, state.target(), decodeEngine(state));
     }
-    for (const std::string &target : report.holds()) {
-        const EngineRecord *record = node.facts.engines.find(target);
-        if (record == nullptr || record->holderLive || record->holder != endpoint)
-            continue;
-        EngineRecord live = *record;
-        live.holderLive = true;
-        takeEngineRecord(node, target, std::move(live));
-    }
+    for (const std::string &target : report.holds())
+        takeHolds(node, report.from().zone(), target);
     if (mate)
         takeReleases(node, report.released());
 
@@ -422,7 +417,7 @@
         takeConfigDocument(node, digest.config(), "peer " + peer.name);
     for (const v1::AdapterVersion &told : digest.versions())
         noteAdapterVersion(node, told.adapter(), told.version());
-    takeTargets(node, digest);
+    takeTargets(node, digest, upstream);
     for (const v1::EngineState &state : digest.engines())
         takeEngineRecord(node, state.target(), decodeEngine(state));
     if (peer.zone == node.settings.zone)
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -84,17 +84,32 @@
         node.newsDue.notifyAll();
 }
 
+namespace {
+
+/** True if the VM that may order an engine can be reached, as far as this relay has heard. */
+bool isHolderHeard(const GatewayNode &node, const std::string &target, const EngineRecord &record,
+                   Instant now)
+{
+    const TargetEntry *entry = entryOf(node, target);
+    if (entry == nullptr || record.holder == node.settings.peers)
+        return true;
+    if (entry->zone != node.settings.zone)
+        return node.reported.reports.count(zoneReporterName(entry->zone)) > 0;
+    const auto peer = node.peers.find(record.holder);
+    return peer != node.peers.end() && now - peer->second.heardAt < holderSilence;
+}
+
+} // namespace
+
+// The holder's own word stays as it is; a relay only adds whether it can be reached. The others of
+// its zone learn that from it.
 void markHolders(GatewayNode &node, Instant now)
 {
+    if (!node.relaying)
+        return;
     std::vector<std::string> silent;
-    for (const std::string &target : node.enginesBelow) {
-        const EngineRecord *record = node.facts.engines.find(target);
-        if (record == nullptr || !record->holderLive)
-            continue;
-        const auto peer = node.peers.find(record->holder);
-        const bool heard =
-            peer != node.peers.end() && now - peer->second.reportedAt < holderSilence;
-        if (!heard)
+    for (const auto &[target, entry] : node.facts.engines.all()) {
+        if (entry.value.holderLive && !isHolderHeard(node, target, entry.value, now))
             silent.push_back(target);
     }
     for (const std::string &target : silent) {
@@ -104,6 +119,28 @@
     }
 }
 
+// Asked again at once, it would say the same to every call that waits; it tells when it may order.
+void noteNotHolder(GatewayNode &node, const std::string &target, const Endpoint &asked)
+{
+    const EngineRecord *record = node.facts.engines.find(target);
+    if (record == nullptr || !record->holderLive || record->holder != asked)
+        return;
+    EngineRecord unheld = *record;
+    unheld.holderLive = false;
+    node.facts.engines.set(target, std::move(unheld), node.facts.counter);
+}
+
+void takeHolds(GatewayNode &node, const std::string &zone, const std::string &target)
+{
+    const TargetEntry *entry = entryOf(node, target);
+    const EngineRecord *record = node.facts.engines.find(target);
+    if (entry == nullptr || entry->zone != zone || record == nullptr || record->holderLive)
+        return;
+    EngineRecord live = *record;
+    live.holderLive = true;
+    takeEngineRecord(node, target, std::move(live));
+}
+
 const PeerState *holderOf(const GatewayNode &node, const std::string &target)
 {
     const EngineRecord *record = node.facts.engines.find(target);
--- a/libs/gateway/src/SharedEngines.h
+++ b/libs/gateway/src/SharedEngines.h
@@ -15,9 +15,15 @@
 /** Tells the others which engines this VM no longer orders. */
 void retractEngines(GatewayNode &node);
 
-/** Marks engines whose holder reports here and has fallen silent, and those it is heard for. */
+/** The holder of an engine says that it may not order it. */
+void noteNotHolder(GatewayNode &node, const std::string &target, const Endpoint &asked);
+
+/** As a relay: marks engines whose holder has fallen silent. */
 void markHolders(GatewayNode &node, Instant now);
 
+/** A peer of that zone says that an engine's holder lives. */
+void takeHolds(GatewayNode &node, const std::string &zone, const std::string &target);
+
 /** The gateway that may order an engine, if it is not this one; null: none is known. */
 const PeerState *holderOf(const GatewayNode &node, const std::string &target);
 
--- a/libs/serving/src/TargetBook.cpp
+++ b/libs/serving/src/TargetBook.cpp
@@ -31,8 +31,12 @@
 
 void noteListReadByPeer(TargetBook &book, Instant readAt, Duration failing, Instant now)
 {
+    // A peer that does not read itself knows of no failure; only a later read ends an outage.
+    if (readAt > book.failingSince)
+        book.failingSince = Instant{};
     book.lastRead = std::max(book.lastRead, readAt);
-    book.failingSince = failing > Duration::zero() ? now - failing : Instant{};
+    if (failing > Duration::zero() && book.failingSince == Instant{})
+        book.failingSince = now - failing;
 }
 
 void noteListed(TargetBook &book, TargetEntry entry)
@@ -57,8 +61,10 @@
     if (found == book.records.end())
         return;
     TargetRecord &record = found->second;
-    const bool afterOutage =
-        book.outageEndedAt != Instant{} && now - book.outageEndedAt < relistGrace;
+    const bool inOutage =
+        book.failingSince != Instant{} && now - book.failingSince > outageGap;
+    const bool afterOutage = inOutage
+        || (book.outageEndedAt != Instant{} && now - book.outageEndedAt < relistGrace);
     if (afterOutage && !record.entry.leaving) {
         if (record.lapsedAt == Instant{})
             record.lapsedAt = now;
@@ -84,7 +90,8 @@
 {
     std::vector<std::string> dropped;
     for (const auto &[id, record] : book.records) {
-        const bool lapsed = record.lapsedAt != Instant{} && now - book.outageEndedAt >= relistGrace;
+        const Instant countsFrom = std::max(record.lapsedAt, book.outageEndedAt);
+        const bool lapsed = record.lapsedAt != Instant{} && now - countsFrom >= relistGrace;
         if (record.gone || lapsed)
             dropped.push_back(id);
     }
--- a/libs/serving/tests/Targets.cpp
+++ b/libs/serving/tests/Targets.cpp
@@ -111,6 +111,34 @@
     cr_assert(dropGone(book, start + 4s).empty());
 }
 
+// Symptom: a zone's engines were taken as gone for seconds, though they ran. Sequence: the store is
+// away; its entries expire; a VM of another zone reads the list first when it returns, knows of no
+// outage as it was started meanwhile, and tells that the entries are gone. Cause: its word was taken
+// like a removal that this VM had read itself, outside of an outage.
+Test(targets, a_peers_removal_in_an_outage_is_waited_for)
+{
+    TargetBook book = following({"a"});
+    noteListFailed(book, start + 700ms);
+    noteRemoved(book, "a", start + 8s);
+    cr_assert(dropGone(book, start + 8s).empty());
+    cr_assert(mayTakeWork(book.records.at("a")));
+    noteListRead(book, start + 8100ms);
+    cr_assert(dropGone(book, start + 9s).empty());
+    cr_assert_eq(dropGone(book, start + 10400ms).size(), 1);
+}
+
+// Symptom: as above. Sequence: the relay of a zone fails to read; a mate that does not read itself
+// tells what it knows. Cause: that mate knew of no failure, and its word ended the outage.
+Test(targets, the_word_of_one_that_does_not_read_ends_no_outage)
+{
+    TargetBook book = following({"a"});
+    noteListFailed(book, start + 700ms);
+    noteListReadByPeer(book, start, 0ms, start + 4s);
+    noteListRead(book, start + 5s);
+    noteRemoved(book, "a", start + 5s);
+    cr_assert(dropGone(book, start + 5s).empty());
+}
+
 Test(targets, a_whole_list_removes_what_it_lacks)
 {
     TargetBook book = following({"a", "b"});
