--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -121,9 +121,8 @@
     // The entry may be gone by the time the answer is there.
     const Duration expectedForModel = modelTime(node, *entry);
     const auto slot = held.desk.slots.find(adapter);
-    const Duration unusedFor = slot != held.desk.slots.end()
-        ? BootClock::now() - slot->second.usedAt
-        : Duration::zero();
+    const Duration unusedFor =
+        slot != held.desk.slots.end() ? BootClock::now() - slot->second.usedAt : Duration::zero();
     held.ordering = true;
     const OrderOutcome outcome =
         co_await node.platform->order(node.http, address, order, orderTimeout);
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -19,8 +19,11 @@
  */
 constexpr Duration silentCounts = std::chrono::seconds(15);
 
-/** Only a relay reads the store; what a VM saw while it relayed is tried anew after this. */
-constexpr Duration storeFailureCounts = std::chrono::seconds(5);
+/**
+ * Only a relay reads the store; what a VM saw while it relayed is tried anew after this, or when
+ * its lease is renewed. In an outage for all it keeps two VMs from relaying by turns.
+ */
+constexpr Duration storeFailureCounts = std::chrono::seconds(20);
 
 } // namespace
 
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -187,6 +187,7 @@
     std::set<std::string> runsChanged; ///< engines whose holder is to be told of own calls
     Signal runsDue;
     std::uint64_t noteSequence = 0;
+    std::map<std::string, Endpoint> zoneRelays; ///< of other zones, as their VMs say
     std::set<std::string> enginesBelow; ///< held by VMs that report here
     bool relaying = false; ///< this VM reads the store for its zone
     bool vmsRead = false; ///< the store's list of VMs was read
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -40,6 +40,10 @@
 
 bool mayBeUnknownToHolder(const GatewayNode &node, Instant now)
 {
+    // Before it was started anew it ordered, so the others have heard of it and go on asking it at
+    // its address. They forget a VM only after it has been down for `goneAfter`.
+    if (node.orderedBefore > 0)
+        return false;
     if (now - node.joinedAt >= newcomerWait)
         return false;
     for (const auto &[endpoint, peer] : node.peers) {
@@ -100,7 +104,9 @@
 asio::awaitable<void> noteOrdering(GatewayNode &node)
 {
     const std::int64_t generation = node.lease.generation;
-    const bool due = node.notedOrdering != generation && ordersAll(node.lease, BootClock::now());
+    const Instant now = BootClock::now();
+    const bool due = node.notedOrdering != generation && ordersAll(node.lease, now)
+        && !mayBeUnknownToHolder(node, now);
     if (!due)
         co_return;
     const bool done =
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -178,7 +178,8 @@
     for (const auto &[target, use] : zoneUses(node))
         encodeUse(target, use, *report->add_uses());
     for (const auto &[target, entry] : node.facts.engines.all()) {
-        const bool held = entry.value.holderLive && zoneOfTarget(node, target) == node.settings.zone;
+        const bool held =
+            entry.value.holderLive && zoneOfTarget(node, target) == node.settings.zone;
         const bool ours =
             entry.value.holder == node.settings.peers || node.enginesBelow.count(target) > 0;
         if (held && (ours || !mate))
@@ -262,7 +263,8 @@
     }
     if (!follows)
         return;
-    takeTargetsByPeer(node, std::move(listed), ownRelay && digest.complete() && digest.list_known());
+    takeTargetsByPeer(node, std::move(listed),
+                      ownRelay && digest.complete() && digest.list_known());
     if (digest.list_known())
         noteListReadByPeer(node.book, now - std::chrono::milliseconds(digest.list_age_ms()),
                            std::chrono::milliseconds(digest.list_failing_ms()), now);
@@ -334,6 +336,11 @@
     digest.set_starting(isStarting(node));
     digest.set_stopping(node.shuttingDown);
     digest.set_store_away(ownRank(node).storeAway);
+    digest.set_relaying(node.relaying);
+    if (!node.relaying && node.upstream.at != Instant{}) {
+        digest.set_relay_address(node.upstream.relay.address);
+        digest.set_relay_port(node.upstream.relay.port);
+    }
     digest.set_config_version(node.routes->config().version);
     const Endpoint endpoint = decodeEndpoint(report.from());
     if (endpoint == node.settings.peers)
@@ -360,7 +367,10 @@
         uses.vms = static_cast<int>(report.vms());
         for (const v1::EngineUse &told : report.uses())
             uses.uses[told.target()] = decodeUse(told);
-        noteReport(node.reported, reporterOf(node, report.from()), std::move(uses));
+        // A VM that does not relay hears of the other zones from its relay; twice would count
+        // twice.
+        if (mate || node.relaying)
+            noteReport(node.reported, reporterOf(node, report.from()), std::move(uses));
     }
     for (const v1::EngineState &state : report.engines()) {
         node.enginesBelow.insert(state.target());
@@ -399,6 +409,21 @@
     return digest;
 }
 
+namespace {
+
+void noteZoneRelay(GatewayNode &node, const PeerState &peer, const v1::Digest &digest)
+{
+    if (digest.relaying())
+        node.zoneRelays[peer.zone] = peer.endpoint;
+    else if (!digest.relay_address().empty())
+        node.zoneRelays[peer.zone] = {digest.relay_address(),
+                                      static_cast<std::uint16_t>(digest.relay_port())};
+    else
+        node.zoneRelays.erase(peer.zone);
+}
+
+} // namespace
+
 void takeDigest(GatewayNode &node, const Endpoint &endpoint, const v1::Digest &digest,
                 bool upstream)
 {
@@ -411,6 +436,8 @@
     peer.starting = digest.starting();
     peer.stopping = digest.stopping();
     peer.storeAway = digest.store_away();
+    if (peer.zone != node.settings.zone)
+        noteZoneRelay(node, peer, digest);
     // Several peers may send the same one; reading it takes long when it has many routes.
     const bool newer = mayReplace(node.routes->config().version, digest.config_version());
     if (newer && !digest.config().empty())
@@ -453,6 +480,13 @@
     if (node.relaying == relaying)
         return;
     node.relaying = relaying;
+    if (!relaying)
+        std::erase_if(node.reported.reports, [&node](const auto &report) {
+            const bool ofZone = report.first.starts_with(zoneReporter);
+            if (ofZone)
+                subtractUses(node.reported.total, report.second.uses);
+            return ofZone;
+        });
     logEvent(EventId::RelayChanged,
              {{"relaying", relaying ? "yes" : "no"}, {"peers", std::to_string(node.peers.size())}});
 }
@@ -516,6 +550,31 @@
     }
 }
 
+namespace {
+
+/** The VM that relays for another zone, or the one most likely to; null: none can be reached. */
+const PeerState *relayOfZone(GatewayNode &node, const std::string &name)
+{
+    const Instant now = BootClock::now();
+    const auto named = node.zoneRelays.find(name);
+    if (named != node.zoneRelays.end()) {
+        const auto peer = node.peers.find(named->second);
+        if (peer != node.peers.end() && isReachable(peer->second, now))
+            return &peer->second;
+    }
+    const ZoneMates zone = matesOf(node, name);
+    const PeerState *best = nullptr;
+    for (std::size_t index = 0; index < zone.mates.size(); ++index) {
+        if (!zone.mates[index].reachable)
+            continue;
+        if (best == nullptr || ranksBefore(zone.mates[index].rank, rankOf(*best)))
+            best = zone.peers[index];
+    }
+    return best;
+}
+
+} // namespace
+
 asio::awaitable<void> otherZonesLoop(GatewayNode &node)
 {
     while (!node.stopped) {
@@ -527,24 +586,16 @@
         for (const std::string &name : zones) {
             if (!node.relaying)
                 break;
-            const ZoneMates zone = matesOf(node, name);
-            std::optional<std::size_t> best;
-            for (std::size_t index = 0; index < zone.mates.size(); ++index) {
-                if (!zone.mates[index].reachable)
-                    continue;
-                if (!best || ranksBefore(zone.mates[index].rank, zone.mates[*best].rank))
-                    best = index;
-            }
-            if (!best || zone.peers[*best]->asking)
+            const PeerState *relay = relayOfZone(node, name);
+            if (relay == nullptr || relay->asking)
                 continue;
             spawn(node, "exchange with a zone",
                   [](GatewayNode &here, Endpoint relay) -> asio::awaitable<void> {
                       const bool answered = co_await exchangeWith(here, relay, true, false);
                       static_cast<void>(answered); // it is noted with the peer
-                  }(node, zone.peers[*best]->endpoint));
+                  }(node, relay->endpoint));
         }
-        co_await pauseFor(node,
-                          std::max(leastZoneSpacing, zoneSpacingPerVm * liveGateways(node)));
+        co_await pauseFor(node, std::max(leastZoneSpacing, zoneSpacingPerVm * liveGateways(node)));
     }
 }
 
--- a/libs/serving/src/TargetBook.cpp
+++ b/libs/serving/src/TargetBook.cpp
@@ -61,10 +61,9 @@
     if (found == book.records.end())
         return;
     TargetRecord &record = found->second;
-    const bool inOutage =
-        book.failingSince != Instant{} && now - book.failingSince > outageGap;
-    const bool afterOutage = inOutage
-        || (book.outageEndedAt != Instant{} && now - book.outageEndedAt < relistGrace);
+    const bool inOutage = book.failingSince != Instant{} && now - book.failingSince > outageGap;
+    const bool afterOutage =
+        inOutage || (book.outageEndedAt != Instant{} && now - book.outageEndedAt < relistGrace);
     if (afterOutage && !record.entry.leaving) {
         if (record.lapsedAt == Instant{})
             record.lapsedAt = now;
--- a/libs/serving/tests/Targets.cpp
+++ b/libs/serving/tests/Targets.cpp
@@ -113,8 +113,8 @@
 
 // Symptom: a zone's engines were taken as gone for seconds, though they ran. Sequence: the store is
 // away; its entries expire; a VM of another zone reads the list first when it returns, knows of no
-// outage as it was started meanwhile, and tells that the entries are gone. Cause: its word was taken
-// like a removal that this VM had read itself, outside of an outage.
+// outage as it was started meanwhile, and tells that the entries are gone. Cause: its word was
+// taken like a removal that this VM had read itself, outside of an outage.
 Test(targets, a_peers_removal_in_an_outage_is_waited_for)
 {
     TargetBook book = following({"a"});
