--- /dev/null
+++ b/libs/serving/tests/Relays.cpp
@@ -0,0 +1,202 @@
+#include <algorithm>
+#include <set>
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include "serving/ChangeLog.h"
+#include "serving/EngineRecord.h"
+#include "serving/UseLedger.h"
+#include "serving/ZoneRelay.h"
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant{} + 1000s;
+
+RelayMate mate(double capacity, std::uint64_t hash)
+{
+    RelayMate made;
+    made.rank.capacity = capacity;
+    made.rank.hash = hash;
+    return made;
+}
+
+TargetUses useOf(const std::string &target, int runs, double tokens)
+{
+    TargetUse use;
+    use.runs = runs;
+    use.waitingTokens = tokens;
+    use.heldTokens = 2 * tokens;
+    return {{target, use}};
+}
+
+UseReport reportOf(TargetUses uses, Instant at)
+{
+    UseReport report;
+    report.uses = std::move(uses);
+    report.at = at;
+    return report;
+}
+
+} // namespace
+
+Test(relays, the_strongest_that_reaches_the_store_relays)
+{
+    RelayRank self;
+    self.capacity = 0.25;
+    self.hash = 5;
+    std::vector<RelayMate> mates{mate(0.5, 9), mate(0.25, 1)};
+    cr_assert_eq(chooseUpstream(self, false, mates), std::optional<std::size_t>(0));
+    mates[0].rank.storeAway = true;
+    cr_assert_eq(chooseUpstream(self, false, mates), std::optional<std::size_t>(1));
+    mates[1].reachable = false;
+    cr_assert(!chooseUpstream(self, false, mates));
+    cr_assert(isRelay(self, mates));
+}
+
+// Symptom: a VM that was started while the store was away knew nothing, though its mates knew all.
+// Sequence: it is the strongest, so nobody is above it; it reads the store, in vain. Answer: a VM
+// that is starting learns from any that is not.
+Test(relays, a_starting_vm_learns_from_those_below_it)
+{
+    RelayRank self;
+    self.capacity = 0.5;
+    std::vector<RelayMate> mates{mate(0.25, 1)};
+    cr_assert(isRelay(self, mates));
+    cr_assert(!chooseUpstream(self, false, mates));
+    cr_assert_eq(chooseUpstream(self, true, mates), std::optional<std::size_t>(0));
+    mates[0].starting = true;
+    cr_assert(!chooseUpstream(self, true, mates), "it knows nothing either");
+}
+
+// VMs that see the same mates agree on one relay, and all others report to it.
+Test(relays, vms_with_the_same_view_agree)
+{
+    const bool holds = rc::check("one relay", [] {
+        const int count = *rc::gen::inRange(1, 12);
+        std::vector<RelayMate> all;
+        for (int vm = 0; vm < count; ++vm) {
+            RelayMate made = mate(*rc::gen::element(0.12, 0.25, 0.5),
+                                  static_cast<std::uint64_t>(vm));
+            made.rank.storeAway = *rc::gen::arbitrary<bool>();
+            all.push_back(made);
+        }
+        int relays = 0;
+        std::set<std::uint64_t> upstreams;
+        for (int vm = 0; vm < count; ++vm) {
+            std::vector<RelayMate> others = all;
+            others.erase(others.begin() + vm);
+            const RelayRank &self = all[static_cast<std::size_t>(vm)].rank;
+            const auto upstream = chooseUpstream(self, false, others);
+            RC_ASSERT(isRelay(self, others) == !upstream.has_value());
+            relays += upstream ? 0 : 1;
+            upstreams.insert(upstream ? others[*upstream].rank.hash : self.hash);
+        }
+        RC_ASSERT(relays == 1);
+        RC_ASSERT(upstreams.size() == std::size_t(1));
+    });
+    cr_assert(holds);
+}
+
+Test(relays, holders_are_the_best_ranked_that_can_be_reached)
+{
+    std::vector<RelayMate> mates{mate(0.12, 1), mate(0.5, 2), mate(0.25, 3), mate(0.25, 4)};
+    mates[2].reachable = false;
+    cr_assert_eq(chooseHolders(mates, 2), (std::vector<std::size_t>{1, 3}));
+}
+
+// The sum must be the same as adding all reports up anew, whatever came, went and was replaced:
+// what is left behind would make an engine look busy for ever.
+Test(relays, the_ledger_is_the_sum_of_the_newest_reports)
+{
+    const bool holds = rc::check("sum", [] {
+        UseLedger ledger;
+        std::map<std::string, UseReport> naive;
+        Instant now = start;
+        const int steps = *rc::gen::inRange(1, 40);
+        for (int step = 0; step < steps; ++step) {
+            now += 100ms;
+            const std::string reporter = "vm-" + std::to_string(*rc::gen::inRange(0, 4));
+            const std::string target = "t-" + std::to_string(*rc::gen::inRange(0, 3));
+            const int runs = *rc::gen::inRange(0, 5);
+            const UseReport report = reportOf(useOf(target, runs, 100.0 * runs), now);
+            noteReport(ledger, reporter, report);
+            naive[reporter] = report;
+            if (*rc::gen::inRange(0, 5) == 0) {
+                dropSilent(ledger, 300ms, now);
+                std::erase_if(naive, [now](const auto &old) { return now - old.second.at > 300ms; });
+            }
+        }
+        std::map<std::string, std::pair<int, double>> expected;
+        for (const auto &[reporter, report] : naive) {
+            for (const auto &[target, use] : report.uses) {
+                expected[target].first += use.runs;
+                expected[target].second += use.waitingTokens;
+            }
+        }
+        for (const auto &[target, sum] : expected) {
+            const auto found = ledger.total.find(target);
+            RC_ASSERT((found == ledger.total.end() ? 0 : found->second.runs) == sum.first);
+            RC_ASSERT((found == ledger.total.end() ? 0 : found->second.waitingTokens)
+                      == sum.second);
+        }
+        RC_ASSERT(vmsReported(ledger) == static_cast<int>(naive.size()));
+    });
+    cr_assert(holds);
+}
+
+Test(relays, a_reporter_is_not_told_its_own_use)
+{
+    UseLedger ledger;
+    noteReport(ledger, "a", reportOf(useOf("t", 3, 300), start));
+    noteReport(ledger, "b", reportOf(useOf("t", 2, 200), start));
+    cr_assert_eq(usesExcept(ledger, "a").at("t").runs, 2);
+    cr_assert_eq(usesExcept(ledger, "nobody").at("t").runs, 5);
+}
+
+// Symptom would be calls sent to engines that lost their adapter. Sequence: a holder gives an engine
+// up, another takes it; their words arrive in the other order, also by way of a third VM.
+Test(relays, the_later_holders_word_stands_in_any_order)
+{
+    EngineRecord former;
+    former.revision = {4, 1, 90};
+    EngineRecord later;
+    later.revision = {5, 1, 1};
+    cr_assert(mayReplaceRecord(former, later));
+    cr_assert(!mayReplaceRecord(later, former));
+    EngineRecord restarted;
+    restarted.revision = {5, 2, 1};
+    later.revision.count = 70;
+    cr_assert(mayReplaceRecord(later, restarted), "the same lease, the next boot");
+    EngineRecord silent = restarted;
+    silent.holderLive = !restarted.holderLive;
+    cr_assert(mayReplaceRecord(restarted, silent));
+    cr_assert(!mayReplaceRecord(restarted, restarted));
+}
+
+// A reader that asks for what changed since its last answer ends with all values, in whatever steps.
+Test(relays, a_reader_of_changes_misses_nothing)
+{
+    const bool holds = rc::check("changes", [] {
+        ChangeCounter counter;
+        ChangeLog<int, int> log;
+        std::map<int, int> read;
+        std::uint64_t seen = 0;
+        const int steps = *rc::gen::inRange(1, 60);
+        for (int step = 0; step < steps; ++step) {
+            log.set(*rc::gen::inRange(0, 6), *rc::gen::inRange(0, 4), counter);
+            if (*rc::gen::inRange(0, 3) != 0)
+                continue;
+            log.since(seen, [&read](int key, int value) { read[key] = value; });
+            seen = counter.last;
+        }
+        log.since(seen, [&read](int key, int value) { read[key] = value; });
+        for (const auto &[key, entry] : log.all())
+            RC_ASSERT(read.at(key) == entry.value);
+        RC_ASSERT(read.size() == log.all().size());
+    });
+    cr_assert(holds);
+}
