--- a/tools/monsoonbayd/src/Main.cpp
+++ b/tools/monsoonbayd/src/Main.cpp
@@ -31,6 +31,19 @@
     return text.str();
 }
 
+/**
+ * Holds back the signals that SignalThread takes, on this thread and those it starts. A daemon that
+ * listens but has no handlers yet would be killed by a SIGTERM, with the calls it has accepted.
+ */
+void holdSignals(int how)
+{
+    sigset_t taken;
+    sigemptyset(&taken);
+    for (const int number : {SIGINT, SIGTERM, SIGHUP})
+        sigaddset(&taken, number);
+    pthread_sigmask(how, &taken, nullptr);
+}
+
 /** Calls `onStop` for SIGTERM and SIGINT and `onReload` for SIGHUP, on a thread of its own. */
 class SignalThread
 {
@@ -41,7 +54,10 @@
         , signals(this->context, SIGINT, SIGTERM, SIGHUP)
     {
         this->wait();
-        this->thread = std::thread([this] { this->context.run(); });
+        this->thread = std::thread([this] {
+            holdSignals(SIG_UNBLOCK);
+            this->context.run();
+        });
     }
 
     ~SignalThread()
@@ -152,6 +168,7 @@
             std::cout << options.help();
             return 0;
         }
+        holdSignals(SIG_BLOCK);
         const std::string path = settingsPath(arguments);
         if (path.empty()) {
             std::cerr << "give --settings FILE or set " << settingsVariable
