--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "GatewayNode.h"
 #include "LeaseKeeping.h"
 #include "PeerExchange.h"
+#include "RelayLoops.h"
 #include "UseNotes.h"
 #include "observe/Events.h"
 #include "transport/HttpServer.h"
--- a/libs/gateway/src/PeerExchange.h
+++ b/libs/gateway/src/PeerExchange.h
@@ -14,13 +14,8 @@
 void takeDigest(GatewayNode &node, const Endpoint &endpoint, const gateway::v1::Digest &digest,
                 bool upstream);
 
-/** Reports to the relay of the zone and learns from it; finds another when it falls silent. */
-asio::awaitable<void> upstreamLoop(GatewayNode &node);
-
-/** While this VM relays: exchanges news with the relays of the other zones. */
-asio::awaitable<void> otherZonesLoop(GatewayNode &node);
-
-/** Looks for mates that were silent, and drops what silent ones had reported. */
-asio::awaitable<void> matesLoop(GatewayNode &node);
+/** One exchange that this VM begins, with a known peer. True if it was answered. */
+asio::awaitable<bool> exchangeWith(GatewayNode &node, Endpoint endpoint, bool withUse,
+                                   bool upstream);
 
 } // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -0,0 +1,206 @@
+#include "RelayLoops.h"
+
+#include <algorithm>
+
+#include "PeerExchange.h"
+#include "SharedEngines.h"
+#include "ZoneView.h"
+#include "observe/Events.h"
+
+namespace monsoonbay {
+
+namespace {
+
+/**
+ * Regular reports carry the load of engines; with older figures gateways pile onto the same one.
+ * A relay answers all VMs of its zone, so large zones report a little less often.
+ */
+constexpr Duration leastReportSpacing = std::chrono::milliseconds(60);
+constexpr Duration reportSpacingPerMate = std::chrono::milliseconds(8);
+/** Between the relays of two zones; bytes between zones are paid for, and grow with the VMs. */
+constexpr Duration leastZoneSpacing = std::chrono::milliseconds(60);
+constexpr Duration zoneSpacingPerVm = std::chrono::milliseconds(3);
+/** Reports after a change wait this long for further changes. */
+constexpr Duration reportGather = std::chrono::milliseconds(15);
+constexpr Duration matesLook = std::chrono::milliseconds(250);
+/** VMs that read the store's list of VMs by now would have been found. */
+constexpr Duration listPatience = std::chrono::milliseconds(1000);
+/** A peer of which nothing was heard for this long is forgotten; the store's list adds it again. */
+constexpr Duration forgetAfter = std::chrono::seconds(60);
+
+// A VM that has just started waits for the list of VMs, or it would take itself for alone. When
+// all start at once, the list fills while they read it.
+bool knowsMates(const GatewayNode &node, Instant now)
+{
+    const bool listMayGrow = node.settings.firstStart;
+    return (node.vmsRead && !listMayGrow) || now - node.bootedAt > listPatience;
+}
+
+void noteRelaying(GatewayNode &node, bool relaying)
+{
+    if (node.relaying == relaying)
+        return;
+    node.relaying = relaying;
+    if (!relaying)
+        std::erase_if(node.reported.reports, [&node](const auto &report) {
+            const bool ofZone = report.first.starts_with(zoneReporter);
+            if (ofZone)
+                subtractUses(node.reported.total, report.second.uses);
+            return ofZone;
+        });
+    logEvent(EventId::RelayChanged,
+             {{"relaying", relaying ? "yes" : "no"}, {"peers", std::to_string(node.peers.size())}});
+}
+
+Duration reportSpacing(const GatewayNode &node)
+{
+    const auto mates = std::count_if(node.peers.begin(), node.peers.end(),
+                                     [&](const auto &entry) { return isMate(node, entry.second); });
+    return std::max(leastReportSpacing, reportSpacingPerMate * static_cast<int>(mates));
+}
+
+/** The peers that nothing is known of but their address, when the store's list is not readable. */
+std::vector<Endpoint> strangers(const GatewayNode &node, Instant now)
+{
+    std::vector<Endpoint> found;
+    for (const auto &[endpoint, peer] : node.peers) {
+        if (peer.name.empty() && !peer.asking && now >= peer.retryAt)
+            found.push_back(endpoint);
+    }
+    return found;
+}
+
+asio::awaitable<void> probe(GatewayNode &node, Endpoint endpoint)
+{
+    const bool answered = co_await exchangeWith(node, endpoint, false, false);
+    static_cast<void>(answered); // it is noted with the peer
+}
+
+} // namespace
+
+asio::awaitable<void> upstreamLoop(GatewayNode &node)
+{
+    while (!node.stopped) {
+        const Instant now = BootClock::now();
+        if (!knowsMates(node, now)) {
+            co_await pauseFor(node, reportGather);
+            continue;
+        }
+        const ZoneMates zone = matesOf(node, node.settings.zone);
+        const RelayRank self = ownRank(node);
+        noteRelaying(node, isRelay(self, zone.mates));
+        const auto upstream = chooseUpstream(self, isStarting(node), zone.mates);
+        if (!upstream) {
+            node.upstream = UpstreamWord();
+            const bool listSettled =
+                !node.settings.firstStart || now - node.bootedAt > 2 * listPatience;
+            node.mayHold = node.mayHold || listSettled;
+        } else if (!zone.peers[*upstream]->asking) {
+            const Endpoint endpoint = zone.peers[*upstream]->endpoint;
+            // A relay that learns from another VM while it starts does not report to it: each would
+            // count the other's calls as its own.
+            const bool answered =
+                co_await exchangeWith(node, endpoint, !node.relaying, !node.relaying);
+            if (!answered && !node.stopped) {
+                co_await pauseFor(node, reportGather);
+                continue;
+            }
+        }
+        co_await node.newsDue.wait(reportSpacing(node));
+        co_await pauseFor(node, reportGather);
+    }
+}
+
+namespace {
+
+/** The VM that relays for another zone, or the one most likely to; null: none can be reached. */
+const PeerState *relayOfZone(GatewayNode &node, const std::string &name)
+{
+    const Instant now = BootClock::now();
+    const auto named = node.zoneRelays.find(name);
+    if (named != node.zoneRelays.end()) {
+        const auto peer = node.peers.find(named->second);
+        if (peer != node.peers.end() && isReachable(peer->second, now))
+            return &peer->second;
+    }
+    const ZoneMates zone = matesOf(node, name);
+    const PeerState *best = nullptr;
+    for (std::size_t index = 0; index < zone.mates.size(); ++index) {
+        if (!zone.mates[index].reachable)
+            continue;
+        if (best == nullptr || ranksBefore(zone.mates[index].rank, rankOf(*best)))
+            best = zone.peers[index];
+    }
+    return best;
+}
+
+} // namespace
+
+asio::awaitable<void> otherZonesLoop(GatewayNode &node)
+{
+    while (!node.stopped) {
+        std::set<std::string> zones;
+        for (const auto &[endpoint, peer] : node.peers) {
+            if (!peer.zone.empty() && peer.zone != node.settings.zone)
+                zones.insert(peer.zone);
+        }
+        for (const std::string &name : zones) {
+            if (!node.relaying)
+                break;
+            const PeerState *relay = relayOfZone(node, name);
+            if (relay == nullptr || relay->asking)
+                continue;
+            spawn(node, "exchange with a zone",
+                  [](GatewayNode &here, Endpoint relay) -> asio::awaitable<void> {
+                      const bool answered = co_await exchangeWith(here, relay, true, false);
+                      static_cast<void>(answered); // it is noted with the peer
+                  }(node, relay->endpoint));
+        }
+        co_await pauseFor(node, std::max(leastZoneSpacing, zoneSpacingPerVm * liveGateways(node)));
+    }
+}
+
+// Mates above this VM that failed are looked for, or the zone would go on with a weaker relay; and
+// a relay looks for all that do not report to it: they may not know of it.
+asio::awaitable<void> matesLoop(GatewayNode &node)
+{
+    while (!node.stopped) {
+        const Instant now = BootClock::now();
+        for (const Endpoint &seed : node.settings.seeds)
+            addPeer(node, seed, VmFact());
+        dropSilent(node.reported, reporterSilence, now);
+        if (node.upstream.at != Instant{} && now - node.upstream.at > reporterSilence)
+            node.upstream = UpstreamWord();
+        markHolders(node, now);
+        countGateways(node, now);
+        const RelayRank self = ownRank(node);
+        std::vector<Endpoint> wanted;
+        for (const auto &[endpoint, peer] : node.peers) {
+            if (peer.asking || now < peer.retryAt || peer.name.empty())
+                continue;
+            const bool mate = isMate(node, peer);
+            const bool silentBelow = node.relaying && mate && now - peer.reportedAt > listPatience
+                && now - peer.heardAt > reporterSilence;
+            const bool failed =
+                peer.failures > 0 && (mate ? ranksBefore(rankOf(peer), self) : node.relaying);
+            const bool maybeBack = mate && (peer.storeAway || peer.stopping || peer.starting)
+                && now - peer.heardAt > listPatience;
+            if (silentBelow || failed || maybeBack)
+                wanted.push_back(endpoint);
+        }
+        if (knowsMates(node, now) && (isStarting(node) || !node.vmsRead)) {
+            for (const Endpoint &stranger : strangers(node, now))
+                wanted.push_back(stranger);
+        }
+        for (const Endpoint &endpoint : wanted)
+            spawn(node, "probe", probe(node, endpoint));
+        std::erase_if(node.peers, [now](const auto &entry) {
+            const PeerState &peer = entry.second;
+            const Instant last = std::max(peer.heardAt, peer.addedAt);
+            return !peer.asking && now - last > forgetAfter;
+        });
+        co_await pauseFor(node, matesLook);
+    }
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/src/RelayLoops.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "GatewayNode.h"
+
+namespace monsoonbay {
+
+/** Reports to the relay of the zone and learns from it; finds another when it falls silent. */
+asio::awaitable<void> upstreamLoop(GatewayNode &node);
+
+/** While this VM relays: exchanges news with the relays of the other zones. */
+asio::awaitable<void> otherZonesLoop(GatewayNode &node);
+
+/** Looks for mates that were silent, and drops what silent ones had reported. */
+asio::awaitable<void> matesLoop(GatewayNode &node);
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/src/ZoneView.cpp
@@ -0,0 +1,41 @@
+#include "ZoneView.h"
+
+namespace monsoonbay {
+
+bool isMate(const GatewayNode &node, const PeerState &peer)
+{
+    return peer.zone == node.settings.zone && !peer.name.empty();
+}
+
+bool isReachable(const PeerState &peer, Instant now)
+{
+    return !peer.stopping && (peer.failures == 0 || now - peer.reportedAt < reporterSilence);
+}
+
+RelayRank rankOf(const PeerState &peer)
+{
+    RelayRank rank;
+    rank.storeAway = peer.storeAway;
+    rank.capacity = peer.capacity;
+    rank.hash = stableHash(peer.name);
+    return rank;
+}
+
+ZoneMates matesOf(GatewayNode &node, const std::string &zone)
+{
+    ZoneMates found;
+    const Instant now = BootClock::now();
+    for (auto &[endpoint, peer] : node.peers) {
+        if (peer.zone != zone || peer.name.empty())
+            continue;
+        RelayMate mate;
+        mate.rank = rankOf(peer);
+        mate.reachable = isReachable(peer, now);
+        mate.starting = peer.starting;
+        found.mates.push_back(mate);
+        found.peers.push_back(&peer);
+    }
+    return found;
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/src/ZoneView.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "GatewayNode.h"
+
+namespace monsoonbay {
+
+/** Reporters that were silent for this long no longer count, nor what they had under way. */
+constexpr Duration reporterSilence = std::chrono::milliseconds(1500);
+
+/** The VMs of one zone as candidates for its relay. */
+struct ZoneMates
+{
+    std::vector<RelayMate> mates;
+    std::vector<PeerState *> peers; ///< in the same order
+};
+
+/** What this VM knows of the VMs of a zone; itself is not among them. */
+ZoneMates matesOf(GatewayNode &node, const std::string &zone);
+
+/** True for a VM of the own zone that is known by name. */
+bool isMate(const GatewayNode &node, const PeerState &peer);
+
+/** True if it has not failed to answer lately and is not stopping. */
+bool isReachable(const PeerState &peer, Instant now);
+
+RelayRank rankOf(const PeerState &peer);
+
+} // namespace monsoonbay
