One exchange beside the regular ones; one way to mark an engine as unheld

Read once more: the probe of a mate and the exchange with another zone's relay were the same coroutine but for one flag, and three lines that take an engine's holder as unknown stood twice. No change of behaviour.

--- a/libs/gateway/src/RelayLoops.cpp
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -70,9 +70,10 @@
     return found;
 }
 
-asio::awaitable<void> probe(GatewayNode &node, Endpoint endpoint)
+/** An exchange beside the regular ones with the own relay. */
+asio::awaitable<void> exchangeAside(GatewayNode &node, Endpoint endpoint, bool withUse)
 {
-    const bool answered = co_await exchangeWith(node, endpoint, false, false);
+    const bool answered = co_await exchangeWith(node, endpoint, withUse, false);
     static_cast<void>(answered); // it is noted with the peer
 }
 
@@ -150,11 +151,7 @@
             const PeerState *relay = relayOfZone(node, name);
             if (relay == nullptr || relay->asking)
                 continue;
-            spawn(node, "exchange with a zone",
-                  [](GatewayNode &here, Endpoint relay) -> asio::awaitable<void> {
-                      const bool answered = co_await exchangeWith(here, relay, true, false);
-                      static_cast<void>(answered); // it is noted with the peer
-                  }(node, relay->endpoint));
+            spawn(node, "exchange with a zone", exchangeAside(node, relay->endpoint, true));
         }
         co_await pauseFor(node, std::max(leastZoneSpacing, zoneSpacingPerVm * liveGateways(node)));
     }
@@ -193,7 +190,7 @@
                 wanted.push_back(stranger);
         }
         for (const Endpoint &endpoint : wanted)
-            spawn(node, "probe", probe(node, endpoint));
+            spawn(node, "probe", exchangeAside(node, endpoint, false));
         std::erase_if(node.peers, [now](const auto &entry) {
             const PeerState &peer = entry.second;
             const Instant last = std::max(peer.heardAt, peer.addedAt);
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -86,6 +86,14 @@
 
 namespace {
 
+/** Nobody is known to order it; the holder's own word, and its revision, stay as they are. */
+void markUnheld(GatewayNode &node, const std::string &target)
+{
+    EngineRecord record = *node.facts.engines.find(target);
+    record.holderLive = false;
+    node.facts.engines.set(target, std::move(record), node.facts.counter);
+}
+
 /** True if the VM that may order an engine can be reached, as far as this relay has heard. */
 bool isHolderHeard(const GatewayNode &node, const std::string &target, const EngineRecord &record,
                    Instant now)
@@ -112,11 +120,8 @@
         if (entry.value.holderLive && !isHolderHeard(node, target, entry.value, now))
             silent.push_back(target);
     }
-    for (const std::string &target : silent) {
-        EngineRecord record = *node.facts.engines.find(target);
-        record.holderLive = false;
-        node.facts.engines.set(target, std::move(record), node.facts.counter);
-    }
+    for (const std::string &target : silent)
+        markUnheld(node, target);
 }
 
 // Asked again at once, it would say the same to every call that waits; it tells when it may order.
@@ -125,9 +130,7 @@
     const EngineRecord *record = node.facts.engines.find(target);
     if (record == nullptr || !record->holderLive || record->holder != asked)
         return;
-    EngineRecord unheld = *record;
-    unheld.holderLive = false;
-    node.facts.engines.set(target, std::move(unheld), node.facts.counter);
+    markUnheld(node, target);
 }
 
 void takeHolds(GatewayNode &node, const std::string &zone, const std::string &target)
