Reports of a VM's new boot count from its first word

The relay then drops its reports as older ones, and it gets no configuration, no targets and no holders until it has sent as many as before: 15 s and more with version 6 of the configuration and nearly all callers refused. Test first: fails on the former code.

--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -204,6 +204,14 @@
     digest.set_vms(static_cast<std::uint32_t>(liveGateways(node)));
 }
 
+/** Notes of which boot a peer's word is; its reports are counted anew in each. */
+void noteBootOf(PeerState &peer, std::uint64_t boot)
+{
+    if (peer.boot != boot)
+        peer.sequence = 0;
+    peer.boot = boot;
+}
+
 bool mayHoldBeside(GatewayNode &node, const Endpoint &asker)
 {
     const ZoneMates zone = matesOf(node, node.settings.zone);
@@ -257,13 +265,13 @@
     addPeer(node, endpoint, decodeVm(report.from()));
     PeerState &peer = node.peers[endpoint];
     const bool reborn = peer.boot != report.from().boot();
+    noteBootOf(peer, report.from().boot());
     // An older report that arrives late must not bring back what was under way then.
-    if (!reborn && report.sequence() <= peer.sequence)
+    if (report.sequence() <= peer.sequence)
         return digest;
     if (reborn)
         logEvent(EventId::MemberAlive, {{"peer", peer.name}, {"at", endpoint.text()}});
     const Instant now = BootClock::now();
-    peer.boot = report.from().boot();
     peer.sequence = report.sequence();
     peer.heardAt = now;
     peer.failures = 0;
@@ -339,7 +347,7 @@
     const Instant now = BootClock::now();
     addPeer(node, endpoint, decodeVm(digest.from()));
     PeerState &peer = node.peers[endpoint];
-    peer.boot = digest.from().boot();
+    noteBootOf(peer, digest.from().boot());
     peer.heardAt = now;
     peer.failures = 0;
     peer.starting = digest.starting();
--- /dev/null
+++ b/libs/gateway/tests/Exchanges.cpp
@@ -0,0 +1,56 @@
+#include "GatewayNode.h"
+#include "PeerExchange.h"
+
+#include <criterion/criterion.h>
+
+using namespace monsoonbay;
+
+namespace {
+
+namespace v1 = gateway::v1;
+
+const Endpoint mateAddress{"127.0.0.2", 7000};
+
+GatewaySettings ownSettings()
+{
+    GatewaySettings settings;
+    settings.vm = "vm-1";
+    settings.zone = "zone-a";
+    settings.peers = {"127.0.0.1", 7000};
+    return settings;
+}
+
+void describeMate(std::uint64_t boot, v1::Vm &vm)
+{
+    vm.set_name("vm-2");
+    vm.set_zone("zone-a");
+    vm.set_address(mateAddress.address);
+    vm.set_port(mateAddress.port);
+    vm.set_boot(boot);
+}
+
+v1::Report reportOf(std::uint64_t boot, std::uint64_t sequence)
+{
+    v1::Report report;
+    describeMate(boot, *report.mutable_from());
+    report.set_sequence(sequence);
+    return report;
+}
+
+} // namespace
+
+// Symptom: a VM that was started anew refused nearly all of its callers and went on with an old
+// configuration for a quarter of a minute. Sequence: it is asked by its relay before it reports
+// there itself; its reports, counted anew, come after that. Cause: the relay took the new boot from
+// the answer but kept the former boot's count, and dropped the reports as older ones.
+Test(exchanges, reports_of_a_new_boot_count_from_its_first_word)
+{
+    GatewayNode node(ownSettings());
+    cr_assert(answerReport(node, reportOf(1, 500)).complete());
+    v1::Digest answer;
+    describeMate(2, *answer.mutable_from());
+    takeDigest(node, mateAddress, answer, false);
+    cr_assert(answerReport(node, reportOf(2, 1)).complete(), "taken, and answered in full");
+    cr_assert(!answerReport(node, reportOf(2, 1)).complete(), "an older report tells nothing");
+    cr_assert(answerReport(node, reportOf(2, 2)).complete());
+}
