A target that starts anew under its id; entries that no target wrote

A later 'born' in an entry, a report or a holder's word drops all that was believed of the target: adapters, base model, count of orders, cached beginnings, copies in its memory, health, pooled connections, slots in use, and that it was leaving. Words of an earlier start are dropped. An order under way meanwhile counts as unknown. Entries that lack a field of a target's own entry, or have one of another type, an unknown state or an unreadable address name no target and remove none; each is logged.

--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -53,7 +53,10 @@
     std::function<void()> listRead; ///< before the changes of each read of the list
     std::function<void(TargetEntry)> target;
     std::function<void(std::string id)> targetRemoved;
-    std::function<void(std::vector<TargetEntry>)> wholeList;
+    /** Also the ids whose entries cannot be read: these are there, but tell nothing. */
+    std::function<void(std::vector<TargetEntry>, const std::vector<std::string> &)> wholeList;
+    /** A document that is not as the platform writes it; `key` names it. */
+    std::function<void(std::string_view what, const std::string &key)> unreadable;
     std::function<void()> listFailed; ///< an attempt to read the list failed
     std::function<void(PlatformVm)> peer; ///< another VM of the system
     std::function<void()> peersRead; ///< all VMs in the store's list have been told
--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -4,6 +4,7 @@
 
 #include "LeaseKeeping.h"
 #include "SharedEngines.h"
+#include "TargetStarts.h"
 #include "UseNotes.h"
 #include "observe/Events.h"
 
@@ -77,6 +78,8 @@
     const EngineAddress address{target, entry->endpoint};
     const auto report = co_await node.platform->report(node.http, address, reportTimeout);
     held.ordering = false;
+    if (report)
+        noteStartOf(node, target, report->born);
     const bool taken = report && takeReport(held.desk, *report, BootClock::now());
     if (taken)
         publishDesk(node, target);
@@ -123,11 +126,19 @@
     const auto slot = held.desk.slots.find(adapter);
     const Duration unusedFor =
         slot != held.desk.slots.end() ? BootClock::now() - slot->second.usedAt : Duration::zero();
+    const std::int64_t bornBefore = held.desk.born;
     held.ordering = true;
     const OrderOutcome outcome =
         co_await node.platform->order(node.http, address, order, orderTimeout);
     held.ordering = false;
     const Instant now = BootClock::now();
+    // The engine was started anew meanwhile, under the same id: nobody knows which start took the
+    // order, if any did. The desk is that of the new one, and a report tells what it holds.
+    if (held.desk.born != bornBefore) {
+        forgetSequence(held.desk);
+        held.changed.notifyAll();
+        co_return OrderOutcome::Unknown;
+    }
     const bool done = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Holds;
     const bool ofModel = order.adapter.empty();
     if (done && ofModel)
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -5,6 +5,7 @@
 
 #include "EngineOrders.h"
 #include "PeerExchange.h"
+#include "TargetStarts.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -42,6 +43,8 @@
 void takeTarget(GatewayNode &node, TargetEntry entry)
 {
     const std::string id = entry.id;
+    if (noteStartOf(node, id, entry.born) == WordAge::Older)
+        return;
     const auto known = node.book.records.find(id);
     const bool wasLeaving = known != node.book.records.end() && known->second.entry.leaving;
     // An older entry may be read after another VM's word, and must not be told on in its place.
@@ -163,12 +166,16 @@
         noteRemoved(node.book, id, BootClock::now());
         sweep(node);
     };
-    sink.wholeList = [&node](std::vector<TargetEntry> entries) {
+    sink.wholeList = [&node](std::vector<TargetEntry> entries,
+                             const std::vector<std::string> &unreadable) {
         for (const TargetEntry &entry : entries)
             takeTarget(node, entry);
-        noteWholeList(node.book, std::move(entries), BootClock::now());
+        noteWholeList(node.book, std::move(entries), unreadable, BootClock::now());
         sweep(node);
     };
+    sink.unreadable = [](std::string_view what, const std::string &key) {
+        logEvent(EventId::DocumentUnreadable, {{"what", std::string(what)}, {"source", key}});
+    };
     sink.listFailed = [&node] {
         noteListFailed(node.book, BootClock::now());
     };
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -69,6 +69,7 @@
     for (const std::string &model : record.models)
         state.add_models(model);
     state.set_loading(record.loading);
+    state.set_born(record.born);
 }
 
 EngineRecord decodeEngine(const v1::EngineState &state)
@@ -81,6 +82,7 @@
         record.resident[slot.adapter()] = slot.version();
     record.models = std::set<std::string>(state.models().begin(), state.models().end());
     record.loading = state.loading();
+    record.born = state.born();
     return record;
 }
 
@@ -116,6 +118,7 @@
     told.set_zone(entry.zone);
     told.set_slots(entry.slots);
     told.set_leaving(entry.leaving);
+    told.set_born(entry.born);
     for (const std::string &model : entry.models)
         told.add_models(model);
     for (const HeldAdapter &held : entry.adapters) {
@@ -135,6 +138,7 @@
     fact.entry.zone = told.zone();
     fact.entry.slots = told.slots();
     fact.entry.leaving = told.leaving();
+    fact.entry.born = told.born();
     fact.entry.models = std::vector<std::string>(told.models().begin(), told.models().end());
     for (const v1::Slot &slot : told.adapters())
         fact.entry.adapters.push_back({slot.adapter(), slot.version()});
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "LeaseKeeping.h"
+#include "TargetStarts.h"
 #include "UseNotes.h"
 
 namespace monsoonbay {
@@ -21,7 +22,7 @@
 
 void takeEngineRecord(GatewayNode &node, const std::string &target, EngineRecord record)
 {
-    if (mayOrderNow(node, target))
+    if (noteStartOf(node, target, record.born) == WordAge::Older || mayOrderNow(node, target))
         return;
     const EngineRecord *known = node.facts.engines.find(target);
     if (known != nullptr && !mayReplaceRecord(*known, record))
@@ -45,6 +46,8 @@
     EngineRecord record;
     record.holder = node.settings.peers;
     record.holderLive = true;
+    const TargetEntry *entry = entryOf(node, target);
+    record.born = entry == nullptr ? desk.born : std::max(desk.born, entry->born);
     record.models = desk.models;
     for (const auto &[adapter, slot] : desk.slots) {
         if (slot.loading)
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -53,6 +53,7 @@
     TargetListed = 7020,
     TargetGone = 7021,
     TargetEjected = 7022,
+    TargetRestarted = 7024,
     LeaseChanged = 7030,
     OrderGiven = 7031,
     CallRefused = 7040,
--- a/libs/serving/include/serving/EngineRecord.h
+++ b/libs/serving/include/serving/EngineRecord.h
@@ -6,6 +6,7 @@
 
 #include "config/Settings.h"
 #include "serving/EngineBoard.h"
+#include "serving/TargetEntry.h"
 
 namespace monsoonbay {
 
@@ -26,6 +27,7 @@
 struct EngineRecord
 {
     RecordRevision revision;
+    std::int64_t born = 0; ///< start of the engine that this is of; see TargetEntry
     Endpoint holder;
     bool holderLive = false; ///< that VM may order it now, as far as is known
     ResidentVersions resident;
--- a/libs/serving/include/serving/OrderDesk.h
+++ b/libs/serving/include/serving/OrderDesk.h
@@ -28,6 +28,7 @@
 /** State of one engine at the VM that orders it. */
 struct OrderDesk
 {
+    std::int64_t born = 0; ///< start of the engine that all this is of; see TargetEntry
     int adapterSlots = 0;
     std::int64_t sequence = -1; ///< orders the engine has accepted; below 0: not known
     std::int64_t leastSequence = 0; ///< a report that counts fewer is older than what is known
@@ -41,12 +42,19 @@
 /** Takes what the engine reports of itself. */
 struct EngineReport
 {
+    std::int64_t born = 0; ///< start of the engine that this is of; see TargetEntry
     std::int64_t sequence = 0;
     std::set<std::string> models;
     std::unordered_map<std::string, std::int64_t> resident;
     std::unordered_map<std::string, std::int64_t> incoming;
 };
 
+/**
+ * The engine was started anew under its id: it holds nothing, counts its orders anew, and what was
+ * under way at it is of no account. A report tells the rest.
+ */
+void restartDesk(OrderDesk &desk, std::int64_t born);
+
 /** Takes a report; false, and nothing changed, if it is older than what is known already. */
 bool takeReport(OrderDesk &desk, const EngineReport &report, Instant now);
 
--- a/libs/serving/include/serving/TargetBook.h
+++ b/libs/serving/include/serving/TargetBook.h
@@ -51,8 +51,12 @@
 void noteListed(TargetBook &book, TargetEntry entry);
 void noteRemoved(TargetBook &book, const std::string &id, Instant now);
 
-/** Takes a whole list: what it lacks was removed. */
-void noteWholeList(TargetBook &book, std::vector<TargetEntry> entries, Instant now);
+/**
+ * Takes a whole list: what it lacks was removed. `unreadable`: ids that are in it with an entry that
+ * tells nothing, so that what was known of them holds.
+ */
+void noteWholeList(TargetBook &book, std::vector<TargetEntry> entries,
+                   const std::vector<std::string> &unreadable, Instant now);
 
 /** Forgets what has been gone for good; returns the ids that went. */
 std::vector<std::string> dropGone(TargetBook &book, Instant now);
--- a/libs/serving/include/serving/TargetEntry.h
+++ b/libs/serving/include/serving/TargetEntry.h
@@ -23,18 +23,29 @@
 /** One target as the platform's list describes it. */
 struct TargetEntry
 {
-    std::string id; ///< new at each start of the target
+    std::string id;
     std::string service;
     Endpoint endpoint;
     std::string zone;
     int slots = 1;
     bool leaving = false;
+    std::int64_t born = 0; ///< when this start of the target began, ms; 0: it does not say
     std::vector<std::string> models;
     std::vector<HeldAdapter> adapters;
 
     auto operator<=>(const TargetEntry &) const = default;
 };
 
+/** How two words about a target stand to each other. */
+enum class WordAge : std::uint8_t {
+    Same, ///< of the same start of the target, or one of them does not say
+    Newer, ///< the offered word is of a later start: all that was known before is void
+    Older, ///< the offered word is of an earlier start and tells nothing any more
+};
+
+/** Compares the starts that two words about one target are of; see TargetEntry::born. */
+WordAge ageOfWord(std::int64_t knownBorn, std::int64_t offeredBorn) noexcept;
+
 /** Name of an adapter of a model, as it is used as a key: "model/adapter". */
 std::string adapterKey(const std::string &model, const std::string &adapter);
 
--- a/libs/serving/src/OrderDesk.cpp
+++ b/libs/serving/src/OrderDesk.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "serving/TargetEntry.h"
+
 namespace monsoonbay {
 
 namespace {
@@ -91,12 +93,26 @@
 
 } // namespace
 
+void restartDesk(OrderDesk &desk, std::int64_t born)
+{
+    const int adapterSlots = desk.adapterSlots;
+    desk = OrderDesk();
+    desk.adapterSlots = adapterSlots;
+    desk.born = born;
+}
+
 // Reports lag by some hundred ms. One from before the last accepted order would show that order's
 // slot as free; the engine's count of orders tells such a report from a current one. The count
 // known here can be too high by itself, when the engine took an order as done without counting it,
 // so a report that cannot lag any more is always taken.
 bool takeReport(OrderDesk &desk, const EngineReport &report, Instant now)
 {
+    const WordAge age = ageOfWord(desk.born, report.born);
+    if (age == WordAge::Older)
+        return false;
+    if (age == WordAge::Newer)
+        restartDesk(desk, report.born);
+    desk.born = std::max(desk.born, report.born);
     const bool mayLag = now - desk.acceptedAt < longestReportLag;
     if (report.sequence < desk.leastSequence && mayLag)
         return false;
--- a/libs/serving/src/TargetBook.cpp
+++ b/libs/serving/src/TargetBook.cpp
@@ -11,6 +11,16 @@
     return model + "/" + adapter;
 }
 
+// The times come from the target's own clock and are only compared with one another, never with the
+// clock of a VM, which may jump.
+WordAge ageOfWord(std::int64_t knownBorn, std::int64_t offeredBorn) noexcept
+{
+    const bool bothSay = knownBorn != 0 && offeredBorn != 0;
+    if (!bothSay || knownBorn == offeredBorn)
+        return WordAge::Same;
+    return offeredBorn > knownBorn ? WordAge::Newer : WordAge::Older;
+}
+
 void noteListRead(TargetBook &book, Instant now)
 {
     const bool failed = book.failingSince != Instant{};
@@ -42,10 +52,15 @@
 void noteListed(TargetBook &book, TargetEntry entry)
 {
     TargetRecord &record = book.records[entry.id];
+    const WordAge age = ageOfWord(record.entry.born, entry.born);
+    if (age == WordAge::Older)
+        return;
     // A target that has said it is leaving never stays after all; an older entry that arrives
-    // late, from a read that lagged, must not bring it back.
-    const bool leaving = record.entry.leaving || entry.leaving;
+    // late, from a read that lagged, must not bring it back. Only a new start of it stays.
+    const bool leaving = entry.leaving || (record.entry.leaving && age == WordAge::Same);
+    const std::int64_t born = std::max(record.entry.born, entry.born);
     record.entry = std::move(entry);
+    record.entry.born = born;
     record.entry.leaving = leaving;
     record.gone = false;
     record.lapsedAt = Instant{};
@@ -72,9 +87,10 @@
     record.gone = true;
 }
 
-void noteWholeList(TargetBook &book, std::vector<TargetEntry> entries, Instant now)
+void noteWholeList(TargetBook &book, std::vector<TargetEntry> entries,
+                   const std::vector<std::string> &unreadable, Instant now)
 {
-    std::unordered_set<std::string> listed;
+    std::unordered_set<std::string> listed(unreadable.begin(), unreadable.end());
     for (TargetEntry &entry : entries) {
         listed.insert(entry.id);
         noteListed(book, std::move(entry));
--- a/libs/serving/tests/Orders.cpp
+++ b/libs/serving/tests/Orders.cpp
@@ -236,3 +236,29 @@
     noteEarlyCall(pace);
     cr_assert_gt(pace.alone.count(), before.count());
 }
+
+// Symptom: every order to an engine was refused for its count, and calls bounced off adapters it had
+// lost. Sequence: an engine that has taken seven orders ends and is started anew under its id, so it
+// counts from nothing; a report of the former start is still under way. Cause: the count and the
+// slots of the former start were kept, and a count that went back was taken for an older report.
+Test(orders, an_engine_that_was_started_anew_holds_and_counts_nothing)
+{
+    OrderDesk desk;
+    desk.adapterSlots = slotCount;
+    EngineReport former;
+    former.born = 1000;
+    former.sequence = 7;
+    former.resident = {{"m/a1", 1}, {"m/a2", 1}};
+    cr_assert(takeReport(desk, former, start));
+    noteSequence(desk, start);
+    EngineReport reborn;
+    reborn.born = 5000;
+    cr_assert(takeReport(desk, reborn, start + 50ms));
+    cr_assert_eq(desk.sequence, 0);
+    cr_assert(desk.slots.empty());
+    cr_assert(!hasHostCopy(desk, "m/a1"));
+    cr_assert_eq(desk.adapterSlots, slotCount);
+    former.sequence = 9;
+    cr_assert(!takeReport(desk, former, start + 5s));
+    cr_assert_eq(desk.sequence, 0);
+}
--- a/libs/serving/tests/Relays.cpp
+++ b/libs/serving/tests/Relays.cpp
@@ -178,6 +178,20 @@
     cr_assert(!mayReplaceRecord(restarted, restarted));
 }
 
+// Symptom would be calls sent to engines that lost their adapters. Sequence: an engine is started
+// anew under its id; words of its former start, of a later lease too, arrive after that.
+Test(relays, words_of_a_former_start_are_dropped)
+{
+    EngineRecord reborn;
+    reborn.born = 5000;
+    reborn.revision = {4, 1, 91};
+    EngineRecord former;
+    former.born = 1000;
+    former.revision = {5, 1, 1};
+    cr_assert(!mayReplaceRecord(reborn, former));
+    cr_assert(mayReplaceRecord(former, reborn));
+}
+
 // A reader that asks for what changed since its last answer ends with all values, in whatever
 // steps.
 Test(relays, a_reader_of_changes_misses_nothing)
--- a/libs/serving/tests/Targets.cpp
+++ b/libs/serving/tests/Targets.cpp
@@ -143,11 +143,53 @@
 {
     TargetBook book = following({"a", "b"});
     noteListRead(book, start + 100ms);
-    noteWholeList(book, {entry("b"), entry("c")}, start + 100ms);
+    noteWholeList(book, {entry("b"), entry("c")}, {}, start + 100ms);
     cr_assert_eq(dropGone(book, start + 100ms), std::vector<std::string>{"a"});
     cr_assert_eq(book.records.size(), 2);
 }
 
+// Symptom would be a target in good health that gets nothing. Sequence: something else writes below
+// the key of a target's entry; the whole list is read. Cause: an entry that tells nothing is taken
+// for one that was removed.
+Test(targets, an_entry_that_cannot_be_read_removes_nothing)
+{
+    TargetBook book = following({"a", "b"});
+    noteListRead(book, start + 100ms);
+    noteWholeList(book, {entry("b")}, {"a", "stranger"}, start + 100ms);
+    cr_assert(dropGone(book, start + 100ms).empty());
+    cr_assert(mayTakeWork(book.records.at("a")));
+    cr_assert_eq(book.records.count("stranger"), 0);
+}
+
+// Symptom: a target that came back got no calls. Sequence: it says it is leaving, ends, and is
+// started anew under its id; then an entry of its former start arrives late. Cause: "leaving" held
+// for the id, not for the start that said it.
+Test(targets, a_new_start_under_the_same_id_is_not_leaving)
+{
+    TargetBook book = following({});
+    TargetEntry former = entry("a");
+    former.born = 1000;
+    former.leaving = true;
+    TargetEntry reborn = entry("a");
+    reborn.born = 5000;
+    noteListed(book, former);
+    cr_assert(!mayTakeWork(book.records.at("a")));
+    noteListed(book, reborn);
+    cr_assert(mayTakeWork(book.records.at("a")));
+    noteListed(book, former);
+    cr_assert(mayTakeWork(book.records.at("a")));
+    cr_assert_eq(book.records.at("a").entry.born, 5000);
+}
+
+Test(targets, words_without_a_start_are_of_the_one_that_is_known)
+{
+    cr_assert(ageOfWord(0, 5) == WordAge::Same);
+    cr_assert(ageOfWord(5, 0) == WordAge::Same);
+    cr_assert(ageOfWord(5, 5) == WordAge::Same);
+    cr_assert(ageOfWord(5, 6) == WordAge::Newer);
+    cr_assert(ageOfWord(5, 4) == WordAge::Older);
+}
+
 Test(targets, a_target_that_cannot_be_reached_is_ejected_and_tried_again)
 {
     TargetHealth health;
