--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -21,6 +21,8 @@
  */
 constexpr Duration readinessNoticed = std::chrono::milliseconds(2600);
 constexpr Duration shutdownLook = std::chrono::milliseconds(50);
+/** The release of its engines goes out with the next report to the relay, within some 80 ms. */
+constexpr Duration releaseTold = std::chrono::milliseconds(120);
 
 asio::awaitable<void> answerReadiness(GatewayNode &node, HttpExchange &exchange)
 {
@@ -94,7 +96,6 @@
                  {{"inFlight", std::to_string(this->node.callsInFlight)},
                   {"connections", std::to_string(this->node.connections)}});
         this->node.newsDue.notifyAll();
-        co_await leaveLease(this->node);
         const Instant limit = begun + this->node.settings.shutdownLimit;
         while (BootClock::now() < begun + readinessNoticed)
             co_await pauseFor(this->node, shutdownLook);
@@ -102,6 +103,9 @@
         this->front.closeIdle();
         while (this->node.connections > 0 && BootClock::now() < limit)
             co_await pauseFor(this->node, shutdownLook);
+        co_await leaveLease(this->node);
+        this->node.newsDue.notifyAll();
+        co_await pauseFor(this->node, releaseTold);
         this->report.cutCalls = this->node.callsInFlight;
         logEvent(this->report.cutCalls == 0 ? EventId::ShutdownDone : EventId::ShutdownCut,
                  {{"requests", std::to_string(this->report.cutCalls)}});
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -72,6 +72,7 @@
     Instant reportedAt{}; ///< its newest report
     bool starting = false;
     bool stopping = false;
+    bool leaseLeft = false; ///< by its last word, this boot orders no engines any more
     bool storeAway = false;
 
     // Exchanges that this VM begins.
@@ -216,6 +217,7 @@
     bool storeUp = false;
     Instant storeFailedAt{}; ///< last attempt to read the store that failed; zero: none
     bool shuttingDown = false;
+    bool leaseLeft = false; ///< it has left those that order engines, and does not come back
     bool stopped = false;
     int callsInFlight = 0;
     int connections = 0;
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -62,7 +62,7 @@
 bool mayOrderNow(const GatewayNode &node, const std::string &target)
 {
     const TargetEntry *entry = entryOf(node, target);
-    if (entry == nullptr || entry->zone != node.settings.zone || node.shuttingDown)
+    if (entry == nullptr || entry->zone != node.settings.zone || node.leaseLeft)
         return false;
     if (mayBeUnknownToHolder(node, BootClock::now()))
         return false;
@@ -87,7 +87,7 @@
     std::vector<MateWord> words;
     for (const auto &[endpoint, peer] : node.peers) {
         const bool mate =
-            peer.zone == node.settings.zone && peer.heardAt != Instant{} && !peer.stopping;
+            peer.zone == node.settings.zone && peer.heardAt != Instant{} && !peer.leaseLeft;
         if (mate && !isForgotten(peer))
             words.push_back(peer.word.word);
     }
@@ -162,7 +162,7 @@
                       {"before", std::to_string(before)},
                       {"why", "the store is away, and not all VMs of the zone say so"}});
         const Instant now = BootClock::now();
-        const bool mayNote = !node.notingOrders && !node.renewalFailing && !node.shuttingDown
+        const bool mayNote = !node.notingOrders && !node.renewalFailing && !node.leaseLeft
             && now >= node.noteRetryAt;
         if (mayNote && isNoteDue(node.lease, now))
             spawn(node, "note orders", noteOrders(node));
@@ -173,7 +173,7 @@
 
 asio::awaitable<void> leaseLoop(GatewayNode &node)
 {
-    while (!node.stopped && !node.shuttingDown) {
+    while (!node.stopped && !node.leaseLeft) {
         // Without its own record in the store it could not tell its boots apart; see EngineRecord.
         if (!node.mayHold || node.starts == 0) {
             co_await pauseFor(node, extendEvery);
@@ -188,7 +188,7 @@
         node.renewalFailing = !grant;
         if (grant)
             node.storeFailedAt = Instant{};
-        if (grant && !node.shuttingDown) {
+        if (grant && !node.leaseLeft) {
             const std::size_t before = node.lease.orderFrom.size();
             renewLease(node.lease, *grant, node.settings.lease, sentAt, BootClock::now());
             if (before != node.lease.orderFrom.size())
@@ -220,7 +220,7 @@
         co_return;
     PeerState &peer = found->second;
     peer.heardAt = BootClock::now();
-    peer.stopping = word->stopping();
+    peer.leaseLeft = word->left();
     // It counts from the question: the answer may have been under way for long.
     peer.word.askedAt = askedAt;
     peer.word.word = {askedAt, word->generation(), !word->may_hold()};
@@ -242,7 +242,7 @@
         std::vector<Endpoint> due;
         for (auto &[endpoint, peer] : node.peers) {
             const bool mate = peer.zone == node.settings.zone && !peer.name.empty();
-            if (!mate || node.joinedAt == Instant{} || node.shuttingDown)
+            if (!mate || node.joinedAt == Instant{} || node.leaseLeft)
                 continue;
             if (now - peer.word.triedAt < wordSpacing(node, peer))
                 continue;
@@ -266,14 +266,17 @@
     encodeSelf(node, *word.mutable_from());
     word.set_generation(node.lease.generation);
     // One that does not take part waits like any other before it orders, should it join.
-    word.set_may_hold(node.renewed && !node.shuttingDown);
-    word.set_stopping(node.shuttingDown);
+    word.set_may_hold(node.renewed && !node.leaseLeft);
+    word.set_left(node.leaseLeft);
     return word;
 }
 
+// A VM that is asked to end goes on ordering its engines until its last call has ended, which can
+// take seconds: nobody else could order them for 3.3 s, and if it is back at once, it goes on.
 asio::awaitable<void> leaveLease(GatewayNode &node)
 {
     const LeaseRenewal renewal = renewalOf(node);
+    node.leaseLeft = true;
     dropLease(node.lease, BootClock::now());
     retractEngines(node);
     if (node.joinedAt == Instant{})
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -207,8 +207,10 @@
 /** Notes of which boot a peer's word is; its reports are counted anew in each. */
 void noteBootOf(PeerState &peer, std::uint64_t boot)
 {
-    if (peer.boot != boot)
+    if (peer.boot != boot) {
         peer.sequence = 0;
+        peer.leaseLeft = false;
+    }
     peer.boot = boot;
 }
 
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -167,7 +167,7 @@
     if (record == nullptr || !record->holderLive)
         return nullptr;
     const auto peer = node.peers.find(record->holder);
-    if (peer == node.peers.end() || peer->second.stopping)
+    if (peer == node.peers.end() || peer->second.leaseLeft)
         return nullptr;
     const Instant failed = peer->second.loadFailedAt;
     if (failed != Instant{} && BootClock::now() - failed < afterFailedLoad)
