--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -24,6 +24,13 @@
 /** A mate that has not answered for this long is gone: cuts of the users' list last 12 s at most.
  */
 constexpr Duration goneAfter = std::chrono::seconds(40);
+/**
+ * A partition goes on to its next holder when its former one has renewed twice: once to learn that
+ * it was dealt anew and once to say so. Until that has settled all renew this often, or it takes up
+ * to three times the time between renewals in which nobody orders: 1.2 s of each deal.
+ */
+constexpr Duration dealLook = std::chrono::milliseconds(60);
+constexpr Duration dealSettles = std::chrono::milliseconds(700);
 /** Each attempt is a call to the store; the next renewal may tell that it was in vain. */
 constexpr Duration afterFailedNote = std::chrono::milliseconds(300);
 /** Renewals in the time that a lease lasts; one may be lost. */
@@ -173,6 +180,7 @@
 
 asio::awaitable<void> leaseLoop(GatewayNode &node)
 {
+    Instant dealtAt{};
     while (!node.stopped && !node.leaseLeft) {
         // Without its own record in the store it could not tell its boots apart; see EngineRecord.
         if (!node.mayHold || node.starts == 0) {
@@ -203,7 +211,11 @@
             if (!mayOrderNow(node, target))
                 forgetSequence(desk->desk);
         }
-        co_await pauseFor(node, node.settings.lease.ttl / renewalsPerLease);
+        const Instant now = BootClock::now();
+        if (grant && grant->generation != renewal.generation)
+            dealtAt = now;
+        const bool settling = now - dealtAt < dealSettles;
+        co_await pauseFor(node, settling ? dealLook : node.settings.lease.ttl / renewalsPerLease);
     }
 }
 
