--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -172,7 +172,11 @@
             co_return placement;
         }
         if (BootClock::now() >= refuseAt && choice.step != EngineStep::Send) {
-            placement.refusal = refusal("no engine has room", comeBackSoon);
+            const bool anyOrderable =
+                std::any_of(views.begin(), views.end(),
+                            [](const EngineView &view) { return view.usable && view.hasHolder; });
+            placement.refusal = anyOrderable ? refusal("no engine has room", comeBackSoon)
+                                             : refusal("no engine may be ordered", comeBackLater);
             co_return placement;
         }
         if (choice.step == EngineStep::Full) {
