--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -33,6 +33,7 @@
     const std::int64_t version = config.version;
     node.routes = std::make_shared<RouteTable>(std::move(config));
     node.configDocument = std::move(document);
+    node.started.notifyAll();
     logEvent(EventId::ConfigInForce,
              {{"version", std::to_string(version)},
               {"before", std::to_string(before)},
@@ -158,6 +159,7 @@
     };
     sink.listRead = [&node] {
         noteListRead(node.book, BootClock::now());
+        node.started.notifyAll();
     };
     sink.target = [&node](TargetEntry entry) {
         takeTarget(node, std::move(entry));
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -365,15 +365,32 @@
     return answer;
 }
 
+/**
+ * A VM that has just started knows its configuration and targets within some 50 to 150 ms of its
+ * first call, from the store or a peer. Callers that were refused until then came back after a
+ * second, late: one in three of those in the first second after a loss of power.
+ */
+constexpr Duration startPatience = std::chrono::milliseconds(400);
+/** For callers of a VM that still knows nothing then: others may. */
+constexpr Duration comeBackElsewhere = std::chrono::milliseconds(300);
+
+asio::awaitable<void> awaitStart(const CallRun &run)
+{
+    const Instant limit = run.arrivedAt + startPatience;
+    while (isStarting(run.node) && !run.cancelled() && BootClock::now() < limit)
+        co_await run.node.started.wait(limit - BootClock::now());
+}
+
 } // namespace
 
 asio::awaitable<void> serveCall(CallRunPtr run)
 {
     GatewayNode &node = run->node;
-    run->routes = node.routes;
     run->facts = node.platform->readCall(*run->request);
+    co_await awaitStart(*run);
+    run->routes = node.routes;
     if (run->routes->config().version == 0) {
-        OwnAnswer answer = ownAnswer(503, "no configuration yet", std::chrono::seconds(1));
+        OwnAnswer answer = ownAnswer(503, "no configuration yet", comeBackElsewhere);
         co_await answerOwn(*run, std::move(answer));
         co_return;
     }
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -32,9 +32,10 @@
     , random(std::random_device()())
     , boot(this->random())
     , routes(std::make_shared<RouteTable>())
+    , runsDue(this->context)
     , bootedAt(BootClock::now())
+    , started(this->context)
     , engineChanged(this->context)
-    , runsDue(this->context)
     , newsDue(this->context)
 { }
 
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -212,6 +212,7 @@
     LoadBeliefs loadBeliefs;
     std::deque<Instant> modelLoads; ///< ordered by this gateway lately
 
+    Signal started; ///< a first configuration, or a first list of targets, is there
     Signal engineChanged; ///< residents or loads of engines changed
     Signal newsDue; ///< something that the relay should hear before the next regular report
     bool storeUp = false;
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -177,6 +177,7 @@
     if (digest.list_known())
         noteListReadByPeer(node.book, now - std::chrono::milliseconds(digest.list_age_ms()),
                            std::chrono::milliseconds(digest.list_failing_ms()), now);
+    node.started.notifyAll();
 }
 
 void fillTargets(const GatewayNode &node, std::uint64_t seen, v1::Digest &digest)
