A partition that was dealt away and back unnoticed is waited for anew

Found by reading: a VM that waits for a partition, and loses and regains it between two renewals while its last orderer notes and orders, took the later note for a sign that it is not its turn for as long as its lease lasted. Its own note of a later generation, whose answer was lost, did the same. Test first: a_partition_that_was_away_and_back_is_waited_for_anew fails without the change.

--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -125,7 +125,8 @@
     std::vector<OrderClaim> claims;
     if (notes) {
         node.orderedBefore = node.orderedBefore || isNotedBy(*notes, node.settings.vm);
-        claims = claimsToNote(node.lease, *notes, node.settings.vm, BootClock::now());
+        claims = claimsToNote(node.lease, *notes, node.settings.vm, node.settings.lease,
+                              BootClock::now());
     }
     node.noteRetryAt = BootClock::now() + afterFailedNote;
     if (claims.empty()) {
--- a/libs/serving/include/serving/HolderLease.h
+++ b/libs/serving/include/serving/HolderLease.h
@@ -120,7 +120,7 @@
 
 /** What `vm` may note now; call with notes that were read after the lease was last renewed. */
 std::vector<OrderClaim> claimsToNote(HolderLease &lease, const OrdererNotes &notes,
-                                     const std::string &vm, Instant now);
+                                     const std::string &vm, const LeaseTiming &timing, Instant now);
 
 /** The store has added these notes, and no other since the read that they rest on. */
 void takeNoted(HolderLease &lease, const std::vector<OrderClaim> &claims, Instant now);
--- a/libs/serving/src/HolderLease.cpp
+++ b/libs/serving/src/HolderLease.cpp
@@ -40,6 +40,12 @@
     }
 }
 
+/** Until the former holder of a partition, whoever it was, orders no more and time has passed. */
+Duration waitAfterDeal(const LeaseTiming &timing)
+{
+    return timing.ttl + timing.wordHolds + timing.apart;
+}
+
 } // namespace
 
 // The former holder of a partition may not know yet that it was dealt anew: it learns that at its
@@ -61,8 +67,7 @@
     for (const int partition : grant.partitions) {
         const auto held = lease.orderFrom.find(partition);
         const bool goesOn = held != lease.orderFrom.end() && unbroken;
-        const Instant waited = now + timing.ttl + timing.wordHolds + timing.apart;
-        orderFrom[partition] = goesOn ? held->second : waited;
+        orderFrom[partition] = goesOn ? held->second : now + waitAfterDeal(timing);
         gainedIn[partition] = goesOn ? lease.gainedIn[partition] : grant.generation;
         if (goesOn && lease.looked.count(partition) > 0)
             looked.insert(partition);
@@ -131,20 +136,27 @@
 // Symptom without the notes: after a restart, and each time the store deals anew, engines got no
 // orders for 3 to 6 s although the VM that had ordered them was back and held them again. Nobody
 // can have ordered since the last note, as the note comes before the order and is only added where
-// no other was. A note of a later generation shows that the partition has moved on, and this VM
-// will learn so at its next renewal.
+// no other was. Another VM's note of a later generation than the one that brought the partition
+// shows that it has moved on since: this VM learns so at its next renewal, or has been dealt it
+// once more without having noticed, and waits anew.
 std::vector<OrderClaim> claimsToNote(HolderLease &lease, const OrdererNotes &notes,
-                                     const std::string &vm, Instant now)
+                                     const std::string &vm, const LeaseTiming &timing, Instant now)
 {
     std::vector<OrderClaim> claims;
-    for (const auto &[partition, from] : lease.orderFrom) {
+    for (auto &[partition, from] : lease.orderFrom) {
         lease.looked.insert(partition);
         if (lease.noted.count(partition) > 0)
             continue;
-        const std::int64_t gainedIn = lease.gainedIn[partition];
+        std::int64_t &gainedIn = lease.gainedIn[partition];
         const auto note = notes.last.find(partition);
-        const bool movedOn = note != notes.last.end() && note->second.generation > gainedIn;
         const bool again = note != notes.last.end() && note->second.vm == vm;
+        const bool movedOn =
+            !again && note != notes.last.end() && note->second.generation > gainedIn;
+        if (movedOn && lease.generation > note->second.generation) {
+            gainedIn = lease.generation;
+            from = now + waitAfterDeal(timing);
+            continue;
+        }
         if (movedOn || (!again && now < from))
             continue;
         claims.push_back({partition, gainedIn, again});
