--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -387,7 +387,8 @@
 {
     GatewayNode &node = run->node;
     run->facts = node.platform->readCall(*run->request);
-    co_await awaitStart(*run);
+    if (isStarting(node))
+        co_await awaitStart(*run);
     run->routes = node.routes;
     if (run->routes->config().version == 0) {
         OwnAnswer answer = ownAnswer(503, "no configuration yet", comeBackElsewhere);
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -64,9 +64,7 @@
     record.copyMs = inSteps(hostCopyTime(beliefs.pace));
     record.copiesKept = std::exp2(std::floor(2 * std::log2(beliefs.memory.loads)) / 2);
     for (const auto &[adapter, slot] : desk.slots) {
-        if (slot.loading)
-            continue;
-        if (!slot.leaving)
+        if (!slot.loading && !slot.leaving)
             record.resident[adapter] = slot.version;
     }
     const EngineRecord *known = node.facts.engines.find(target);
