An engine with a long queue of loads declines at once

Cause: an engine takes four loads at a time, and an order that is not answered keeps it for 0.3 s. All who wanted an adapter there queued up behind it; nobody forecast when a load would begin.

Change: calls say by when their load has to begin; the holder forecasts that from loads under way, those that came before, and an order that has not been answered, and declines at once if it would be later. After six such answers a call waits for a moment instead of asking on.

--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -25,6 +25,11 @@
 constexpr Duration afterRefusal = std::chrono::milliseconds(60);
 constexpr int mostDoublings = 3;
 constexpr Duration longestBackOffWait = std::chrono::milliseconds(130);
+/**
+ * Engines answer an order within a few ms. One that has not by now is likely lost: nothing can be
+ * ordered before it is given up and the engine has told what it holds.
+ */
+constexpr Duration usualAnswer = std::chrono::milliseconds(60);
 /** Reports lag, so a model that has been loaded shows a little later. */
 constexpr Duration modelTimeSlack = std::chrono::milliseconds(150);
 constexpr Duration tendEvery = std::chrono::milliseconds(250);
@@ -75,6 +80,7 @@
     if (entry == nullptr)
         co_return false;
     held.ordering = true;
+    held.orderingSince = BootClock::now();
     const EngineAddress address{target, entry->endpoint};
     const auto report = co_await node.platform->report(node.http, address, reportTimeout);
     held.ordering = false;
@@ -117,6 +123,7 @@
         slot != held.desk.slots.end() ? BootClock::now() - slot->second.usedAt : Duration::zero();
     const std::int64_t bornBefore = held.desk.born;
     held.ordering = true;
+    held.orderingSince = BootClock::now();
     const OrderOutcome outcome =
         co_await node.platform->order(node.http, address, order, orderTimeout);
     held.ordering = false;
@@ -195,6 +202,53 @@
     return order;
 }
 
+/** When the engine can be ordered next, as far as can be foreseen. */
+Instant ordersFrom(const HeldDesk &held, Instant now)
+{
+    const bool unanswered = held.ordering && now - held.orderingSince > usualAnswer;
+    if (unanswered)
+        return std::max(now, held.orderingSince + orderTimeout + afterRefusal);
+    return std::max(now, held.retryAt);
+}
+
+/** A caller's place among those that wait for loads at an engine. */
+class QueuePlace
+{
+public:
+    QueuePlace(LoadQueue &queue, const std::string &adapter)
+        : queue(queue)
+        , adapter(adapter)
+    {
+        joinQueue(this->queue, this->adapter);
+    }
+
+    QueuePlace(const QueuePlace &) = delete;
+    QueuePlace &operator=(const QueuePlace &) = delete;
+
+    ~QueuePlace()
+    {
+        leaveQueue(this->queue, this->adapter);
+    }
+
+private:
+    LoadQueue &queue;
+    std::string adapter;
+};
+
+/**
+ * True if a load would begin too late for its caller, who finds another engine at once instead, or
+ * is refused while it can still come back. See the test of load_queue for what happens without.
+ */
+bool beginsTooLate(const GatewayNode &node, const HeldDesk &held, const std::string &key,
+                   Instant latest, Instant now)
+{
+    if (held.desk.slots.count(key) > 0)
+        return false;
+    const Duration loadTime = fetchTime(node.loadBeliefs.pace, loadsUnderWay(node) + 1);
+    const int ahead = loadsAhead(held.queue, key);
+    return expectedBegin(held.desk, ahead, loadTime, ordersFrom(held, now)) > latest;
+}
+
 } // namespace
 
 bool isOrderable(const GatewayNode &node, const std::string &target)
@@ -209,6 +263,10 @@
     const std::string key = adapterKey(request.model(), request.adapter());
     if (request.missed() && !deskOf(node, target).ordering)
         noteMissing(deskOf(node, target).desk, key, node.loadBeliefs, begun);
+    const Duration beginWithin = request.begin_within_ms() > 0
+        ? Duration(std::chrono::milliseconds(request.begin_within_ms()))
+        : loadPatience;
+    const QueuePlace place(deskOf(node, target).queue, key);
     while (BootClock::now() - begun < loadPatience) {
         const TargetEntry *entry = entryOf(node, target);
         const EngineSpec *spec = entry != nullptr ? specOf(node, *entry) : nullptr;
@@ -217,6 +275,8 @@
         HeldDesk &held = deskOf(node, target);
         const ModelSpec *model = baseModel(*spec);
         held.desk.adapterSlots = model != nullptr ? adapterCapacity(*spec, *model) : 0;
+        if (beginsTooLate(node, held, key, begun + beginWithin, BootClock::now()))
+            co_return loadReply(v1::LOAD_OUTCOME_NO_SLOT);
         if (held.ordering) {
             co_await held.changed.wait(orderTimeout);
             continue;
@@ -256,7 +316,7 @@
             break;
         }
         case DeskStep::NoSlot:
-            if (now - begun > slotPatience)
+            if (now - begun > std::min(slotPatience, beginWithin))
                 co_return loadReply(v1::LOAD_OUTCOME_NO_SLOT);
             co_await held.changed.wait(slotLook);
             break;
@@ -282,9 +342,9 @@
 
 asio::awaitable<bool> askLoad(GatewayNode &node, std::string target, std::string model,
                               std::string adapter, std::int64_t version, bool missed,
-                              Duration patience)
+                              LoadPatience limits)
 {
-    const Duration most = std::min(patience, loadPatience);
+    const Duration most = std::min(limits.whole, loadPatience);
     const auto key = std::make_pair(target, adapter);
     const auto underWay = node.loadsAsked.find(key);
     if (underWay != node.loadsAsked.end()) {
@@ -302,6 +362,7 @@
     request.set_adapter(adapter.substr(adapter.find('/') + 1));
     request.set_version(version);
     request.set_missed(missed);
+    request.set_begin_within_ms(static_cast<std::uint32_t>(toMillis(limits.begin)));
     const Instant begun = BootClock::now();
     std::optional<v1::LoadReply> reply;
     if (mayOrderNow(node, target)) {
--- a/libs/gateway/src/EngineOrders.h
+++ b/libs/gateway/src/EngineOrders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <string>
 
 #include "GatewayNode.h"
@@ -9,6 +10,15 @@
 /** True if some reachable gateway may order this engine now. */
 bool isOrderable(const GatewayNode &node, const std::string &target);
 
+/** How long a call waits for the load of its adapter at one engine. */
+struct LoadPatience
+{
+    Duration whole{}; ///< until it is there
+    Duration begin{}; ///< until it is ordered; an engine that is busy for longer declines at once
+
+    auto operator<=>(const LoadPatience &) const = default;
+};
+
 /**
  * Has an adapter loaded, by this gateway or by the one that orders the engine. Calls that want the
  * same wait for one order. `missed`: the engine refused a call although it was taken to hold the
@@ -16,7 +26,7 @@
  */
 asio::awaitable<bool> askLoad(GatewayNode &node, std::string target, std::string model,
                               std::string adapter, std::int64_t version, bool missed,
-                              Duration patience);
+                              LoadPatience limits);
 
 /** Carries out a load for this gateway or a peer. */
 asio::awaitable<gateway::v1::LoadReply> loadHere(GatewayNode &node,
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -23,6 +23,7 @@
 #include "serving/EngineBoard.h"
 #include "serving/EngineRecord.h"
 #include "serving/HolderLease.h"
+#include "serving/LoadQueue.h"
 #include "serving/OrderDesk.h"
 #include "serving/ServiceRetryBudget.h"
 #include "serving/ServingConfig.h"
@@ -97,8 +98,10 @@
 
     OrderDesk desk;
     bool ordering = false; ///< an order or report is under way
+    Instant orderingSince{}; ///< of the last one
     Instant retryAt{}; ///< no order or report before this
     int refusals = 0; ///< in a row
+    LoadQueue queue;
     Signal changed;
 };
 
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -22,6 +22,10 @@
 constexpr double timeLeftShare = 0.35;
 /** For routes that name no objective. */
 constexpr Duration leastPlacePatience = std::chrono::milliseconds(300);
+/** For a call whose patience is nearly over: an engine that is not busy still takes its load. */
+constexpr Duration leastBeginWait = std::chrono::milliseconds(20);
+/** Engines in a row that decline a load at once; then all are taken as busy for a moment. */
+constexpr std::size_t mostDeclines = 6;
 constexpr Duration roomLook = std::chrono::milliseconds(40);
 
 /** Callers of refused calls come back after about a load's time. */
@@ -179,7 +183,10 @@
                                              : refusal("no engine may be ordered", comeBackLater);
             co_return placement;
         }
-        if (choice.step == EngineStep::Full) {
+        const bool noneTakesIt = run.unloadable.size() >= mostDeclines;
+        const bool wait =
+            choice.step == EngineStep::Full || (choice.step == EngineStep::Load && noneTakesIt);
+        if (wait) {
             run.unloadable.clear();
             co_await node.engineChanged.wait(roomLook);
             continue;
@@ -188,8 +195,11 @@
         if (choice.step == EngineStep::Load) {
             ++run.loads;
             const bool missed = run.missedAt == id;
+            LoadPatience patience;
+            patience.whole = timeLeft(run);
+            patience.begin = std::max(refuseAt - BootClock::now(), leastBeginWait);
             const bool loaded = co_await askLoad(node, id, run.facts.model, need.adapter,
-                                                 need.version, missed, timeLeft(run));
+                                                 need.version, missed, patience);
             if (missed)
                 run.missedAt.clear();
             if (!loaded) {
