A zone keeps its relay in an outage, and its holders through a change of relay

Each former relay went on telling what had been reported to it, so calls and slots were counted two and three times: engines looked full and 470 to 640 calls a second were refused as "no engine has room" while no load was declined. Ruled out: lost leases (held until 39.9 s). And: a relay asks no mate that reports to it, so one that it had asked while it started was "starting" for ever. It let one VM of 21 hold beside it; when another VM relayed for 0.3 s, three more joined, the store dealt all engines anew, and those that moved got no orders for 6 s.

Change: a VM steps down only for a mate that has reached the store since; who stops relaying forgets what was reported to it; reports say whether their VM is starting, cut off, or holding; holders go on as long as they can be reached.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -200,7 +200,7 @@
         node.starts = own.starts;
     };
     sink.storeReachable = [&node](bool reachable, const std::string &why) {
-        node.storeFailedAt = reachable ? Instant{} : BootClock::now();
+        noteStoreAnswer(node, reachable, BootClock::now());
         if (reachable == node.storeUp)
             return;
         node.storeUp = reachable;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -22,6 +22,25 @@
  */
 constexpr Duration storeFailureCounts = std::chrono::seconds(20);
 
+/**
+ * Those that order engines call the store every 0.5 s, and are heard 0.1 s later: a mate that the
+ * store has answered this long before this VM's first failure may still reach it.
+ */
+constexpr Duration storeCallsApart = std::chrono::milliseconds(600);
+
+// Symptom without this: in a cut zone of 21 VMs each became the relay for a second, in turn, and
+// their calls were refused for 4 s. Sequence: no VM of the zone reaches the store; the relay says
+// so and steps down for the next one, which has not tried yet. Cause: a mate that nothing is known
+// of was taken for one that reaches the store.
+bool mateReachesStore(const GatewayNode &node)
+{
+    return std::any_of(node.peers.begin(), node.peers.end(), [&node](const auto &entry) {
+        const PeerState &peer = entry.second;
+        const bool mate = peer.zone == node.settings.zone && peer.storeReachedAt != Instant{};
+        return mate && peer.storeReachedAt + storeCallsApart > node.storeFailingSince;
+    });
+}
+
 } // namespace
 
 GatewayNode::GatewayNode(const GatewaySettings &settings)
@@ -90,13 +109,26 @@
     return version == nullptr ? 0 : *version;
 }
 
+void noteStoreAnswer(GatewayNode &node, bool answered, Instant now)
+{
+    if (answered) {
+        node.storeReachedAt = now;
+        node.storeFailedAt = Instant{};
+        node.storeFailingSince = Instant{};
+        return;
+    }
+    node.storeFailedAt = now;
+    if (node.storeFailingSince == Instant{})
+        node.storeFailingSince = now;
+}
+
 RelayRank ownRank(const GatewayNode &node)
 {
     RelayRank rank;
     const bool failed = node.storeFailedAt != Instant{}
         && BootClock::now() - node.storeFailedAt < storeFailureCounts;
     // A VM that is stopping relays only if nobody else can.
-    rank.storeAway = node.shuttingDown || (failed && !node.storeUp);
+    rank.storeAway = node.shuttingDown || (failed && !node.storeUp && mateReachesStore(node));
     rank.capacity = node.shuttingDown ? 0 : node.settings.capacity;
     rank.hash = stableHash(node.settings.vm);
     return rank;
@@ -139,12 +171,7 @@
 TargetUse totalLoad(const GatewayNode &node, const std::string &target)
 {
     TargetUse total;
-    visitUses(node, target, [&total](const TargetUse &use) {
-        total.waitingTokens += use.waitingTokens;
-        total.heldTokens += use.heldTokens;
-        total.runs += use.runs;
-        total.busySlots += use.busySlots;
-    });
+    visitUses(node, target, [&total](const TargetUse &use) { addUse(total, use); });
     return total;
 }
 
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -75,6 +75,8 @@
     bool stopping = false;
     bool leaseLeft = false; ///< by its last word, this boot orders no engines any more
     bool storeAway = false;
+    bool holding = false; ///< it is one of those that order engines of its zone
+    Instant storeReachedAt{}; ///< the store answered it last, by its own word; zero: not known
 
     // Exchanges that this VM begins.
     bool asking = false; ///< one is under way
@@ -220,6 +222,8 @@
     Signal newsDue; ///< something that the relay should hear before the next regular report
     bool storeUp = false;
     Instant storeFailedAt{}; ///< last attempt to read the store that failed; zero: none
+    Instant storeFailingSince{}; ///< the first that failed since it last answered; zero: none
+    Instant storeReachedAt{}; ///< the store answered this VM last; zero: never
     bool shuttingDown = false;
     bool leaseLeft = false; ///< it has left those that order engines, and does not come back
     bool stopped = false;
@@ -245,6 +249,9 @@
 /** The version of an adapter that is in force; 0 if none was named. */
 std::int64_t versionInForce(const GatewayNode &node, const std::string &adapter);
 
+/** The store has answered this VM, or has failed to. */
+void noteStoreAnswer(GatewayNode &node, bool answered, Instant now);
+
 /** What this VM tells others of its own standing. */
 RelayRank ownRank(const GatewayNode &node);
 
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -196,7 +196,7 @@
         node.renewed = grant.has_value();
         node.renewalFailing = !grant;
         if (grant)
-            node.storeFailedAt = Instant{};
+            noteStoreAnswer(node, true, BootClock::now());
         if (grant && !node.leaseLeft) {
             const std::size_t before = node.lease.orderFrom.size();
             renewLease(node.lease, *grant, node.settings.lease, sentAt, BootClock::now());
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -101,6 +101,12 @@
     }
 }
 
+/** Time since `at`; at least 1, as 0 stands for "not known". */
+std::uint32_t sinceMs(Instant at)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(toMillis(BootClock::now() - at), 1));
+}
+
 std::shared_ptr<v1::Report> reportTo(GatewayNode &node, const PeerState &peer, bool withUse)
 {
     auto report = std::make_shared<v1::Report>();
@@ -110,6 +116,11 @@
     report->set_known_change(peer.seenChange);
     report->set_config_version(node.routes->config().version);
     report->set_stopping(node.shuttingDown);
+    report->set_starting(isStarting(node));
+    report->set_store_away(ownRank(node).storeAway);
+    report->set_holding(node.mayHold && !node.leaseLeft);
+    if (node.storeReachedAt != Instant{})
+        report->set_store_reached_ago_ms(sinceMs(node.storeReachedAt));
     if (!withUse)
         return report;
     const bool mate = peer.zone == node.settings.zone;
@@ -279,6 +290,15 @@
     peer.heardAt = now;
     peer.failures = 0;
     peer.stopping = report.stopping();
+    // Symptom without these: a relay took all mates that it had asked while they started for
+    // starting ever after, as it asks none that reports to it. It let one of 21 VMs hold engines
+    // beside it; when another VM became the relay, three more joined, and all engines got no orders
+    // for 3 to 6 s.
+    peer.starting = report.starting();
+    peer.storeAway = report.store_away();
+    peer.holding = report.holding();
+    if (report.store_reached_ago_ms() > 0)
+        peer.storeReachedAt = now - std::chrono::milliseconds(report.store_reached_ago_ms());
     const bool mate = report.from().zone() == node.settings.zone;
     if (report.carries_use()) {
         peer.reportedAt = now;
--- a/libs/gateway/src/RelayLoops.cpp
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -36,22 +36,23 @@
     return (node.vmsRead && !listMayGrow) || now - node.bootedAt > listPatience;
 }
 
-void noteRelaying(GatewayNode &node, bool relaying)
+} // namespace
+
+// Those that reported here report to the next relay now, and this VM does so, too. Kept on, their
+// reports would be told on and counted twice: engines then look full, and calls are refused.
+void setRelaying(GatewayNode &node, bool relaying)
 {
     if (node.relaying == relaying)
         return;
     node.relaying = relaying;
     if (!relaying)
-        std::erase_if(node.reported.reports, [&node](const auto &report) {
-            const bool ofZone = report.first.starts_with(zoneReporter);
-            if (ofZone)
-                subtractUses(node.reported.total, report.second.uses);
-            return ofZone;
-        });
+        node.reported = UseLedger();
     logEvent(EventId::RelayChanged,
              {{"relaying", relaying ? "yes" : "no"}, {"peers", std::to_string(node.peers.size())}});
 }
 
+namespace {
+
 Duration reportSpacing(const GatewayNode &node)
 {
     const auto mates = std::count_if(node.peers.begin(), node.peers.end(),
@@ -89,7 +90,7 @@
         }
         const ZoneMates zone = matesOf(node, node.settings.zone);
         const RelayRank self = ownRank(node);
-        noteRelaying(node, isRelay(self, zone.mates));
+        setRelaying(node, isRelay(self, zone.mates));
         const auto upstream = chooseUpstream(self, isStarting(node), zone.mates);
         if (!upstream) {
             node.upstream = UpstreamWord();
--- a/libs/gateway/src/RelayLoops.h
+++ b/libs/gateway/src/RelayLoops.h
@@ -4,6 +4,9 @@
 
 namespace monsoonbay {
 
+/** This VM begins or ends to read the store for its zone. */
+void setRelaying(GatewayNode &node, bool relaying);
+
 /** Reports to the relay of the zone and learns from it; finds another when it falls silent. */
 asio::awaitable<void> upstreamLoop(GatewayNode &node);
 
--- a/libs/gateway/src/ZoneView.cpp
+++ b/libs/gateway/src/ZoneView.cpp
@@ -32,6 +32,7 @@
         mate.rank = rankOf(peer);
         mate.reachable = isReachable(peer, now);
         mate.starting = peer.starting;
+        mate.holding = peer.holding;
         found.mates.push_back(mate);
         found.peers.push_back(&peer);
     }
--- a/libs/gateway/tests/Peers.cpp
+++ b/libs/gateway/tests/Peers.cpp
@@ -1,6 +1,7 @@
 #include "Feeds.h"
 #include "GatewayNode.h"
 #include "PeerExchange.h"
+#include "RelayLoops.h"
 
 #include <criterion/criterion.h>
 
@@ -71,3 +72,69 @@
     cr_assert_eq(second.targets_size(), 1);
     cr_assert(second.targets(0).leaving());
 }
+
+// Symptom: callers of a cut zone of 21 VMs were refused for 4 s, "no engine has room", while its
+// engines stood half empty. Sequence: no VM of the zone reaches the store; the relay steps down,
+// the next one tries for a second and steps down, too. Cause: mates that nothing was known of were
+// taken for such that reach the store.
+Test(peers, a_relay_steps_down_only_for_a_mate_that_reaches_the_store)
+{
+    GatewaySettings settings;
+    settings.vm = "vm-1";
+    settings.zone = "zone-a";
+    settings.peers = {"10.0.0.1", 7380};
+    GatewayNode node(settings);
+    auto report = reportFrom("vm-7", 0, 0, 1);
+    report.set_store_reached_ago_ms(5000);
+    answerReport(node, report);
+    const Instant now = BootClock::now();
+    noteStoreAnswer(node, false, now);
+    cr_assert(!ownRank(node).storeAway, "nobody of the zone is known to do better");
+    report.set_sequence(2);
+    report.set_store_reached_ago_ms(10);
+    answerReport(node, report);
+    cr_assert(ownRank(node).storeAway);
+    noteStoreAnswer(node, true, now);
+    cr_assert(!ownRank(node).storeAway);
+}
+
+// Symptom: engines with half of their slots in use were taken as full, in the seconds after each
+// change of the relay. Sequence: VMs report their calls to the new relay; the former one, which
+// reports there, too, still counts them among its own. Cause: it kept their last reports.
+Test(peers, a_former_relay_does_not_tell_on_what_it_was_told)
+{
+    GatewaySettings settings;
+    settings.vm = "vm-1";
+    settings.zone = "zone-a";
+    settings.peers = {"10.0.0.1", 7380};
+    GatewayNode node(settings);
+    setRelaying(node, true);
+    auto report = reportFrom("vm-7", 0, 0, 1);
+    report.set_carries_use(true);
+    report.add_uses()->set_target("t");
+    report.mutable_uses(0)->set_runs(3);
+    answerReport(node, report);
+    cr_assert_eq(totalLoad(node, "t").runs, 3);
+    setRelaying(node, false);
+    cr_assert_eq(totalLoad(node, "t").runs, 0);
+}
+
+// Symptom: two VMs of 21 held the engines of a zone, and three more joined within a day's third
+// second, which left all engines without orders for 3 to 6 s. Sequence: the relay asks a mate that
+// is still starting; from then on the mate reports, so it is not asked again. Cause: that it had
+// started did not stand in its reports.
+Test(peers, a_mate_that_has_started_may_hold)
+{
+    GatewaySettings settings;
+    settings.vm = "vm-1";
+    settings.zone = "zone-a";
+    settings.peers = {"10.0.0.1", 7380};
+    GatewayNode node(settings);
+    auto report = reportFrom("vm-7", 0, 0, 1);
+    report.set_carries_use(true);
+    report.set_starting(true);
+    cr_assert(!answerReport(node, report).may_hold());
+    report.set_sequence(2);
+    report.set_starting(false);
+    cr_assert(answerReport(node, report).may_hold());
+}
--- a/libs/serving/include/serving/ZoneRelay.h
+++ b/libs/serving/include/serving/ZoneRelay.h
@@ -30,6 +30,7 @@
     RelayRank rank;
     bool reachable = true; ///< it has not failed to answer lately, and is not stopping
     bool starting = false; ///< it knows no configuration or targets yet
+    bool holding = false; ///< it is one of those that order engines
 
     auto operator<=>(const RelayMate &) const = default;
 };
@@ -47,7 +48,11 @@
 std::optional<std::size_t> chooseUpstream(const RelayRank &self, bool selfStarting,
                                           const std::vector<RelayMate> &mates) noexcept;
 
-/** The mates that a relay lets order engines beside itself: `most` of the best-ranked. */
+/**
+ * The mates that a relay lets order engines beside itself: `most` of the best-ranked, those that do
+ * so already before all others. Each that joins has the engines dealt anew, and those that move get
+ * no orders for seconds.
+ */
 std::vector<std::size_t> chooseHolders(const std::vector<RelayMate> &mates, std::size_t most);
 
 } // namespace monsoonbay
--- a/libs/serving/src/ZoneRelay.cpp
+++ b/libs/serving/src/ZoneRelay.cpp
@@ -58,6 +58,8 @@
             chosen.push_back(index);
     }
     std::sort(chosen.begin(), chosen.end(), [&](std::size_t left, std::size_t right) {
+        if (mates[left].holding != mates[right].holding)
+            return mates[left].holding;
         return ranksBefore(mates[left].rank, mates[right].rank);
     });
     if (chosen.size() > most)
--- a/libs/serving/tests/Relays.cpp
+++ b/libs/serving/tests/Relays.cpp
@@ -108,6 +108,20 @@
     cr_assert_eq(chooseHolders(mates, 2), (std::vector<std::size_t>{1, 3}));
 }
 
+// Symptom: when another VM became the relay, engines of the zone got no orders for 3 to 6 s.
+// Sequence: the new relay ranks its mates by what it has seen of them, lets others hold than the
+// former one did, and the store deals all engines anew. Cause: who holds already did not count.
+Test(relays, those_that_hold_already_go_on)
+{
+    std::vector<RelayMate> mates{mate(0.5, 1), mate(0.25, 2), mate(0.12, 3), mate(0.12, 4)};
+    mates[2].holding = true;
+    mates[3].holding = true;
+    mates[3].rank.storeAway = true;
+    cr_assert_eq(chooseHolders(mates, 2), (std::vector<std::size_t>{2, 3}));
+    mates[2].reachable = false;
+    cr_assert_eq(chooseHolders(mates, 2), (std::vector<std::size_t>{3, 0}));
+}
+
 // The sum must be the same as adding all reports up anew, whatever came, went and was replaced:
 // what is left behind would make an engine look busy for ever.
 Test(relays, the_ledger_is_the_sum_of_the_newest_reports)
