Whether a target fails is known by the calls of all VMs

Cause: each of 70 VMs sends an engine a call in four seconds, and judged it by its own calls alone, of which it needed two.

Change: what a VM's calls met in the last second goes with its reports of load, as sums; a target is left out while failures outweigh good answers over all VMs, and is tried anew when the memory fades.

--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -172,6 +172,9 @@
 {
     TargetUse total;
     visitUses(node, target, [&total](const TargetUse &use) { addUse(total, use); });
+    const auto own = node.targets.find(target);
+    if (own != node.targets.end())
+        addHealth(total, own->second->health, BootClock::now());
     return total;
 }
 
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -99,6 +99,8 @@
     told.set_held_tokens(wholeTokens(use.heldTokens));
     told.set_runs(use.runs);
     told.set_busy_slots(use.busySlots);
+    told.set_faults(static_cast<std::uint32_t>(std::max(use.faults, 0)));
+    told.set_goods(static_cast<std::uint32_t>(std::max(use.goods, 0)));
 }
 
 TargetUse decodeUse(const v1::EngineUse &told)
@@ -108,6 +110,8 @@
     use.heldTokens = static_cast<double>(told.held_tokens());
     use.runs = told.runs();
     use.busySlots = told.busy_slots();
+    use.faults = static_cast<int>(told.faults());
+    use.goods = static_cast<int>(told.goods());
     return use;
 }
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -38,8 +38,10 @@
 TargetUses ownUses(GatewayNode &node)
 {
     TargetUses uses;
+    const Instant now = BootClock::now();
     for (const auto &[target, runtime] : node.targets) {
         TargetUse use = runtime->own;
+        addHealth(use, runtime->health, now);
         use.busySlots = busySlots(node, target);
         if (!isUnused(use))
             uses[target] = use;
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -71,9 +71,9 @@
     return answer;
 }
 
-bool isUsable(GatewayNode &node, const std::string &target, Instant now)
+bool isUsable(GatewayNode &node, const std::string &target, const TargetUse &all, Instant now)
 {
-    return !isEjected(runtimeOf(node, target).health, now);
+    return !isEjected(runtimeOf(node, target).health, now) && !isFailing(all);
 }
 
 /** True if ejections leave too few targets: then they are set aside rather than the callers. */
@@ -117,7 +117,7 @@
         view.heldTokens = use.heldTokens;
         view.runs = use.runs;
         view.cachedTokens = cachedTokens(run, runtime);
-        view.usable = isUsable(node, entry.id, now);
+        view.usable = isUsable(node, entry.id, use, now);
         view.hasModel = runtime.models.count(run.facts.model) > 0;
         const EngineRecord *record = node.facts.engines.find(entry.id);
         view.warm = record != nullptr
@@ -228,7 +228,7 @@
         view.zone = record->entry.zone;
         view.slots = record->entry.slots;
         view.runs = runtimeOf(node, view.id).own.runs;
-        view.usable = isUsable(node, view.id, now);
+        view.usable = isUsable(node, view.id, totalLoad(node, view.id), now);
         views.push_back(std::move(view));
     }
     keepSomeUsable(views);
--- a/libs/serving/include/serving/TargetHealth.h
+++ b/libs/serving/include/serving/TargetHealth.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "core/Time.h"
+#include "serving/TargetUse.h"
 
 namespace monsoonbay {
 
@@ -20,6 +21,8 @@
 {
     double badness = 0; ///< decayed sum of weighted failures
     double goods = 0; ///< decayed count of good answers
+    double lateFaults = 0; ///< as badness and goods, but of the last second only: told to all VMs
+    double lateGoods = 0;
     Instant updatedAt{};
     Instant ejectedUntil{};
     int ejections = 0; ///< in a row, without a good answer between
@@ -30,4 +33,10 @@
 
 bool isEjected(const TargetHealth &health, Instant now) noexcept;
 
+/** Adds what this VM has seen of a target lately to its use of it. */
+void addHealth(TargetUse &use, const TargetHealth &health, Instant now);
+
+/** True if calls fail at the target, by what all VMs together have seen lately. */
+bool isFailing(const TargetUse &all) noexcept;
+
 } // namespace monsoonbay
--- a/libs/serving/include/serving/TargetUse.h
+++ b/libs/serving/include/serving/TargetUse.h
@@ -5,20 +5,22 @@
 
 namespace monsoonbay {
 
-/** What calls take of a target: those of one VM, or of several together. */
+/** What calls take of a target, and how they ended lately: of one VM, or of several together. */
 struct TargetUse
 {
     double waitingTokens = 0; ///< of calls without a first event
     double heldTokens = 0;
     int runs = 0;
     int busySlots = 0; ///< adapter slots in use by calls of all VMs; told by the engine's holder
+    int faults = 0; ///< weight of the calls that failed there lately, in tenths; see TargetHealth
+    int goods = 0; ///< calls that ended well there lately, in tenths
 
     bool operator==(const TargetUse &) const = default;
 };
 
 using TargetUses = std::unordered_map<std::string, TargetUse>; ///< by target id
 
-/** True if nothing is under way there. */
+/** True if nothing is under way there, and nothing was lately. */
 bool isUnused(const TargetUse &use) noexcept;
 
 /** Adds `use` to `sum`. */
--- a/libs/serving/src/TargetHealth.cpp
+++ b/libs/serving/src/TargetHealth.cpp
@@ -22,6 +22,14 @@
 constexpr double ejectBadness = 2.4;
 constexpr double ejectRatio = 1.0;
 
+/** The same for what is told to all VMs: together they make ten times as many calls there, s. */
+constexpr double lateHalfLife = 0.5;
+
+/** Three calls of different VMs that met no target, say; one VM alone may be cut off itself. */
+constexpr int failingFaults = 35; ///< tenths
+
+constexpr double tenths = 10;
+
 constexpr Duration firstEjection = std::chrono::milliseconds(1000);
 constexpr int longestDoubling = 2; ///< 4 s: faults of the users' list last 2 to 7 s
 
@@ -47,9 +55,17 @@
     const double factor = std::exp2(-toSeconds(now - health.updatedAt) / halfLife);
     health.badness *= factor;
     health.goods *= factor;
+    const double lateFactor = std::exp2(-toSeconds(now - health.updatedAt) / lateHalfLife);
+    health.lateFaults *= lateFactor;
+    health.lateGoods *= lateFactor;
     health.updatedAt = now;
 }
 
+int inTenths(double count)
+{
+    return static_cast<int>(std::lround(count * tenths));
+}
+
 } // namespace
 
 bool noteOutcome(TargetHealth &health, SendOutcome outcome, Instant now)
@@ -57,10 +73,12 @@
     fade(health, now);
     if (outcome == SendOutcome::Good) {
         health.goods += 1;
+        health.lateGoods += 1;
         health.ejections = 0;
         return false;
     }
     health.badness += weightOf(outcome);
+    health.lateFaults += weightOf(outcome);
     const bool bad = health.badness >= ejectBadness && health.badness > ejectRatio * health.goods;
     if (!bad || isEjected(health, now))
         return false;
@@ -78,4 +96,19 @@
     return now < health.ejectedUntil;
 }
 
+void addHealth(TargetUse &use, const TargetHealth &health, Instant now)
+{
+    const double factor = std::exp2(-toSeconds(now - health.updatedAt) / lateHalfLife);
+    use.faults += inTenths(health.lateFaults * factor);
+    use.goods += inTenths(health.lateGoods * factor);
+}
+
+// Each of many VMs sends a target a call in seconds only: when it is gone, each would find out for
+// itself, at a connection that is waited for in vain. The calls of all together tell it in some
+// tenths of a second; and with nobody sending there, the memory fades and the target is tried anew.
+bool isFailing(const TargetUse &all) noexcept
+{
+    return all.faults >= failingFaults && all.faults > all.goods;
+}
+
 } // namespace monsoonbay
--- a/libs/serving/src/TargetUse.cpp
+++ b/libs/serving/src/TargetUse.cpp
@@ -4,7 +4,7 @@
 
 bool isUnused(const TargetUse &use) noexcept
 {
-    return use.runs == 0 && use.busySlots == 0;
+    return use.runs == 0 && use.busySlots == 0 && use.faults == 0 && use.goods == 0;
 }
 
 void addUse(TargetUse &sum, const TargetUse &use)
@@ -13,6 +13,8 @@
     sum.heldTokens += use.heldTokens;
     sum.runs += use.runs;
     sum.busySlots += use.busySlots;
+    sum.faults += use.faults;
+    sum.goods += use.goods;
 }
 
 void subtractUse(TargetUse &sum, const TargetUse &use)
@@ -21,6 +23,8 @@
     sum.heldTokens -= use.heldTokens;
     sum.runs -= use.runs;
     sum.busySlots -= use.busySlots;
+    sum.faults -= use.faults;
+    sum.goods -= use.goods;
 }
 
 void addUses(TargetUses &sums, const TargetUses &uses)
--- a/libs/serving/tests/Targets.cpp
+++ b/libs/serving/tests/Targets.cpp
@@ -224,3 +224,46 @@
     cr_assert_eq(choosePlain(views, "z1", {}, 0), 0);
     cr_assert(!choosePlain(views, "z1", {"near"}, 0));
 }
+
+namespace {
+
+/** What `vms` VMs together tell of a target, each of which has seen these outcomes at `at`. */
+TargetUse seenByAll(int vms, const std::vector<SendOutcome> &outcomes, Instant at, Instant now)
+{
+    TargetUse all;
+    for (int vm = 0; vm < vms; ++vm) {
+        TargetHealth health;
+        for (const SendOutcome outcome : outcomes)
+            noteOutcome(health, outcome, at);
+        TargetUse use;
+        addHealth(use, health, now);
+        addUse(all, use);
+    }
+    return all;
+}
+
+} // namespace
+
+// Symptom: with 70 VMs, 700 calls a second met engines that were gone, each after 250 ms of waiting
+// for a connection, for as long as the list still named them. Sequence: a quarter of 60 engines
+// crash; each VM sends one of them a call in four seconds. Cause: each VM judged targets by its own
+// calls alone, of which it needed two.
+Test(targets, what_many_vms_saw_once_each_is_known_to_all)
+{
+    const TargetUse gone = seenByAll(3, {SendOutcome::Unreachable}, start, start + 100ms);
+    cr_assert(isFailing(gone));
+    const TargetUse once = seenByAll(1, {SendOutcome::Unreachable}, start, start);
+    cr_assert(!isFailing(once), "one VM may be cut off itself");
+    const TargetUse later = seenByAll(8, {SendOutcome::Unreachable}, start, start + 2s);
+    cr_assert(!isFailing(later), "it is tried anew");
+}
+
+Test(targets, a_target_with_errors_of_its_own_is_not_failing)
+{
+    std::vector<SendOutcome> outcomes(6, SendOutcome::Good);
+    outcomes.push_back(SendOutcome::Failed);
+    cr_assert(!isFailing(seenByAll(70, outcomes, start, start)));
+    const std::vector<SendOutcome> half{SendOutcome::Good, SendOutcome::Failed};
+    cr_assert(!isFailing(seenByAll(70, half, start, start)),
+              "with less than it does well it is worth more than none");
+}
