A connection to a target ends 1 s after data that nobody acknowledged, not 2.5 s

Cause: in a cut zone calls go out on kept connections to engines that cannot be reached any more; each waits for 2.5 s, by which its caller's objective is over five times, and only then does it tell that the target fails.

Change: 1 s, which a packet that is lost twice in a row still keeps to.

--- a/libs/gateway/src/TargetPool.cpp
+++ b/libs/gateway/src/TargetPool.cpp
@@ -30,7 +30,7 @@
  * Data that nobody has acknowledged for this long ends the connection. A link that falls silent
  * without a reset shows in no other way; the partitions of the users' list last 4 s and more.
  */
-constexpr unsigned unacknowledgedMs = 2500;
+constexpr unsigned unacknowledgedMs = 1000;
 constexpr int probeAfterSeconds = 1;
 constexpr int probeEverySeconds = 1;
 constexpr int probesLost = 3;
