--- a/libs/gateway/tests/Peers.cpp
+++ b/libs/gateway/tests/Peers.cpp
@@ -26,6 +26,15 @@
 
 namespace {
 
+GatewaySettings settingsOfVm1()
+{
+    GatewaySettings settings;
+    settings.vm = "vm-1";
+    settings.zone = "zone-a";
+    settings.peers = {"10.0.0.1", 7380};
+    return settings;
+}
+
 TargetEntry listedTarget(const std::string &id, bool leaving)
 {
     TargetEntry entry;
@@ -58,11 +67,7 @@
 // says it. Cause: the older entry was told on as "stays", and the newer one held for nothing new.
 Test(peers, leaving_is_told_on_whatever_older_entries_say)
 {
-    GatewaySettings settings;
-    settings.vm = "vm-1";
-    settings.zone = "zone-a";
-    settings.peers = {"10.0.0.1", 7380};
-    GatewayNode node(settings);
+    GatewayNode node(settingsOfVm1());
     takeTargetsByPeer(node, {listedTarget("t", false)}, false);
     const auto first = answerReport(node, reportFrom("vm-7", 0, 0, 1));
     noteLeavingByPeer(node, "t");
@@ -79,11 +84,7 @@
 // taken for such that reach the store.
 Test(peers, a_relay_steps_down_only_for_a_mate_that_reaches_the_store)
 {
-    GatewaySettings settings;
-    settings.vm = "vm-1";
-    settings.zone = "zone-a";
-    settings.peers = {"10.0.0.1", 7380};
-    GatewayNode node(settings);
+    GatewayNode node(settingsOfVm1());
     auto report = reportFrom("vm-7", 0, 0, 1);
     report.set_store_reached_ago_ms(5000);
     answerReport(node, report);
@@ -103,11 +104,7 @@
 // reports there, too, still counts them among its own. Cause: it kept their last reports.
 Test(peers, a_former_relay_does_not_tell_on_what_it_was_told)
 {
-    GatewaySettings settings;
-    settings.vm = "vm-1";
-    settings.zone = "zone-a";
-    settings.peers = {"10.0.0.1", 7380};
-    GatewayNode node(settings);
+    GatewayNode node(settingsOfVm1());
     setRelaying(node, true);
     auto report = reportFrom("vm-7", 0, 0, 1);
     report.set_carries_use(true);
@@ -125,11 +122,7 @@
 // started did not stand in its reports.
 Test(peers, a_mate_that_has_started_may_hold)
 {
-    GatewaySettings settings;
-    settings.vm = "vm-1";
-    settings.zone = "zone-a";
-    settings.peers = {"10.0.0.1", 7380};
-    GatewayNode node(settings);
+    GatewayNode node(settingsOfVm1());
     auto report = reportFrom("vm-7", 0, 0, 1);
     report.set_carries_use(true);
     report.set_starting(true);
