Log lines: how long a silent mate was waited for, how large a configuration is

Cause: member-silent said "no answer" both for a mate that cannot be reached and for one whose answer was still under way; config-in-force did not tell how much had to be moved. Monitoring had to stand in. Change: member-silent tells waitedMs, config-in-force tells bytes. No decision changes.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -38,6 +38,7 @@
              {{"version", std::to_string(version)},
               {"before", std::to_string(before)},
               {"routes", std::to_string(node.routes->config().routes.size())},
+              {"bytes", std::to_string(node.configDocument.size())},
               {"source", source}});
 }
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -414,6 +414,7 @@
     peer.asking = true;
     const std::uint64_t told = node.facts.counter.last;
     const std::shared_ptr<const v1::Report> report = reportTo(node, peer, withUse);
+    const Instant asked = BootClock::now();
     const auto digest = co_await node.links.exchange(endpoint, report, reportTimeout);
     const auto found = node.peers.find(endpoint);
     if (found == node.peers.end())
@@ -422,9 +423,12 @@
     answered.asking = false;
     const Instant now = BootClock::now();
     if (!digest) {
+        // The time tells a mate that cannot be reached from one whose answer was still under way.
         if (answered.failures == 0)
-            logEvent(EventId::MemberSilent,
-                     {{"peer", answered.name}, {"at", endpoint.text()}, {"why", "no answer"}});
+            logEvent(EventId::MemberSilent, {{"peer", answered.name},
+                                             {"at", endpoint.text()},
+                                             {"why", "no answer"},
+                                             {"waitedMs", std::to_string(toMillis(now - asked))}});
         noteFailure(answered, now);
         co_return false;
     }
