--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,7 +23,8 @@
     Endpoint callers;
     Endpoint readiness;
     Endpoint operators;
-    Endpoint peers;
+    Endpoint peers; ///< where other VMs reach this one
+    std::optional<Endpoint> peersListen; ///< where it listens for them, if not there
     bool firstStart = false; ///< the whole system starts for the first time
     std::vector<Endpoint> seeds; ///< peers to begin with
     Endpoint store; ///< the platform's metadata store
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -74,8 +74,10 @@
         handlers.load = [this](gateway::v1::LoadRequest request) {
             return loadHere(this->node, std::move(request));
         };
-        this->node.settings.peers.port =
-            this->node.links.listen(this->node.context, settings.peers, std::move(handlers));
+        this->peersPort = this->node.links.listen(
+            this->node.context, settings.peersListen.value_or(settings.peers), std::move(handlers));
+        if (!settings.peersListen)
+            this->node.settings.peers.port = this->peersPort;
         spawn(this->node, "follow platform", followPlatform(this->node));
         spawn(this->node, "lease", leaseLoop(this->node));
         spawn(this->node, "extend lease", extendLoop(this->node));
@@ -117,6 +119,7 @@
     CallerFront front;
     HttpServer readiness;
     HttpServer operators;
+    std::uint16_t peersPort = 0; ///< that is listened on
     GatewayShutdown report;
     bool shutdownAsked = false;
 };
@@ -144,7 +147,7 @@
     ports.callers = this->impl->front.port();
     ports.readiness = this->impl->readiness.port();
     ports.operators = this->impl->operators.port();
-    ports.peers = this->impl->node.settings.peers.port;
+    ports.peers = this->impl->peersPort;
     return ports;
 }
 
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -98,8 +98,8 @@
         GatewaySettings &settings = parsed.value;
         reader.onlyKeys(root, "",
                         {"vm", "zone", "platform", "callers", "readiness", "operators", "peers",
-                         "seeds", "store", "partitions", "heartbeatMs", "shutdownMs", "retries",
-                         "lease", "logLinesPerSecond", "capacity", "firstStart"});
+                         "peersListen", "seeds", "store", "partitions", "heartbeatMs", "shutdownMs",
+                         "retries", "lease", "logLinesPerSecond", "capacity", "firstStart"});
         settings.vm = reader.text(root, "", "vm");
         settings.zone = reader.text(root, "", "zone");
         settings.firstStart = reader.boolean(root, "", "firstStart", settings.firstStart);
@@ -109,6 +109,8 @@
         settings.readiness = requiredEndpoint(reader, root, "readiness");
         settings.operators = requiredEndpoint(reader, root, "operators");
         settings.peers = requiredEndpoint(reader, root, "peers");
+        if (root.contains("peersListen"))
+            settings.peersListen = requiredEndpoint(reader, root, "peersListen");
         settings.seeds = readSeeds(reader, root, settings.peers.port);
         settings.store = requiredEndpoint(reader, root, "store");
         settings.partitions =
