Sight: whether two calls are the same work, and which calls a target ran when it ended

The logs could not tell a call that ends its targets from targets that end for other reasons: each attempt has an id of its own. call-bounced tells an identity (hash of method, host, path, body, and of the caller's address) now; target-ended names the calls that were under way. Nothing is decided by it yet.

--- a/libs/gateway/src/CallRun.cpp
+++ b/libs/gateway/src/CallRun.cpp
@@ -30,6 +30,15 @@
     , arrivedAt(BootClock::now())
 { }
 
+CallIdentity identityOf(const CallRun &run)
+{
+    boost::system::error_code ignored; // of a caller that has gone; it is told apart all the same
+    const auto address = run.caller.socket().remote_endpoint(ignored).address();
+    const std::string_view method(run.request->method_string().data(),
+                                  run.request->method_string().size());
+    return identifyCall(method, run.host, run.path, run.request->body(), address.to_string());
+}
+
 Duration timeLeft(const CallRun &run)
 {
     return std::max(run.deadline - BootClock::now(), Duration::zero());
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -58,6 +58,9 @@
 
 using CallRunPtr = std::shared_ptr<CallRun>;
 
+/** Whether it is the same work as another call; see CallIdentity. */
+CallIdentity identityOf(const CallRun &run);
+
 /** A piece of the answer goes to the caller now. */
 void notePiece(CallRun &run);
 
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -5,6 +5,7 @@
 
 #include "EngineOrders.h"
 #include "PeerExchange.h"
+#include "TargetEnds.h"
 #include "TargetStarts.h"
 #include "observe/Events.h"
 
@@ -86,6 +87,7 @@
 {
     for (const std::string &id : dropGone(node.book, BootClock::now())) {
         logEvent(EventId::TargetGone, {{"target", id}});
+        noteEndByList(node, id);
         node.facts.targets.set(id, {TargetEntry(), true}, node.facts.counter);
         node.facts.engines.erase(id);
         node.enginesBelow.erase(id);
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -5,6 +5,7 @@
 #include "PassedHeaders.h"
 #include "Placing.h"
 #include "StreamRelay.h"
+#include "TargetEnds.h"
 #include "TargetExchange.h"
 #include "observe/Events.h"
 
@@ -153,7 +154,8 @@
                       {"target", target.id},
                       {"end", std::to_string(static_cast<int>(end))},
                       {"sends", std::to_string(this->run.sends)},
-                      {"again", again ? "yes" : "no"}});
+                      {"again", again ? "yes" : "no"},
+                      {"identity", identityText(identityOf(this->run))}});
             if (again)
                 continue;
             OwnAnswer answer;
@@ -211,7 +213,7 @@
         const bool headed = co_await exchange.send(requestFor(this->run, facts));
         if (!headed) {
             if (!this->run.cancelled())
-                noteEnd(this->run, target, SendOutcome::Broken);
+                this->noteBroken(target);
             co_return SendEnd::Broken;
         }
         if (exchange.facts().notRun) {
@@ -237,10 +239,16 @@
         else if (end == SendEnd::Failed)
             noteEnd(this->run, target, SendOutcome::Failed);
         else if (end == SendEnd::Broken && !this->run.cancelled())
-            noteEnd(this->run, target, SendOutcome::Broken);
+            this->noteBroken(target);
         co_return end;
     }
 
+    void noteBroken(const TargetEntry &target)
+    {
+        noteEnd(this->run, target, SendOutcome::Broken);
+        noteLostCall(this->run, target.id);
+    }
+
     asio::awaitable<void> takeNotRun(TargetExchange &exchange, const TargetEntry &target)
     {
         std::string body;
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -19,6 +19,7 @@
 #include "gateway/GatewaySettings.h"
 #include "gateway/PlatformPort.h"
 #include "observe/Metrics.h"
+#include "serving/CallIdentity.h"
 #include "serving/ChangeLog.h"
 #include "serving/EngineBoard.h"
 #include "serving/EngineRecord.h"
@@ -37,12 +38,23 @@
 
 namespace monsoonbay {
 
+/** Calls whose answers broke off at a target together, until it is known whether it ended. */
+struct LostCalls
+{
+    std::vector<CallIdentity> calls;
+    Instant at{}; ///< of the last one
+    bool looking = false; ///< the target is being looked at
+
+    auto operator<=>(const LostCalls &) const = default;
+};
+
 /** State of one target at this VM, beside what the platform's list says. */
 struct TargetRuntime
 {
     std::uint64_t hash = 0;
     TargetHealth health;
     TargetPool pool;
+    LostCalls lost;
     TargetUse own;
     std::map<std::string, int> ownAdapterRuns; ///< calls under way, by adapter
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
--- /dev/null
+++ b/libs/gateway/src/TargetEnds.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+
+#include "CallRun.h"
+
+namespace monsoonbay {
+
+/**
+ * Which calls were under way at a target when it ended.
+ *
+ * A lost answer alone says little: answers get lost at targets that are well. So after a loss the
+ * target is looked at: nobody listens at its address any more, or the list tells soon that it was
+ * started anew or is gone.
+ */
+
+/** The answer to a call broke off; the target may have ended. */
+void noteLostCall(CallRun &run, const std::string &target);
+
+/** The list tells that a target was started anew or is gone, and it had not said that it leaves. */
+void noteEndByList(GatewayNode &node, const std::string &target);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -105,8 +105,11 @@
 asio::awaitable<bool> TargetExchange::connect()
 {
     this->link = takeIdle(runtimeOf(this->node, this->targetId).pool, BootClock::now());
-    if (!this->link)
-        this->link = co_await connectTo(this->node.context, this->endpoint, connectPatience);
+    if (!this->link) {
+        ConnectResult result =
+            co_await connectTo(this->node.context, this->endpoint, connectPatience);
+        this->link = std::move(result.connection);
+    }
     co_return this->link != nullptr;
 }
 
--- a/libs/gateway/src/TargetPool.cpp
+++ b/libs/gateway/src/TargetPool.cpp
@@ -72,8 +72,8 @@
         pool.idle.pop_front();
 }
 
-asio::awaitable<TargetConnectionPtr> connectTo(asio::io_context &context, Endpoint endpoint,
-                                               Duration timeout)
+asio::awaitable<ConnectResult> connectTo(asio::io_context &context, Endpoint endpoint,
+                                         Duration timeout)
 {
     auto connection = std::make_shared<TargetConnection>(context);
     asio::steady_timer limit(context, timeout);
@@ -86,15 +86,21 @@
     const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
     auto [error] = co_await connection->socket.async_connect(address, quietly);
     limit.cancel();
-    if (error || !connection->socket.is_open())
-        co_return nullptr;
+    // The limit closes the socket, so that the connect ends as one that was cancelled.
+    if (error || !connection->socket.is_open()) {
+        ConnectResult failed;
+        failed.error = connection->socket.is_open() ? error : asio::error::timed_out;
+        co_return failed;
+    }
     setOption(connection->socket, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(connection->socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMs);
     setOption(connection->socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(connection->socket, IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
     setOption(connection->socket, IPPROTO_TCP, TCP_KEEPINTVL, probeEverySeconds);
     setOption(connection->socket, IPPROTO_TCP, TCP_KEEPCNT, probesLost);
-    co_return connection;
+    ConnectResult result;
+    result.connection = std::move(connection);
+    co_return result;
 }
 
 void closeConnection(TargetConnection &connection)
--- a/libs/gateway/src/TargetPool.h
+++ b/libs/gateway/src/TargetPool.h
@@ -41,9 +41,16 @@
 /** Keeps a connection for the next call; `keepAlive` is what the target said, or zero. */
 void giveBack(TargetPool &pool, TargetConnectionPtr connection, Duration keepAlive, Instant now);
 
-/** Connects within `timeout`; null if that fails. */
-asio::awaitable<TargetConnectionPtr> connectTo(asio::io_context &context, Endpoint endpoint,
-                                               Duration timeout);
+/** What an attempt to connect came to. */
+struct ConnectResult
+{
+    TargetConnectionPtr connection; ///< null: it failed
+    boost::system::error_code error; ///< why; asio::error::timed_out: nobody answered in time
+};
+
+/** Connects within `timeout`. */
+asio::awaitable<ConnectResult> connectTo(asio::io_context &context, Endpoint endpoint,
+                                         Duration timeout);
 
 /** Closes at once; pending operations end with an error. */
 void closeConnection(TargetConnection &connection);
--- a/libs/gateway/src/TargetStarts.cpp
+++ b/libs/gateway/src/TargetStarts.cpp
@@ -1,5 +1,6 @@
 #include "TargetStarts.h"
 
+#include "TargetEnds.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -61,6 +62,8 @@
               {"address", record.entry.endpoint.text()},
               {"bornBefore", std::to_string(record.entry.born)},
               {"born", std::to_string(born)}});
+    if (!record.entry.leaving)
+        noteEndByList(node, target);
     record.entry.born = born;
     record.entry.leaving = false;
     record.entry.models.clear();
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -56,6 +56,7 @@
     TargetGone = 7021,
     TargetEjected = 7022,
     TargetRestarted = 7024,
+    TargetEnded = 7025,
     LeaseChanged = 7030,
     OrderGiven = 7031,
     OrdersNoted = 7032,
