A call under which three targets ended is refused by all VMs

Cause: a call that ends the target which begins to run it comes again with a new id at any VM, and nothing remembered what ran at a target's end or told the others. Ruled out: repeats of the VMs themselves (10 of 200 lost calls were sent on), orders to engines (no order stands out).

Now each end is evidence: the target and the calls that it ran, told to all VMs with the other news and judged by each for itself from the same evidence, so no belief rests on another one. The call that explains most ends is to blame, from three on; calls beside it are explained away. Where several calls explain the same ends, an answer, a further end or the fifth decides. An answer voids the ends before it. A content is refused for all callers only if no one caller explains its ends. Refused calls add nothing. Forgotten an hour after the ends; 2,048 pieces of evidence, 16,384 calls at most.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "EngineOrders.h"
+#include "HarmfulWatch.h"
 #include "PeerExchange.h"
 #include "TargetEnds.h"
 #include "TargetStarts.h"
@@ -222,6 +223,7 @@
 {
     while (!node.stopped) {
         sweep(node);
+        forgetEvidence(node, BootClock::now());
         co_await pauseFor(node, sweepEvery);
     }
 }
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "HarmfulWatch.h"
 #include "PassedHeaders.h"
 #include "Placing.h"
 #include "StreamRelay.h"
@@ -130,6 +131,9 @@
     asio::awaitable<void> serve()
     {
         while (true) {
+            const bool refused = co_await this->refuseHarmful();
+            if (refused)
+                co_return;
             const Instant placingFrom = BootClock::now();
             Placement placement = co_await placeCall(this->run);
             this->run.placing += BootClock::now() - placingFrom;
@@ -139,12 +143,18 @@
                 co_await this->giveUp(std::move(placement.refusal));
                 co_return;
             }
+            // Others may have learnt of it while a place was looked for.
+            const bool refusedLate = co_await this->refuseHarmful();
+            if (refusedLate)
+                co_return;
             const TargetEntry target = std::move(*placement.target);
             this->run.tried.push_back(target.id);
             const SendEnd end = co_await this->sendTo(target);
             this->run.connection.reset();
-            if (end == SendEnd::Done)
+            if (end == SendEnd::Done) {
                 noteAnswered(this->run, target);
+                noteAnsweredCall(this->run);
+            }
             const bool over = end == SendEnd::Done || end == SendEnd::CallerLost;
             if (over || this->run.callerGone)
                 co_return;
@@ -167,6 +177,20 @@
     }
 
 private:
+    // Sent on, such a call would end the next target, with all that it runs; true if refused.
+    asio::awaitable<bool> refuseHarmful()
+    {
+        const HarmfulCall *harmful = harmfulCall(this->run);
+        if (harmful == nullptr)
+            co_return false;
+        OwnAnswer answer;
+        answer.reason = std::to_string(harmful->ends) + " targets ended while they ran this call";
+        answer.retryAfter =
+            std::max<Duration>(forgottenAt(*harmful) - BootClock::now(), comeBackSoon);
+        co_await this->giveUp(std::move(answer));
+        co_return true;
+    }
+
     // What may be sent again, and whether there is budget for it. A call that certainly has not
     // run may always go elsewhere; one that may have run only if its route lets it run twice.
     bool mayTryAgain(SendEnd end)
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -23,6 +23,7 @@
 #include "serving/ChangeLog.h"
 #include "serving/EngineBoard.h"
 #include "serving/EngineRecord.h"
+#include "serving/HarmfulCalls.h"
 #include "serving/HolderLease.h"
 #include "serving/LoadQueue.h"
 #include "serving/OrderDesk.h"
@@ -158,6 +159,15 @@
     auto operator<=>(const ToldRuns &) const = default;
 };
 
+/** Evidence on calls, and whether this VM saw it itself. */
+struct KnownEvidence
+{
+    CallEvidence evidence;
+    bool own = false;
+
+    auto operator<=>(const KnownEvidence &) const = default;
+};
+
 /** What this VM has learnt and passes on; readers ask for what changed since they last did. */
 struct SharedFacts
 {
@@ -166,6 +176,7 @@
     ChangeLog<std::string, TargetFact> targets;
     ChangeLog<std::string, std::int64_t> adapterVersions; ///< in force, by adapter key
     ChangeLog<Endpoint, VmFact> vms;
+    ChangeLog<std::uint64_t, KnownEvidence> evidence; ///< by an id that its VM drew
 };
 
 /** Beginning of the name under which another zone as a whole reports; see UseLedger. */
@@ -247,6 +258,9 @@
     std::unordered_map<std::string, std::unique_ptr<HeldDesk>> desks;
     std::map<std::pair<std::string, std::string>, std::shared_ptr<Signal>> loadsAsked;
     LoadBeliefs loadBeliefs;
+    HarmfulCalls harmful; ///< follows from the evidence
+    bool evidenceChanged = false; ///< since it was judged last
+    std::size_t evidenceCalls = 0; ///< named in all evidence
     std::deque<Instant> modelLoads; ///< ordered by this gateway lately
 
     Signal started; ///< a first configuration, or a first list of targets, is there
--- /dev/null
+++ b/libs/gateway/src/HarmfulWatch.cpp
@@ -0,0 +1,154 @@
+#include "HarmfulWatch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "observe/Events.h"
+
+namespace monsoonbay {
+
+namespace {
+
+/** Calls in one piece of evidence; 0.6 KB, so that an answer with many changes stays short. */
+constexpr std::size_t mostCallsTogether = 32;
+
+/** Evidence that is kept, by pieces and by calls in them: 1 MB in all. */
+constexpr std::size_t mostEvidence = 2048;
+constexpr std::size_t mostCallsKept = 16384;
+
+void addEvidence(GatewayNode &node, std::uint64_t id, KnownEvidence known)
+{
+    if (node.facts.evidence.find(id) != nullptr)
+        return;
+    node.evidenceCalls += known.evidence.calls.size();
+    node.facts.evidence.set(id, std::move(known), node.facts.counter);
+    node.evidenceChanged = true;
+}
+
+/** Own evidence, which this VM tells the others. */
+void addOwnEvidence(GatewayNode &node, const CallEvidence &evidence)
+{
+    for (std::size_t from = 0; from < evidence.calls.size(); from += mostCallsTogether) {
+        const std::size_t to = std::min(from + mostCallsTogether, evidence.calls.size());
+        KnownEvidence piece{evidence, true};
+        piece.evidence.calls.assign(evidence.calls.begin() + static_cast<std::ptrdiff_t>(from),
+                                    evidence.calls.begin() + static_cast<std::ptrdiff_t>(to));
+        addEvidence(node, node.random(), std::move(piece));
+    }
+    judgeEvidence(node);
+    node.newsDue.notifyAll();
+}
+
+void dropEvidence(GatewayNode &node, std::uint64_t id)
+{
+    const KnownEvidence *known = node.facts.evidence.find(id);
+    if (known == nullptr)
+        return;
+    node.evidenceCalls -= known->evidence.calls.size();
+    node.facts.evidence.erase(id);
+    node.evidenceChanged = true;
+}
+
+/** True if a harmful call is named in it: without it that call would be let through again. */
+bool isHeldAgainst(const HarmfulCalls &harmful, const CallEvidence &evidence)
+{
+    return !evidence.target.empty()
+        && std::any_of(evidence.calls.begin(), evidence.calls.end(),
+                       [&](const auto &call) { return findHarmful(harmful, call) != nullptr; });
+}
+
+/** Ids of all evidence, what is least worth keeping first: of no harmful call, and the oldest. */
+std::vector<std::uint64_t> byWorth(const GatewayNode &node)
+{
+    std::vector<std::tuple<bool, Instant, std::uint64_t>> ordered;
+    for (const auto &[id, entry] : node.facts.evidence.all()) {
+        const CallEvidence &evidence = entry.value.evidence;
+        ordered.emplace_back(isHeldAgainst(node.harmful, evidence), evidence.at, id);
+    }
+    std::sort(ordered.begin(), ordered.end());
+    std::vector<std::uint64_t> ids;
+    for (const auto &[held, at, id] : ordered)
+        ids.push_back(id);
+    return ids;
+}
+
+void logVerdict(const HarmfulCall &call)
+{
+    const CallIdentity identity{call.content, call.caller.value_or(0)};
+    logEvent(EventId::CallFoundHarmful,
+             {{"identity", identityText(identity)},
+              {"callers", call.caller ? "this one" : "all"},
+              {"targetsEnded", std::to_string(call.ends)},
+              {"firstEndAgoMs", std::to_string(toMillis(BootClock::now() - call.firstEndAt))}});
+}
+
+} // namespace
+
+void noteTargetEnded(GatewayNode &node, const std::string &target,
+                     const std::vector<CallIdentity> &calls, Instant at)
+{
+    addOwnEvidence(node, {target, calls, at});
+}
+
+// Costs a call nothing but a look while no target has ended under any call.
+void noteAnsweredCall(CallRun &run)
+{
+    GatewayNode &node = run.node;
+    if (node.harmful.suspects.empty())
+        return;
+    const CallIdentity identity = identityOf(run);
+    if (isSuspect(node.harmful, identity))
+        addOwnEvidence(node, {std::string(), {identity}, BootClock::now()});
+}
+
+void takeEvidence(GatewayNode &node, std::uint64_t id, CallEvidence evidence)
+{
+    addEvidence(node, id, {std::move(evidence), false});
+}
+
+void judgeEvidence(GatewayNode &node)
+{
+    if (!std::exchange(node.evidenceChanged, false))
+        return;
+    std::vector<const CallEvidence *> evidence;
+    for (const auto &[id, entry] : node.facts.evidence.all())
+        evidence.push_back(&entry.value.evidence);
+    const HarmfulCalls before = std::exchange(node.harmful, judgeCalls(evidence));
+    for (const HarmfulCall &call : node.harmful.calls) {
+        const CallIdentity identity{call.content, call.caller.value_or(0)};
+        if (findHarmful(before, identity) == nullptr)
+            logVerdict(call);
+    }
+}
+
+void forgetEvidence(GatewayNode &node, Instant now)
+{
+    std::vector<std::uint64_t> old;
+    for (const auto &[id, entry] : node.facts.evidence.all()) {
+        if (now - entry.value.evidence.at > evidenceHolds)
+            old.push_back(id);
+    }
+    for (const std::uint64_t id : old)
+        dropEvidence(node, id);
+    const auto tooMuch = [&node] {
+        return node.evidenceCalls > mostCallsKept
+            || node.facts.evidence.all().size() > mostEvidence;
+    };
+    if (tooMuch()) {
+        for (const std::uint64_t id : byWorth(node)) {
+            if (!tooMuch())
+                break;
+            dropEvidence(node, id);
+        }
+    }
+    judgeEvidence(node);
+}
+
+const HarmfulCall *harmfulCall(const CallRun &run)
+{
+    if (run.node.harmful.calls.empty())
+        return nullptr;
+    return findHarmful(run.node.harmful, identityOf(run));
+}
+
+} // namespace monsoonbay
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -173,4 +173,28 @@
     return release;
 }
 
+void encodeEvidence(std::uint64_t id, const CallEvidence &evidence, Instant now,
+                    v1::CallEvidence &told)
+{
+    told.set_id(id);
+    told.set_target(evidence.target);
+    told.set_ago_ms(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(toMillis(now - evidence.at), 0)));
+    for (const CallIdentity &call : evidence.calls) {
+        v1::CallId *named = told.add_calls();
+        named->set_content(call.content);
+        named->set_caller(call.caller);
+    }
+}
+
+CallEvidence decodeEvidence(const v1::CallEvidence &told, Instant now)
+{
+    CallEvidence evidence;
+    evidence.target = told.target();
+    evidence.at = now - std::chrono::milliseconds(told.ago_ms());
+    for (const v1::CallId &named : told.calls())
+        evidence.calls.push_back({named.content(), named.caller()});
+    return evidence;
+}
+
 } // namespace monsoonbay
--- a/libs/gateway/src/NewsCodec.h
+++ b/libs/gateway/src/NewsCodec.h
@@ -31,4 +31,8 @@
 void encodeRelease(const Release &release, Instant now, gateway::v1::Released &told);
 Release decodeRelease(const gateway::v1::Released &told, Instant now);
 
+void encodeEvidence(std::uint64_t id, const CallEvidence &evidence, Instant now,
+                    gateway::v1::CallEvidence &told);
+CallEvidence decodeEvidence(const gateway::v1::CallEvidence &told, Instant now);
+
 } // namespace monsoonbay
--- a/libs/gateway/src/NewsTelling.cpp
+++ b/libs/gateway/src/NewsTelling.cpp
@@ -6,6 +6,7 @@
 
 #include "EngineOrders.h"
 #include "Feeds.h"
+#include "HarmfulWatch.h"
 #include "NewsCodec.h"
 #include "PeerExchange.h"
 #include "SharedEngines.h"
@@ -32,6 +33,7 @@
     facts.targets.numbersSince(seen, numbers);
     facts.adapterVersions.numbersSince(seen, numbers);
     facts.vms.numbersSince(seen, numbers);
+    facts.evidence.numbersSince(seen, numbers);
     if (numbers.size() <= mostChangesTold)
         return facts.counter.last;
     const auto last = numbers.begin() + (mostChangesTold - 1);
@@ -128,6 +130,10 @@
                                    if (!neverTold)
                                        encodeTarget(target, fact, *digest.add_targets());
                                });
+    const Instant now = BootClock::now();
+    node.facts.evidence.between(seen, through, [&](std::uint64_t id, const KnownEvidence &known) {
+        encodeEvidence(id, known.evidence, now, *digest.add_evidence());
+    });
     tellListAge(node, digest);
 }
 
@@ -147,6 +153,16 @@
     if (!peer.inWhole)
         peer.toldInWhole.clear();
     takeVms(node, digest);
+    takeEvidenceTold(node, digest.evidence());
+}
+
+void takeEvidenceTold(GatewayNode &node,
+                      const google::protobuf::RepeatedPtrField<v1::CallEvidence> &told)
+{
+    const Instant now = BootClock::now();
+    for (const v1::CallEvidence &item : told)
+        takeEvidence(node, item.id(), decodeEvidence(item, now));
+    judgeEvidence(node);
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/NewsTelling.h
+++ b/libs/gateway/src/NewsTelling.h
@@ -15,4 +15,8 @@
 /** Takes what tellNews() of another VM added. `ownRelay`: it is the one that this VM reports to. */
 void takeNews(GatewayNode &node, PeerState &peer, const gateway::v1::Digest &digest, bool ownRelay);
 
+/** Takes what another VM saw become of calls. */
+void takeEvidenceTold(GatewayNode &node,
+                      const google::protobuf::RepeatedPtrField<gateway::v1::CallEvidence> &told);
+
 } // namespace monsoonbay
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -145,7 +145,12 @@
         if (ours)
             encodeEngine(target, record, *report->add_engines());
     });
-    fillReleases(node, BootClock::now(), *report->mutable_released());
+    const Instant now = BootClock::now();
+    node.facts.evidence.since(told, [&](std::uint64_t id, const KnownEvidence &known) {
+        if (known.own)
+            encodeEvidence(id, known.evidence, now, *report->add_evidence());
+    });
+    fillReleases(node, now, *report->mutable_released());
     return report;
 }
 
@@ -269,6 +274,7 @@
     }
     for (const std::string &target : report.holds())
         takeHolds(node, report.from().zone(), target);
+    takeEvidenceTold(node, report.evidence());
     if (mate)
         takeReleases(node, report.released());
 
--- a/libs/gateway/src/TargetEnds.cpp
+++ b/libs/gateway/src/TargetEnds.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "HarmfulWatch.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -29,13 +30,15 @@
     return text;
 }
 
-void noteEnd(const std::string &target, const LostCalls &lost, std::string_view seenBy)
+void noteEnd(GatewayNode &node, const std::string &target, const LostCalls &lost,
+             std::string_view seenBy)
 {
     logEvent(EventId::TargetEnded,
              {{"target", target},
               {"seenBy", std::string(seenBy)},
               {"callsLost", std::to_string(lost.calls.size())},
               {"calls", callsText(lost.calls)}});
+    noteTargetEnded(node, target, lost.calls, lost.at);
 }
 
 asio::awaitable<void> lookAt(GatewayNode &node, std::string target, Endpoint endpoint)
@@ -53,7 +56,7 @@
         co_return;
     }
     if (result.error == asio::error::connection_refused) {
-        noteEnd(target, lost, "refused connection");
+        noteEnd(node, target, lost, "refused connection");
         co_return;
     }
     // Silence may be the link's; then the list tells.
@@ -90,7 +93,7 @@
     LostCalls &lost = found->second->lost;
     if (lost.calls.empty() || lost.looking || BootClock::now() - lost.at > listPatience)
         return;
-    noteEnd(target, lost, "list");
+    noteEnd(node, target, lost, "list");
     lost = LostCalls();
 }
 
--- /dev/null
+++ b/libs/gateway/tests/HarmfulWatches.cpp
@@ -0,0 +1,131 @@
+#include "Feeds.h"
+#include "GatewayNode.h"
+#include "HarmfulWatch.h"
+#include "NewsCodec.h"
+#include "PeerExchange.h"
+
+#include <criterion/criterion.h>
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const CallIdentity harmful{7, 1};
+
+GatewaySettings settingsOf(const std::string &vm, const std::string &zone)
+{
+    GatewaySettings settings;
+    settings.vm = vm;
+    settings.zone = zone;
+    settings.peers = {"10.0.0." + vm.substr(3), 7380};
+    return settings;
+}
+
+gateway::v1::Report reportOf(const GatewayNode &node, std::uint64_t sequence)
+{
+    gateway::v1::Report report;
+    report.mutable_from()->set_name(node.settings.vm);
+    report.mutable_from()->set_address(node.settings.peers.address);
+    report.mutable_from()->set_port(node.settings.peers.port);
+    report.mutable_from()->set_boot(node.boot);
+    report.mutable_from()->set_zone(node.settings.zone);
+    report.set_sequence(sequence);
+    return report;
+}
+
+void endUnder(GatewayNode &node, const std::string &target, const CallIdentity &call)
+{
+    noteTargetEnded(node, target, {call}, BootClock::now());
+}
+
+bool refuses(const GatewayNode &node, const CallIdentity &call)
+{
+    return findHarmful(node.harmful, call) != nullptr;
+}
+
+/** `asker` asks `asked` and takes the answer. */
+void exchange(GatewayNode &asker, GatewayNode &asked, std::uint64_t sequence)
+{
+    gateway::v1::Report report = reportOf(asker, sequence);
+    for (const auto &[id, entry] : asker.facts.evidence.all()) {
+        if (entry.value.own)
+            encodeEvidence(id, entry.value.evidence, BootClock::now(), *report.add_evidence());
+    }
+    const gateway::v1::Digest digest = answerReport(asked, report);
+    takeDigest(asker, asked.settings.peers, digest, true);
+}
+
+} // namespace
+
+// Symptom: each VM let a call end targets until it had seen three ends itself. Sequence: the caller
+// comes to another VM each time. What VMs see goes to the relay of their zone, from there to the
+// relays of other zones and to all VMs.
+Test(harmful_watch, ends_seen_by_different_vms_are_put_together_at_all)
+{
+    GatewayNode first(settingsOf("vm-1", "zone-a"));
+    GatewayNode second(settingsOf("vm-2", "zone-a"));
+    GatewayNode relay(settingsOf("vm-3", "zone-a"));
+    GatewayNode farRelay(settingsOf("vm-4", "zone-b"));
+    GatewayNode farMate(settingsOf("vm-5", "zone-b"));
+    endUnder(first, "a", harmful);
+    endUnder(second, "b", harmful);
+    endUnder(farRelay, "c", harmful);
+    exchange(first, relay, 1);
+    exchange(second, relay, 1);
+    cr_assert_not(refuses(relay, harmful));
+    exchange(farRelay, relay, 1);
+    exchange(farMate, farRelay, 1);
+    cr_assert(refuses(farRelay, harmful));
+    cr_assert(refuses(farMate, harmful));
+    exchange(relay, farRelay, 1);
+    exchange(first, relay, 2);
+    exchange(second, relay, 2);
+    for (const GatewayNode *node : {&first, &second, &relay})
+        cr_assert(refuses(*node, harmful));
+}
+
+Test(harmful_watch, the_same_word_heard_twice_counts_once)
+{
+    GatewayNode node(settingsOf("vm-1", "zone-a"));
+    CallEvidence evidence{"a", {harmful}, BootClock::now()};
+    for (int again = 0; again < endsThatCondemn; ++again) {
+        takeEvidence(node, 1, evidence);
+        evidence.at += 1s;
+    }
+    judgeEvidence(node);
+    cr_assert_not(refuses(node, harmful));
+    cr_assert_eq(node.facts.evidence.all().size(), 1);
+}
+
+Test(harmful_watch, evidence_is_forgotten_after_its_time)
+{
+    GatewayNode node(settingsOf("vm-1", "zone-a"));
+    for (const char *target : {"a", "b", "c"})
+        endUnder(node, target, harmful);
+    cr_assert(refuses(node, harmful));
+    const Instant now = BootClock::now();
+    forgetEvidence(node, now + evidenceHolds - 1s);
+    cr_assert(refuses(node, harmful));
+    forgetEvidence(node, now + evidenceHolds + 1s);
+    cr_assert_not(refuses(node, harmful));
+    cr_assert(node.facts.evidence.all().empty());
+    cr_assert_eq(node.evidenceCalls, 0);
+}
+
+// Symptom would be a VM that runs out of memory, or one that forgets a harmful call, while many
+// targets end for other reasons.
+Test(harmful_watch, memory_is_bounded_and_a_harmful_call_is_kept_longest)
+{
+    constexpr std::size_t mostKept = 2048;
+    GatewayNode node(settingsOf("vm-1", "zone-a"));
+    for (const char *target : {"a", "b", "c"})
+        endUnder(node, target, harmful);
+    const Instant now = BootClock::now();
+    for (std::uint64_t end = 0; end < 3 * mostKept; ++end)
+        takeEvidence(node, 1000 + end, {"t" + std::to_string(end), {{10000 + end, 3}}, now});
+    judgeEvidence(node);
+    forgetEvidence(node, now);
+    cr_assert_leq(node.facts.evidence.all().size(), mostKept);
+    cr_assert(refuses(node, harmful));
+}
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -65,6 +65,7 @@
     CallBounced = 7042,
     StreamCut = 7043,
     CallAnswered = 7044,
+    CallFoundHarmful = 7045,
 };
 
 enum class EventLevel : std::uint8_t { Info, Warning, Error };
--- /dev/null
+++ b/libs/serving/include/serving/HarmfulCalls.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "serving/CallEvidence.h"
+
+namespace monsoonbay {
+
+/** A call is kept from targets once this many have ended under it. */
+constexpr int endsThatCondemn = 3;
+
+/** The same where several calls were under way at all of these ends: one of them is to blame. */
+constexpr int endsThatCondemnSeveral = 5;
+
+/** Evidence counts this long. A call that still does harm costs that many targets again then. */
+constexpr Duration evidenceHolds = std::chrono::hours(1);
+
+/** A call that ends the targets that run it. */
+struct HarmfulCall
+{
+    std::uint64_t content = 0;
+    std::optional<std::uint64_t> caller; ///< nothing: whoever sends it
+    int ends = 0; ///< of targets that it explains
+    Instant firstEndAt{};
+
+    auto operator<=>(const HarmfulCall &) const = default;
+};
+
+/** What follows from all evidence that a VM has. */
+struct HarmfulCalls
+{
+    std::vector<HarmfulCall> calls;
+    std::vector<std::uint64_t> suspects; ///< contents under which a target ended, sorted
+
+    auto operator<=>(const HarmfulCalls &) const = default;
+};
+
+/**
+ * Finds the calls that explain the ends of targets, the one that explains most of them first. The
+ * same evidence gives the same verdict at each VM, in whatever order it came.
+ */
+HarmfulCalls judgeCalls(const std::vector<const CallEvidence *> &evidence);
+
+/** Null: the call may be sent to targets. */
+const HarmfulCall *findHarmful(const HarmfulCalls &harmful, const CallIdentity &call) noexcept;
+
+/** True if a target ended under a call of this content: an answer to it is worth telling. */
+bool isSuspect(const HarmfulCalls &harmful, const CallIdentity &call) noexcept;
+
+/** When a harmful call may be tried again, if no further target ends under it. */
+Instant forgottenAt(const HarmfulCall &call) noexcept;
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/serving/src/HarmfulCalls.cpp
@@ -0,0 +1,209 @@
+#include "serving/HarmfulCalls.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+namespace monsoonbay {
+
+namespace {
+
+/**
+ * VMs see one end at the same moment, but for the time that their word is under way; a target that
+ * was started anew at once runs calls again after this.
+ */
+constexpr Duration sameEnd = std::chrono::milliseconds(200);
+
+/** The end of one target, with all calls that any VM had under way there. */
+struct TargetEnd
+{
+    Instant at{};
+    std::set<CallIdentity> calls;
+    bool explained = false;
+};
+
+/** When calls were last answered: by the content, and by content and caller. */
+struct Answers
+{
+    std::map<std::uint64_t, Instant> byContent;
+    std::map<CallIdentity, Instant> byCall;
+};
+
+Answers answersOf(const std::vector<const CallEvidence *> &evidence)
+{
+    Answers answers;
+    for (const CallEvidence *item : evidence) {
+        if (!item->target.empty())
+            continue;
+        for (const CallIdentity &call : item->calls) {
+            Instant &content = answers.byContent[call.content];
+            content = std::max(content, item->at);
+            Instant &same = answers.byCall[call];
+            same = std::max(same, item->at);
+        }
+    }
+    return answers;
+}
+
+std::vector<TargetEnd> endsOf(const std::vector<const CallEvidence *> &evidence)
+{
+    std::vector<const CallEvidence *> ordered;
+    for (const CallEvidence *item : evidence) {
+        if (!item->target.empty())
+            ordered.push_back(item);
+    }
+    std::sort(ordered.begin(), ordered.end(), [](const CallEvidence *a, const CallEvidence *b) {
+        return std::tie(a->target, a->at) < std::tie(b->target, b->at);
+    });
+    std::vector<TargetEnd> ends;
+    const std::string *target = nullptr;
+    for (const CallEvidence *item : ordered) {
+        const bool known =
+            target != nullptr && *target == item->target && item->at - ends.back().at < sameEnd;
+        if (!known) {
+            ends.emplace_back();
+            ends.back().at = item->at;
+        }
+        target = &item->target;
+        ends.back().calls.insert(item->calls.begin(), item->calls.end());
+    }
+    return ends;
+}
+
+template <typename Key>
+bool answeredAfter(const std::map<Key, Instant> &answers, const Key &key, Instant end)
+{
+    const auto answered = answers.find(key);
+    return answered != answers.end() && answered->second >= end;
+}
+
+/** Ends, by their places in the list of all, that a call could explain. */
+using Explained = std::vector<std::size_t>;
+
+/** What each call could explain, by one caller's calls and by calls of all callers. */
+struct Candidates
+{
+    std::map<CallIdentity, Explained> byCall;
+    std::map<std::uint64_t, Explained> byContent;
+};
+
+Candidates candidatesOf(const std::vector<TargetEnd> &ends, const Answers &answers)
+{
+    Candidates candidates;
+    for (std::size_t index = 0; index < ends.size(); ++index) {
+        const TargetEnd &end = ends[index];
+        if (end.explained)
+            continue;
+        std::set<std::uint64_t> contents;
+        for (const CallIdentity &call : end.calls) {
+            contents.insert(call.content);
+            if (!answeredAfter(answers.byCall, call, end.at))
+                candidates.byCall[call].push_back(index);
+        }
+        for (const std::uint64_t content : contents) {
+            if (!answeredAfter(answers.byContent, content, end.at))
+                candidates.byContent[content].push_back(index);
+        }
+    }
+    return candidates;
+}
+
+/** The most ends that one call explains; empty: none explains any. */
+Explained mostExplained(const Candidates &candidates)
+{
+    Explained most;
+    const auto look = [&most](const auto &explainedBy) {
+        for (const auto &[key, ends] : explainedBy) {
+            if (ends.size() > most.size())
+                most = ends;
+        }
+    };
+    look(candidates.byCall);
+    look(candidates.byContent);
+    return most;
+}
+
+/** All calls that explain just these ends; one caller's calls rather than those of all callers. */
+std::vector<HarmfulCall> explaining(const Candidates &candidates, const Explained &ends,
+                                    Instant firstEndAt)
+{
+    std::vector<HarmfulCall> found;
+    std::set<std::uint64_t> contents;
+    const int count = static_cast<int>(ends.size());
+    for (const auto &[call, explained] : candidates.byCall) {
+        if (explained != ends)
+            continue;
+        found.push_back({call.content, call.caller, count, firstEndAt});
+        contents.insert(call.content);
+    }
+    for (const auto &[content, explained] : candidates.byContent) {
+        if (explained == ends && contents.count(content) == 0)
+            found.push_back({content, std::nullopt, count, firstEndAt});
+    }
+    return found;
+}
+
+bool matches(const HarmfulCall &harmful, const CallIdentity &call) noexcept
+{
+    return harmful.content == call.content && (!harmful.caller || *harmful.caller == call.caller);
+}
+
+/** Contents under which ends that still count lie, sorted. */
+std::vector<std::uint64_t> suspectsOf(const Candidates &candidates)
+{
+    std::set<std::uint64_t> suspects;
+    for (const auto &[call, ends] : candidates.byCall)
+        suspects.insert(call.content);
+    for (const auto &[content, ends] : candidates.byContent)
+        suspects.insert(content);
+    return {suspects.begin(), suspects.end()};
+}
+
+} // namespace
+
+// Each end breaks off many calls, and only one of them is to blame. Counted each for itself, calls
+// that were under way beside a harmful one again and again would be turned away with it. Where two
+// calls explain the same ends, the next end or an answer tells them apart; so it is waited for.
+HarmfulCalls judgeCalls(const std::vector<const CallEvidence *> &evidence)
+{
+    HarmfulCalls verdict;
+    std::vector<TargetEnd> ends = endsOf(evidence);
+    const Answers answers = answersOf(evidence);
+    Candidates candidates = candidatesOf(ends, answers);
+    verdict.suspects = suspectsOf(candidates);
+    while (true) {
+        const Explained most = mostExplained(candidates);
+        const int count = static_cast<int>(most.size());
+        if (count < endsThatCondemn)
+            return verdict;
+        Instant first = ends[most.front()].at;
+        for (const std::size_t end : most) {
+            ends[end].explained = true;
+            first = std::min(first, ends[end].at);
+        }
+        const std::vector<HarmfulCall> found = explaining(candidates, most, first);
+        if (found.size() == 1 || count >= endsThatCondemnSeveral)
+            verdict.calls.insert(verdict.calls.end(), found.begin(), found.end());
+        candidates = candidatesOf(ends, answers);
+    }
+}
+
+const HarmfulCall *findHarmful(const HarmfulCalls &harmful, const CallIdentity &call) noexcept
+{
+    const auto found = std::find_if(harmful.calls.begin(), harmful.calls.end(),
+                                    [&](const HarmfulCall &known) { return matches(known, call); });
+    return found == harmful.calls.end() ? nullptr : &*found;
+}
+
+bool isSuspect(const HarmfulCalls &harmful, const CallIdentity &call) noexcept
+{
+    return std::binary_search(harmful.suspects.begin(), harmful.suspects.end(), call.content);
+}
+
+Instant forgottenAt(const HarmfulCall &call) noexcept
+{
+    return call.firstEndAt + evidenceHolds;
+}
+
+} // namespace monsoonbay
