A target that says in its answers that it leaves gets nothing new, at all VMs

Cause: leaving was learnt from the list in the store only, which was away; no code looked at answers. Ruled out: learnt and lost (no line target-leaving), kept for want of others (eleven engines were there).

Each answer's word is taken now, unless another target gave it, and told to all VMs: also upwards, as a VM's report to its relay names the targets that it knows to leave. It holds for that start of the target only. The same cause elsewhere: a peer's word that a target leaves was taken for whichever start is known here, so one that started anew under its id could be kept from work by a peer that had not heard of it; it names the start now.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -118,16 +118,6 @@
     return true;
 }
 
-void noteLeavingByPeer(GatewayNode &node, const std::string &target)
-{
-    const auto found = node.book.records.find(target);
-    if (found == node.book.records.end() || found->second.entry.leaving)
-        return;
-    found->second.entry.leaving = true;
-    node.facts.targets.set(target, {found->second.entry, false}, node.facts.counter);
-    logEvent(EventId::TargetLeaving, {{"target", target}, {"source", "peer"}});
-}
-
 void takeTargetsByPeer(GatewayNode &node, std::vector<TargetEntry> entries)
 {
     for (TargetEntry &entry : entries)
--- a/libs/gateway/src/Feeds.h
+++ b/libs/gateway/src/Feeds.h
@@ -16,9 +16,6 @@
  */
 bool takePackedConfig(GatewayNode &node, const PackedDocument &packed, const std::string &source);
 
-/** A peer knows that this target is leaving. */
-void noteLeavingByPeer(GatewayNode &node, const std::string &target);
-
 /** Takes entries of the list from a VM that reads it. */
 void takeTargetsByPeer(GatewayNode &node, std::vector<TargetEntry> entries);
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -8,6 +8,7 @@
 #include "StreamRelay.h"
 #include "TargetEnds.h"
 #include "TargetExchange.h"
+#include "TargetWords.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -240,6 +241,7 @@
                 this->noteBroken(target);
             co_return SendEnd::Broken;
         }
+        takeTargetWords(this->node, target.id, exchange.facts());
         if (exchange.facts().notRun) {
             this->run.mayHaveRun = mayHaveRunBefore;
             --this->runsStarted;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -140,6 +140,14 @@
     return node.routes->config().version == 0 || node.book.lastRead == Instant{};
 }
 
+Instant wantsNothingUntil(const GatewayNode &node, const std::string &target, Instant now)
+{
+    const auto found = node.targets.find(target);
+    if (found == node.targets.end() || found->second->wantsNothingUntil <= now)
+        return Instant{};
+    return found->second->wantsNothingUntil;
+}
+
 std::vector<const TargetRecord *> targetsOf(const GatewayNode &node, const std::string &service)
 {
     std::vector<const TargetRecord *> found;
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -56,6 +56,7 @@
     TargetHealth health;
     TargetPool pool;
     LostCalls lost;
+    Instant wantsNothingUntil{}; ///< by its own word to this VM
     TargetUse own;
     std::map<std::string, int> ownAdapterRuns; ///< calls under way, by adapter
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
@@ -304,7 +305,10 @@
 /** True if this VM knows no configuration or no targets yet. */
 bool isStarting(const GatewayNode &node) noexcept;
 
-/** Targets of a service that may take work. */
+/** When the target will take calls of this VM again, by its own word; zero: it does now. */
+Instant wantsNothingUntil(const GatewayNode &node, const std::string &target, Instant now);
+
+/** Targets of a service that may take work, whether they take calls of this VM now or not. */
 std::vector<const TargetRecord *> targetsOf(const GatewayNode &node, const std::string &service);
 
 /** Load of all gateways' calls at one target; without the adapters. */
--- a/libs/gateway/src/NewsTelling.cpp
+++ b/libs/gateway/src/NewsTelling.cpp
@@ -10,6 +10,7 @@
 #include "NewsCodec.h"
 #include "PeerExchange.h"
 #include "SharedEngines.h"
+#include "TargetWords.h"
 #include "ZoneView.h"
 
 namespace monsoonbay {
@@ -82,7 +83,7 @@
             continue;
         }
         if (fact.entry.leaving)
-            noteLeavingByPeer(node, fact.entry.id);
+            noteLeavingByPeer(node, fact.entry.id, fact.entry.born);
         if (digest.complete())
             peer.toldInWhole.insert(fact.entry.id);
         if (follows)
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -9,6 +9,7 @@
 #include "NewsCodec.h"
 #include "NewsTelling.h"
 #include "SharedEngines.h"
+#include "TargetWords.h"
 #include "UseNotes.h"
 #include "ZoneView.h"
 #include "observe/Events.h"
@@ -150,6 +151,14 @@
         if (known.own)
             encodeEvidence(id, known.evidence, now, *report->add_evidence());
     });
+    // The relay may have no other way to learn what a target said to this VM alone.
+    node.facts.targets.since(told, [&](const std::string &target, const TargetFact &fact) {
+        if (fact.gone || !fact.entry.leaving)
+            return;
+        v1::Target *leaving = report->add_leaving();
+        leaving->set_id(target);
+        leaving->set_born(fact.entry.born);
+    });
     fillReleases(node, now, *report->mutable_released());
     return report;
 }
@@ -274,6 +283,8 @@
     }
     for (const std::string &target : report.holds())
         takeHolds(node, report.from().zone(), target);
+    for (const v1::Target &leaving : report.leaving())
+        noteLeavingByPeer(node, leaving.id(), leaving.born());
     takeEvidenceTold(node, report.evidence());
     if (mate)
         takeReleases(node, report.released());
--- a/libs/gateway/src/TargetStarts.cpp
+++ b/libs/gateway/src/TargetStarts.cpp
@@ -11,6 +11,7 @@
 void forgetTarget(TargetRuntime &runtime)
 {
     runtime.health = TargetHealth();
+    runtime.wantsNothingUntil = Instant{};
     for (const TargetConnectionPtr &connection : runtime.pool.idle)
         closeConnection(*connection);
     runtime.pool.idle.clear();
--- /dev/null
+++ b/libs/gateway/src/TargetWords.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "GatewayNode.h"
+#include "serving/CallFacts.h"
+
+namespace monsoonbay {
+
+/**
+ * Takes what a target says of itself with an answer: that it leaves, which all VMs are told, and
+ * for how long it wants nothing of this one. An answer of another target says nothing of it.
+ */
+void takeTargetWords(GatewayNode &node, const std::string &target, const AnswerFacts &answer);
+
+/** A peer knows that the start `born` of this target is leaving; 0: it does not say which. */
+void noteLeavingByPeer(GatewayNode &node, const std::string &target, std::int64_t born);
+
+/** The target leaves, by what `source` says: it gets nothing new until it is started anew. */
+void noteLeaving(GatewayNode &node, const std::string &target, std::string_view source);
+
+} // namespace monsoonbay
--- a/libs/gateway/tests/Peers.cpp
+++ b/libs/gateway/tests/Peers.cpp
@@ -2,6 +2,7 @@
 #include "GatewayNode.h"
 #include "PeerExchange.h"
 #include "RelayLoops.h"
+#include "TargetWords.h"
 
 #include <criterion/criterion.h>
 
@@ -70,7 +71,7 @@
     GatewayNode node(settingsOfVm1());
     takeTargetsByPeer(node, {listedTarget("t", false)});
     const auto first = answerReport(node, reportFrom("vm-7", 0, 0, 1));
-    noteLeavingByPeer(node, "t");
+    noteLeavingByPeer(node, "t", 0);
     takeTargetsByPeer(node, {listedTarget("t", false)});
     takeTargetsByPeer(node, {listedTarget("t", true)});
     const auto second = answerReport(node, reportFrom("vm-7", node.boot, first.change(), 2));
@@ -78,6 +79,25 @@
     cr_assert(second.targets(0).leaving());
 }
 
+// Symptom: a target that had started anew under its id got no work for as long as it ran, at any
+// VM. Sequence: this VM knows of the new start; a peer that does not says that the target leaves,
+// which its former start did. Cause: the word was taken for the start that is known here, and told
+// on so.
+Test(peers, leaving_is_said_of_one_start_of_a_target)
+{
+    GatewayNode node(settingsOfVm1());
+    TargetEntry entry = listedTarget("t", false);
+    entry.born = 2;
+    takeTargetsByPeer(node, {entry});
+    noteLeavingByPeer(node, "t", 1);
+    cr_assert(mayTakeWork(node.book.records.at("t")));
+    noteLeavingByPeer(node, "t", 2);
+    cr_assert_not(mayTakeWork(node.book.records.at("t")));
+    entry.born = 3;
+    takeTargetsByPeer(node, {entry});
+    cr_assert(mayTakeWork(node.book.records.at("t")));
+}
+
 // Symptom: callers of a cut zone of 21 VMs were refused for 4 s, "no engine has room", while its
 // engines stood half empty. Sequence: no VM of the zone reaches the store; the relay steps down,
 // the next one tries for a second and steps down, too. Cause: mates that nothing was known of were
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -57,6 +57,7 @@
     TargetEjected = 7022,
     TargetRestarted = 7024,
     TargetEnded = 7025,
+    TargetHeldBack = 7026,
     LeaseChanged = 7030,
     OrderGiven = 7031,
     OrdersNoted = 7032,
--- a/libs/serving/include/serving/CallFacts.h
+++ b/libs/serving/include/serving/CallFacts.h
@@ -52,6 +52,8 @@
     bool authentic = false; ///< it bears the target's seal, and its body is as the target made it
     bool notRun = false; ///< the target says it has not run the call
     bool misdirected = false; ///< another target has the address, or this one lacks the adapter
+    bool leaving = false; ///< the target says that it will end soon
+    Duration wantsNothingFor{}; ///< with a refusal: it wants no calls of this VM for so long
     std::string answeredBy; ///< id of the target that answered; empty if it does not say
 
     auto operator<=>(const AnswerFacts &) const = default;
