--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -75,6 +75,7 @@
                   {"service", entry.service},
                   {"zone", entry.zone},
                   {"address", entry.endpoint.text()}});
+    runtime.leaves = leaving;
     noteListed(node.book, std::move(entry));
     if (leaving && !wasLeaving) {
         logEvent(EventId::TargetLeaving, {{"target", id}, {"source", "list"}});
@@ -88,7 +89,7 @@
 {
     for (const std::string &id : dropGone(node.book, BootClock::now())) {
         logEvent(EventId::TargetGone, {{"target", id}});
-        noteEndByList(node, id);
+        noteEndByList(node, id, 0);
         node.facts.targets.set(id, {TargetEntry(), true}, node.facts.counter);
         node.facts.engines.erase(id);
         node.enginesBelow.erase(id);
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -39,11 +39,19 @@
 
 namespace monsoonbay {
 
-/** Calls whose answers broke off at a target together, until it is known whether it ended. */
+/** A call whose answer broke off. */
+struct LostCall
+{
+    CallIdentity call;
+    Instant at{};
+
+    auto operator<=>(const LostCall &) const = default;
+};
+
+/** Calls lost at a target lately, until it is known whether it ended under them. */
 struct LostCalls
 {
-    std::vector<CallIdentity> calls;
-    Instant at{}; ///< of the last one
+    std::deque<LostCall> calls;
     bool looking = false; ///< the target is being looked at
 
     auto operator<=>(const LostCalls &) const = default;
@@ -57,6 +65,7 @@
     TargetPool pool;
     LostCalls lost;
     Instant wantsNothingUntil{}; ///< by its own word to this VM
+    bool leaves = false; ///< it has said so; also once the list has dropped it
     TargetUse own;
     std::map<std::string, int> ownAdapterRuns; ///< calls under way, by adapter
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
--- a/libs/gateway/src/HarmfulWatch.cpp
+++ b/libs/gateway/src/HarmfulWatch.cpp
@@ -84,21 +84,20 @@
 
 } // namespace
 
-void noteTargetEnded(GatewayNode &node, const std::string &target,
-                     const std::vector<CallIdentity> &calls, Instant at)
+void noteTargetEnded(GatewayNode &node, const CallEvidence &evidence)
 {
-    addOwnEvidence(node, {target, calls, at});
+    addOwnEvidence(node, evidence);
 }
 
 // Costs a call nothing but a look while no target has ended under any call.
 void noteAnsweredCall(CallRun &run)
 {
     GatewayNode &node = run.node;
-    if (node.harmful.suspects.empty())
+    if (node.harmful.suspectCalls.empty())
         return;
     const CallIdentity identity = identityOf(run);
     if (isSuspect(node.harmful, identity))
-        addOwnEvidence(node, {std::string(), {identity}, BootClock::now()});
+        addOwnEvidence(node, {std::string(), 0, {identity}, BootClock::now()});
 }
 
 void takeEvidence(GatewayNode &node, std::uint64_t id, CallEvidence evidence)
--- a/libs/gateway/src/HarmfulWatch.h
+++ b/libs/gateway/src/HarmfulWatch.h
@@ -10,8 +10,7 @@
  */
 
 /** A target ended under calls of this VM. */
-void noteTargetEnded(GatewayNode &node, const std::string &target,
-                     const std::vector<CallIdentity> &calls, Instant at);
+void noteTargetEnded(GatewayNode &node, const CallEvidence &evidence);
 
 /** A target answered a call whole. */
 void noteAnsweredCall(CallRun &run);
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -178,6 +178,7 @@
 {
     told.set_id(id);
     told.set_target(evidence.target);
+    told.set_next_born(evidence.nextBorn);
     told.set_ago_ms(
         static_cast<std::uint64_t>(std::max<std::int64_t>(toMillis(now - evidence.at), 0)));
     for (const CallIdentity &call : evidence.calls) {
@@ -191,6 +192,7 @@
 {
     CallEvidence evidence;
     evidence.target = told.target();
+    evidence.nextBorn = told.next_born();
     evidence.at = now - std::chrono::milliseconds(told.ago_ms());
     for (const v1::CallId &named : told.calls())
         evidence.calls.push_back({named.content(), named.caller()});
--- a/libs/gateway/src/TargetEnds.cpp
+++ b/libs/gateway/src/TargetEnds.cpp
@@ -16,9 +16,12 @@
 /** Links within a deployment take a few ms. */
 constexpr Duration lookPatience = std::chrono::milliseconds(250);
 
-/** A target that is silent is told to be gone within some intervals of its entry's renewal. */
+/** The list tells of a new start, or that the target is gone, within some renewals of its entry. */
 constexpr Duration listPatience = std::chrono::seconds(10);
 
+/** Lost calls of one target that are kept; as many as engines run at once. */
+constexpr std::size_t mostLostKept = 256;
+
 /** Calls of an end that a log line names; enough to find one that several ends have in common. */
 constexpr std::size_t mostCallsNamed = 16;
 
@@ -30,38 +33,51 @@
     return text;
 }
 
-void noteEnd(GatewayNode &node, const std::string &target, const LostCalls &lost,
+/** The target ended under what was lost since `from`. `nextBorn`: its new start; 0: not known. */
+void noteEnd(GatewayNode &node, const std::string &target, Instant from, std::int64_t nextBorn,
              std::string_view seenBy)
 {
+    CallEvidence evidence;
+    evidence.target = target;
+    evidence.nextBorn = nextBorn;
+    const auto found = node.targets.find(target);
+    if (found == node.targets.end())
+        return;
+    for (const LostCall &lost : std::exchange(found->second->lost.calls, {})) {
+        if (lost.at < from)
+            continue;
+        if (evidence.calls.empty())
+            evidence.at = lost.at;
+        evidence.calls.push_back(lost.call);
+    }
+    if (evidence.calls.empty())
+        return;
     logEvent(EventId::TargetEnded,
              {{"target", target},
               {"seenBy", std::string(seenBy)},
-              {"callsLost", std::to_string(lost.calls.size())},
-              {"calls", callsText(lost.calls)}});
-    noteTargetEnded(node, target, lost.calls, lost.at);
+              {"callsLost", std::to_string(evidence.calls.size())},
+              {"calls", callsText(evidence.calls)}});
+    noteTargetEnded(node, evidence);
 }
 
 asio::awaitable<void> lookAt(GatewayNode &node, std::string target, Endpoint endpoint)
 {
+    const Instant firstLoss = BootClock::now() - lossGather;
     co_await pauseFor(node, lossGather);
     ConnectResult result = co_await connectTo(node.context, endpoint, lookPatience);
     const auto found = node.targets.find(target);
     if (found == node.targets.end())
         co_return;
     TargetRuntime &runtime = *found->second;
-    const LostCalls lost = std::exchange(runtime.lost, LostCalls());
-    if (result.connection) {
-        // It is well, and the connection serves the next call.
-        giveBack(runtime.pool, std::move(result.connection), Duration::zero(), BootClock::now());
-        co_return;
-    }
+    runtime.lost.looking = false;
     if (result.error == asio::error::connection_refused) {
-        noteEnd(node, target, lost, "refused connection");
+        noteEnd(node, target, firstLoss, 0, "refused connection");
         co_return;
     }
-    // Silence may be the link's; then the list tells.
-    runtime.lost = lost;
-    runtime.lost.looking = false;
+    // Silence may be the link's, and who accepts may only stand before the target or have started
+    // anew at once: then the list tells. A connection serves the next call.
+    if (result.connection)
+        giveBack(runtime.pool, std::move(result.connection), Duration::zero(), BootClock::now());
 }
 
 } // namespace
@@ -69,32 +85,33 @@
 void noteLostCall(CallRun &run, const std::string &target)
 {
     GatewayNode &node = run.node;
-    const TargetEntry *entry = entryOf(node, target);
+    TargetRuntime &runtime = runtimeOf(node, target);
     // What leaves ends soon whatever it runs.
-    if (entry == nullptr || entry->leaving)
+    if (runtime.leaves)
         return;
-    LostCalls &lost = runtimeOf(node, target).lost;
+    LostCalls &lost = runtime.lost;
     const Instant now = BootClock::now();
-    if (!lost.looking && now - lost.at > lossGather)
-        lost.calls.clear();
-    lost.calls.push_back(identityOf(run));
-    lost.at = now;
+    lost.calls.push_back({identityOf(run), now});
+    while (lost.calls.size() > mostLostKept || now - lost.calls.front().at > listPatience)
+        lost.calls.pop_front();
     if (lost.looking)
         return;
+    const TargetEntry *entry = entryOf(node, target);
+    if (entry == nullptr) {
+        // One that fell silent is off the list before its connections are given up.
+        noteEndByList(node, target, 0);
+        return;
+    }
     lost.looking = true;
     spawn(node, "look at a target", lookAt(node, target, entry->endpoint));
 }
 
-void noteEndByList(GatewayNode &node, const std::string &target)
+void noteEndByList(GatewayNode &node, const std::string &target, std::int64_t nextBorn)
 {
     const auto found = node.targets.find(target);
-    if (found == node.targets.end())
-        return;
-    LostCalls &lost = found->second->lost;
-    if (lost.calls.empty() || lost.looking || BootClock::now() - lost.at > listPatience)
+    if (found == node.targets.end() || found->second->leaves)
         return;
-    noteEnd(node, target, lost, "list");
-    lost = LostCalls();
+    noteEnd(node, target, BootClock::now() - listPatience, nextBorn, "list");
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/TargetStarts.cpp
+++ b/libs/gateway/src/TargetStarts.cpp
@@ -12,6 +12,7 @@
 {
     runtime.health = TargetHealth();
     runtime.wantsNothingUntil = Instant{};
+    runtime.leaves = false;
     for (const TargetConnectionPtr &connection : runtime.pool.idle)
         closeConnection(*connection);
     runtime.pool.idle.clear();
@@ -63,8 +64,7 @@
               {"address", record.entry.endpoint.text()},
               {"bornBefore", std::to_string(record.entry.born)},
               {"born", std::to_string(born)}});
-    if (!record.entry.leaving)
-        noteEndByList(node, target);
+    noteEndByList(node, target, born);
     record.entry.born = born;
     record.entry.leaving = false;
     record.entry.models.clear();
--- a/libs/gateway/src/TargetWords.cpp
+++ b/libs/gateway/src/TargetWords.cpp
@@ -13,6 +13,7 @@
     if (found == node.book.records.end() || found->second.entry.leaving)
         return;
     found->second.entry.leaving = true;
+    runtimeOf(node, target).leaves = true;
     node.facts.targets.set(target, {found->second.entry, false}, node.facts.counter);
     logEvent(EventId::TargetLeaving, {{"target", target}, {"source", std::string(source)}});
     node.newsDue.notifyAll();
--- a/libs/serving/include/serving/CallEvidence.h
+++ b/libs/serving/include/serving/CallEvidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 struct CallEvidence
 {
     std::string target; ///< that ended; empty: the calls were answered
+    std::int64_t nextBorn = 0; ///< its start after that end, ms by its own clock; 0: not known
     std::vector<CallIdentity> calls;
     Instant at{};
 
--- a/libs/serving/include/serving/HarmfulCalls.h
+++ b/libs/serving/include/serving/HarmfulCalls.h
@@ -15,6 +15,12 @@
 /** The same where several calls were under way at all of these ends: one of them is to blame. */
 constexpr int endsThatCondemnSeveral = 5;
 
+/**
+ * A call that was answered ends no targets, and will not begin to soon: a call that many make is
+ * under way wherever targets end, also where several end at nearly the same time.
+ */
+constexpr Duration answerVouches = std::chrono::seconds(60);
+
 /** Evidence counts this long. A call that still does harm costs that many targets again then. */
 constexpr Duration evidenceHolds = std::chrono::hours(1);
 
@@ -33,7 +39,9 @@
 struct HarmfulCalls
 {
     std::vector<HarmfulCall> calls;
-    std::vector<std::uint64_t> suspects; ///< contents under which a target ended, sorted
+    // Under which targets ended that no answer has voided; sorted.
+    std::vector<CallIdentity> suspectCalls;
+    std::vector<std::uint64_t> suspectContents;
 
     auto operator<=>(const HarmfulCalls &) const = default;
 };
@@ -47,7 +55,7 @@
 /** Null: the call may be sent to targets. */
 const HarmfulCall *findHarmful(const HarmfulCalls &harmful, const CallIdentity &call) noexcept;
 
-/** True if a target ended under a call of this content: an answer to it is worth telling. */
+/** True if an answer to the call would void an end; any other is not worth telling. */
 bool isSuspect(const HarmfulCalls &harmful, const CallIdentity &call) noexcept;
 
 /** When a harmful call may be tried again, if no further target ends under it. */
--- a/libs/serving/src/HarmfulCalls.cpp
+++ b/libs/serving/src/HarmfulCalls.cpp
@@ -19,6 +19,7 @@
 struct TargetEnd
 {
     Instant at{};
+    std::int64_t nextBorn = 0; ///< 0: not known
     std::set<CallIdentity> calls;
     bool explained = false;
 };
@@ -46,6 +47,20 @@
     return answers;
 }
 
+/** The end that a piece of evidence tells of, of those of the same target; null: of none yet. */
+TargetEnd *findEnd(std::vector<TargetEnd *> &ofTarget, const CallEvidence &item)
+{
+    for (TargetEnd *end : ofTarget) {
+        const bool sameStart = item.nextBorn != 0 && end->nextBorn == item.nextBorn;
+        const bool otherStart =
+            item.nextBorn != 0 && end->nextBorn != 0 && end->nextBorn != item.nextBorn;
+        const Duration apart = item.at > end->at ? item.at - end->at : end->at - item.at;
+        if (sameStart || (!otherStart && apart < sameEnd))
+            return end;
+    }
+    return nullptr;
+}
+
 std::vector<TargetEnd> endsOf(const std::vector<const CallEvidence *> &evidence)
 {
     std::vector<const CallEvidence *> ordered;
@@ -54,28 +69,33 @@
             ordered.push_back(item);
     }
     std::sort(ordered.begin(), ordered.end(), [](const CallEvidence *a, const CallEvidence *b) {
-        return std::tie(a->target, a->at) < std::tie(b->target, b->at);
+        return std::tie(a->target, a->at, a->nextBorn) < std::tie(b->target, b->at, b->nextBorn);
     });
     std::vector<TargetEnd> ends;
+    ends.reserve(ordered.size()); // the places of ends are kept below
+    std::vector<TargetEnd *> ofTarget;
     const std::string *target = nullptr;
     for (const CallEvidence *item : ordered) {
-        const bool known =
-            target != nullptr && *target == item->target && item->at - ends.back().at < sameEnd;
-        if (!known) {
-            ends.emplace_back();
-            ends.back().at = item->at;
-        }
+        if (target == nullptr || *target != item->target)
+            ofTarget.clear();
         target = &item->target;
-        ends.back().calls.insert(item->calls.begin(), item->calls.end());
+        TargetEnd *end = findEnd(ofTarget, *item);
+        if (end == nullptr) {
+            end = &ends.emplace_back();
+            end->at = item->at;
+            ofTarget.push_back(end);
+        }
+        end->nextBorn = std::max(end->nextBorn, item->nextBorn);
+        end->calls.insert(item->calls.begin(), item->calls.end());
     }
     return ends;
 }
 
 template <typename Key>
-bool answeredAfter(const std::map<Key, Instant> &answers, const Key &key, Instant end)
+bool isVouchedFor(const std::map<Key, Instant> &answers, const Key &key, Instant end)
 {
     const auto answered = answers.find(key);
-    return answered != answers.end() && answered->second >= end;
+    return answered != answers.end() && answered->second + answerVouches >= end;
 }
 
 /** Ends, by their places in the list of all, that a call could explain. */
@@ -98,11 +118,11 @@
         std::set<std::uint64_t> contents;
         for (const CallIdentity &call : end.calls) {
             contents.insert(call.content);
-            if (!answeredAfter(answers.byCall, call, end.at))
+            if (!isVouchedFor(answers.byCall, call, end.at))
                 candidates.byCall[call].push_back(index);
         }
         for (const std::uint64_t content : contents) {
-            if (!answeredAfter(answers.byContent, content, end.at))
+            if (!isVouchedFor(answers.byContent, content, end.at))
                 candidates.byContent[content].push_back(index);
         }
     }
@@ -149,15 +169,12 @@
     return harmful.content == call.content && (!harmful.caller || *harmful.caller == call.caller);
 }
 
-/** Contents under which ends that still count lie, sorted. */
-std::vector<std::uint64_t> suspectsOf(const Candidates &candidates)
+template <typename Key> std::vector<Key> keysOf(const std::map<Key, Explained> &explainedBy)
 {
-    std::set<std::uint64_t> suspects;
-    for (const auto &[call, ends] : candidates.byCall)
-        suspects.insert(call.content);
-    for (const auto &[content, ends] : candidates.byContent)
-        suspects.insert(content);
-    return {suspects.begin(), suspects.end()};
+    std::vector<Key> keys;
+    for (const auto &[key, ends] : explainedBy)
+        keys.push_back(key);
+    return keys;
 }
 
 } // namespace
@@ -171,7 +188,8 @@
     std::vector<TargetEnd> ends = endsOf(evidence);
     const Answers answers = answersOf(evidence);
     Candidates candidates = candidatesOf(ends, answers);
-    verdict.suspects = suspectsOf(candidates);
+    verdict.suspectCalls = keysOf(candidates.byCall);
+    verdict.suspectContents = keysOf(candidates.byContent);
     while (true) {
         const Explained most = mostExplained(candidates);
         const int count = static_cast<int>(most.size());
@@ -198,7 +216,10 @@
 
 bool isSuspect(const HarmfulCalls &harmful, const CallIdentity &call) noexcept
 {
-    return std::binary_search(harmful.suspects.begin(), harmful.suspects.end(), call.content);
+    const std::vector<CallIdentity> &calls = harmful.suspectCalls;
+    const std::vector<std::uint64_t> &contents = harmful.suspectContents;
+    return std::binary_search(calls.begin(), calls.end(), call)
+        || std::binary_search(contents.begin(), contents.end(), call.content);
 }
 
 Instant forgottenAt(const HarmfulCall &call) noexcept
