--- a/libs/gateway/tests/HarmfulWatches.cpp
+++ b/libs/gateway/tests/HarmfulWatches.cpp
@@ -4,6 +4,9 @@
 #include "NewsCodec.h"
 #include "PeerExchange.h"
 
+#include <memory>
+#include <vector>
+
 #include <criterion/criterion.h>
 
 using namespace monsoonbay;
@@ -44,16 +47,22 @@
     return findHarmful(node.harmful, call) != nullptr;
 }
 
-/** `asker` asks `asked` and takes the answer. */
-void exchange(GatewayNode &asker, GatewayNode &asked, std::uint64_t sequence)
+/** `asker` asks `asked` and takes the answers, until there is no more to tell. */
+void exchange(GatewayNode &asker, GatewayNode &asked, std::uint64_t &sequence)
 {
-    gateway::v1::Report report = reportOf(asker, sequence);
-    for (const auto &[id, entry] : asker.facts.evidence.all()) {
-        if (entry.value.own)
-            encodeEvidence(id, entry.value.evidence, BootClock::now(), *report.add_evidence());
-    }
-    const gateway::v1::Digest digest = answerReport(asked, report);
-    takeDigest(asker, asked.settings.peers, digest, true);
+    const PeerState &known = asker.peers[asked.settings.peers];
+    do {
+        gateway::v1::Report report = reportOf(asker, ++sequence);
+        report.set_known_boot(known.seenBoot);
+        report.set_known_change(known.seenChange);
+        report.set_in_whole(known.inWhole);
+        for (const auto &[id, entry] : asker.facts.evidence.all()) {
+            if (entry.value.own)
+                encodeEvidence(id, entry.value.evidence, BootClock::now(), *report.add_evidence());
+        }
+        const gateway::v1::Digest digest = answerReport(asked, report);
+        takeDigest(asker, asked.settings.peers, digest, true);
+    } while (known.moreToTell);
 }
 
 } // namespace
@@ -63,6 +72,7 @@
 // relays of other zones and to all VMs.
 Test(harmful_watch, ends_seen_by_different_vms_are_put_together_at_all)
 {
+    std::uint64_t sequence = 0;
     GatewayNode first(settingsOf("vm-1", "zone-a"));
     GatewayNode second(settingsOf("vm-2", "zone-a"));
     GatewayNode relay(settingsOf("vm-3", "zone-a"));
@@ -71,20 +81,55 @@
     endUnder(first, "a", harmful);
     endUnder(second, "b", harmful);
     endUnder(farRelay, "c", harmful);
-    exchange(first, relay, 1);
-    exchange(second, relay, 1);
+    exchange(first, relay, sequence);
+    exchange(second, relay, sequence);
     cr_assert_not(refuses(relay, harmful));
-    exchange(farRelay, relay, 1);
-    exchange(farMate, farRelay, 1);
+    exchange(farRelay, relay, sequence);
+    exchange(farMate, farRelay, sequence);
     cr_assert(refuses(farRelay, harmful));
     cr_assert(refuses(farMate, harmful));
-    exchange(relay, farRelay, 1);
-    exchange(first, relay, 2);
-    exchange(second, relay, 2);
+    exchange(relay, farRelay, sequence);
+    exchange(first, relay, sequence);
+    exchange(second, relay, sequence);
     for (const GatewayNode *node : {&first, &second, &relay})
         cr_assert(refuses(*node, harmful));
 }
 
+// At size: ends seen by three VMs of different zones are known to all 300 after each VM has spoken
+// to its relay, the relays to one another, and each VM to its relay again.
+Test(harmful_watch, three_rounds_tell_three_hundred_vms)
+{
+    constexpr int zones = 4;
+    constexpr int vmsOfZone = 75;
+    std::vector<std::vector<std::unique_ptr<GatewayNode>>> vms(zones);
+    for (int zone = 0; zone < zones; ++zone) {
+        for (int vm = 0; vm < vmsOfZone; ++vm)
+            vms[zone].push_back(std::make_unique<GatewayNode>(settingsOf(
+                "vm-" + std::to_string(zone * vmsOfZone + vm), "zone-" + std::to_string(zone))));
+    }
+    for (int zone = 0; zone < endsThatCondemn; ++zone)
+        endUnder(*vms[zone].back(), "t" + std::to_string(zone), harmful);
+    std::uint64_t sequence = 0;
+    const auto tellRelays = [&] {
+        for (const auto &zone : vms) {
+            for (std::size_t vm = 1; vm < zone.size(); ++vm)
+                exchange(*zone[vm], *zone[0], sequence);
+        }
+    };
+    tellRelays();
+    for (const auto &zone : vms) {
+        for (const auto &other : vms) {
+            if (&zone != &other)
+                exchange(*zone[0], *other[0], sequence);
+        }
+    }
+    tellRelays();
+    for (const auto &zone : vms) {
+        for (const auto &vm : zone)
+            cr_assert(refuses(*vm, harmful), "%s", vm->settings.vm.c_str());
+    }
+}
+
 Test(harmful_watch, the_same_word_heard_twice_counts_once)
 {
     GatewayNode node(settingsOf("vm-1", "zone-a"));
