--- /dev/null
+++ b/libs/access/src/KeyTable.cpp
@@ -0,0 +1,139 @@
+#include "access/KeyTable.h"
+
+#include <algorithm>
+#include <memory>
+#include <new>
+#include <set>
+#include <span>
+
+#include <openssl/evp.h>
+#include <openssl/sha.h>
+
+namespace monsoonbay {
+
+namespace {
+
+constexpr std::size_t loggedDigits = 8;
+
+std::uint32_t placeOf(KeyTable &table, const std::string &name)
+{
+    const auto [found, added] =
+        table.placeByName.try_emplace(name, static_cast<std::uint32_t>(table.names.size()));
+    if (added)
+        table.names.push_back(name);
+    return found->second;
+}
+
+const Workspace *findByName(const std::vector<Workspace> &workspaces, const Workspace &like,
+                            std::size_t likelyAt)
+{
+    if (likelyAt < workspaces.size() && workspaces[likelyAt].name == like.name)
+        return &workspaces[likelyAt];
+    const auto found =
+        std::find_if(workspaces.begin(), workspaces.end(),
+                     [&like](const Workspace &other) { return other.name == like.name; });
+    return found == workspaces.end() ? nullptr : &*found;
+}
+
+/** Keys of `workspace` that `other`, which may be null, does not have. */
+std::vector<std::string_view> keysBeside(const Workspace &workspace, const Workspace *other)
+{
+    std::span<const std::string> keys(workspace.keys);
+    std::span<const std::string> others;
+    if (other != nullptr)
+        others = other->keys;
+    // What a change leaves as it was stands at the ends of the lists, but for a few keys.
+    while (!keys.empty() && !others.empty() && keys.front() == others.front()) {
+        keys = keys.subspan(1);
+        others = others.subspan(1);
+    }
+    while (!keys.empty() && !others.empty() && keys.back() == others.back()) {
+        keys = keys.first(keys.size() - 1);
+        others = others.first(others.size() - 1);
+    }
+    const std::set<std::string_view> shared(others.begin(), others.end());
+    std::vector<std::string_view> beside;
+    for (const std::string &key : keys) {
+        if (shared.count(key) == 0)
+            beside.push_back(key);
+    }
+    return beside;
+}
+
+/** Looked up once: that takes longer than a digest. */
+const EVP_MD *sha256()
+{
+    static const EVP_MD *const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    return algorithm;
+}
+
+struct ContextEnd
+{
+    void operator()(EVP_MD_CTX *context) const
+    {
+        EVP_MD_CTX_free(context);
+    }
+};
+
+} // namespace
+
+KeyDigest digestOfKey(std::string_view key)
+{
+    thread_local const std::unique_ptr<EVP_MD_CTX, ContextEnd> context(EVP_MD_CTX_new());
+    KeyDigest digest;
+    static_assert(sizeof(digest.words) == SHA256_DIGEST_LENGTH);
+    const bool made = EVP_DigestInit_ex2(context.get(), sha256(), nullptr) == 1
+        && EVP_DigestUpdate(context.get(), key.data(), key.size()) == 1
+        && EVP_DigestFinal_ex(context.get(),
+                              reinterpret_cast<unsigned char *>(digest.words.data()), nullptr)
+            == 1;
+    // Only without memory; a digest that is not one would let a wrong key through.
+    if (!made)
+        throw std::bad_alloc();
+    return digest;
+}
+
+std::string shortText(const KeyDigest &digest)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (std::size_t digit = 0; digit < loggedDigits; ++digit)
+        text += digits[(digest.words[1] >> (4 * digit)) & 15];
+    return text;
+}
+
+// A key may go from one workspace to another in one change, so all are taken before any is given.
+KeyChanges updateKeys(KeyTable &table, const std::vector<Workspace> &before,
+                      const std::vector<Workspace> &after)
+{
+    KeyChanges changes;
+    for (std::size_t index = 0; index < before.size(); ++index) {
+        const Workspace &held = before[index];
+        for (const std::string_view key : keysBeside(held, findByName(after, held, index))) {
+            const auto found = table.workspaceByKey.find(digestOfKey(key));
+            if (found == table.workspaceByKey.end() || table.names[found->second] != held.name)
+                continue;
+            table.workspaceByKey.erase(found);
+            ++changes.taken;
+        }
+    }
+    for (std::size_t index = 0; index < after.size(); ++index) {
+        const Workspace &holder = after[index];
+        for (const std::string_view key : keysBeside(holder, findByName(before, holder, index))) {
+            if (key.empty())
+                continue;
+            table.workspaceByKey[digestOfKey(key)] = placeOf(table, holder.name);
+            ++changes.added;
+        }
+    }
+    return changes;
+}
+
+// Found by the digest, and compared by it: how long that takes tells nothing of the keys.
+const std::string *workspaceOf(const KeyTable &table, const KeyDigest &key)
+{
+    const auto found = table.workspaceByKey.find(key);
+    return found == table.workspaceByKey.end() ? nullptr : &table.names[found->second];
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/access/tests/AccessModel.cpp
@@ -0,0 +1,231 @@
+#include "AccessModel.h"
+
+#include <array>
+#include <optional>
+#include <unordered_set>
+
+#include "access/Confirmation.h"
+
+namespace monsoonbay {
+
+namespace {
+
+constexpr Duration tick = std::chrono::milliseconds(1000);
+constexpr std::int64_t takenIn = 2; ///< version that takes the key
+constexpr std::int64_t givenIn = 3; ///< version that gives it to another workspace
+
+struct Told
+{
+    std::int64_t version = 0;
+    Duration age{};
+    bool confirmed = false;
+};
+
+struct Vm
+{
+    std::int64_t version = 0; ///< in force; 0: none
+    Confirmations confirmations;
+};
+
+struct World
+{
+    Instant now = Instant{} + std::chrono::seconds(100);
+    std::int64_t stored = 1;
+    Instant takenAt{};
+    Vm reader;
+    Vm learner;
+    Duration suspended{}; ///< of the learner, that its clock has not counted
+    bool learnerStands = false;
+    std::optional<Instant> readSince;
+    std::int64_t readFound = 0; ///< at the beginning of the read
+    std::optional<Instant> askedSince;
+    Told answered; ///< at the beginning of the exchange
+};
+
+enum class Step : std::uint8_t {
+    Tick,
+    Change,
+    BeginRead,
+    EndReadAsOfBegin,
+    EndReadAsOfNow,
+    LoseRead,
+    Ask,
+    AnswerAsOfAsk,
+    AnswerAsOfNow,
+    LoseAnswer,
+    SuspendOrWake,
+    Restart,
+    Count,
+};
+
+class Explorer
+{
+public:
+    explicit Explorer(AccessFault fault)
+        : fault(fault)
+    { }
+
+    Exploration run(int depth)
+    {
+        World world;
+        world.reader.version = 1;
+        noteConfirmed(world.reader.confirmations, {1, world.now});
+        world.learner = world.reader;
+        this->explore(world, depth);
+        return this->found;
+    }
+
+private:
+    void explore(const World &world, int depth)
+    {
+        ++this->found.states;
+        this->check(world);
+        if (depth == 0 || this->found.broken)
+            return;
+        for (int step = 0; step < static_cast<int>(Step::Count); ++step) {
+            World next = world;
+            if (this->take(next, static_cast<Step>(step)))
+                this->explore(next, depth - 1);
+        }
+    }
+
+    Instant learnersClock(const World &world) const
+    {
+        const bool stops = this->fault == AccessFault::ClockStops;
+        return stops ? world.now - world.suspended : world.now;
+    }
+
+    Told wordOf(const World &world) const
+    {
+        Told told;
+        told.version = world.reader.version;
+        const auto confirmed = confirmedAt(world.reader.confirmations, told.version);
+        told.confirmed = confirmed.has_value();
+        if (confirmed)
+            told.age = world.now - *confirmed;
+        return told;
+    }
+
+    void endRead(World &world, std::int64_t found) const
+    {
+        const Instant from =
+            this->fault == AccessFault::CountsFromAnswer ? world.now : *world.readSince;
+        world.reader.version = std::max(world.reader.version, found);
+        noteConfirmed(world.reader.confirmations, {found, from});
+        world.readSince.reset();
+    }
+
+    void takeAnswer(World &world, const Told &told) const
+    {
+        const Instant asked = *world.askedSince;
+        world.askedSince.reset();
+        if (!told.confirmed)
+            return;
+        const bool forgets = this->fault == AccessFault::ForgetsOwnWait;
+        Confirmation heard = confirmationFromAnswer(
+            told.version, told.age, forgets ? this->learnersClock(world) : asked);
+        // Only the version is told with an exchange; the document may come at any time after.
+        if (this->fault == AccessFault::IgnoresVersion)
+            heard.version = world.learner.version;
+        else
+            world.learner.version = std::max(world.learner.version, told.version);
+        noteConfirmed(world.learner.confirmations, heard);
+    }
+
+    bool take(World &world, Step step) const
+    {
+        switch (step) {
+        case Step::Tick:
+            world.now += tick;
+            if (world.learnerStands)
+                world.suspended += tick;
+            return true;
+        case Step::Change:
+            if (world.stored >= givenIn)
+                return false;
+            ++world.stored;
+            if (world.stored == takenIn)
+                world.takenAt = world.now;
+            return true;
+        case Step::BeginRead:
+            if (world.readSince)
+                return false;
+            world.readSince = world.now;
+            world.readFound = world.stored;
+            return true;
+        case Step::EndReadAsOfBegin:
+        case Step::EndReadAsOfNow:
+            if (!world.readSince)
+                return false;
+            this->endRead(world, step == Step::EndReadAsOfNow ? world.stored : world.readFound);
+            return true;
+        case Step::LoseRead:
+            if (!world.readSince)
+                return false;
+            world.readSince.reset();
+            return true;
+        case Step::Ask:
+            if (world.askedSince || world.learnerStands)
+                return false;
+            world.askedSince = this->learnersClock(world);
+            world.answered = this->wordOf(world);
+            return true;
+        case Step::AnswerAsOfAsk:
+        case Step::AnswerAsOfNow:
+            if (!world.askedSince || world.learnerStands)
+                return false;
+            this->takeAnswer(world,
+                             step == Step::AnswerAsOfNow ? this->wordOf(world) : world.answered);
+            return true;
+        case Step::LoseAnswer:
+            if (!world.askedSince)
+                return false;
+            world.askedSince.reset();
+            return true;
+        case Step::SuspendOrWake:
+            world.learnerStands = !world.learnerStands;
+            return true;
+        case Step::Restart:
+            world.learner = Vm();
+            world.askedSince.reset();
+            return true;
+        case Step::Count:
+            break;
+        }
+        return false;
+    }
+
+    void check(const World &world)
+    {
+        if (world.stored < takenIn || world.now - world.takenAt <= policy().takenWithin)
+            return;
+        const bool learns =
+            !world.learnerStands && this->honours(world.learner, this->learnersClock(world));
+        if (learns || this->honours(world.reader, world.now))
+            this->found.broken = true;
+    }
+
+    static AccessPolicy policy()
+    {
+        return {true, 2 * tick};
+    }
+
+    /** The key that was taken in `takenIn`, for the workspace that held it before. */
+    bool honours(const Vm &vm, Instant clock) const
+    {
+        const bool holds = vm.version > 0 && vm.version < takenIn;
+        return holds && mayTrustKeys(policy(), confirmedAt(vm.confirmations, vm.version), clock);
+    }
+
+    AccessFault fault;
+    Exploration found;
+};
+
+} // namespace
+
+Exploration exploreAccess(int depth, AccessFault fault)
+{
+    return Explorer(fault).run(depth);
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/quota/include/quota/Admission.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/Time.h"
+#include "quota/SpendRecord.h"
+#include "quota/WorkspaceLimit.h"
+#include "quota/WorkspaceUse.h"
+
+namespace monsoonbay {
+
+/** What is known of one workspace over all VMs that are in touch with this one. */
+struct FleetUse
+{
+    WorkspaceUse use; ///< of these VMs, this one among them
+    int vmsInTouch = 1;
+    int vmsKnown = 1;
+    Duration newsAge{}; ///< of what these VMs told, in the mean
+
+    bool operator==(const FleetUse &) const = default;
+};
+
+struct QuotaVerdict
+{
+    bool admitted = false;
+    Duration retryAfter{}; ///< if not: when it is likely to fit
+
+    auto operator<=>(const QuotaVerdict &) const = default;
+};
+
+/** Units a second that all VMs in touch together may let run now. */
+double admittedPerSecond(const WorkspaceLimit &limit, const QuotaPolicy &policy,
+                         const FleetUse &fleet) noexcept;
+
+/** Units a second that all VMs in touch are asked for now; what they told of it is older. */
+double askedNow(SpendRecord &own, const QuotaPolicy &policy, const FleetUse &fleet,
+                std::int64_t units, Instant now);
+
+/**
+ * Whether a call that asks for `units` may run. What it asks for must have been noted before; what
+ * it uses is noted by the caller if it is admitted.
+ */
+QuotaVerdict admitCall(SpendRecord &own, const WorkspaceLimit &limit, const QuotaPolicy &policy,
+                       const FleetUse &fleet, std::int64_t units, Instant now);
+
+/**
+ * What a VM may have let run before its start, as far as the window still holds it: nobody else
+ * may know of it after a common restart. `sinceStart` is the time that it has been up.
+ */
+WorkspaceUse useBeforeStart(const WorkspaceLimit &limit, const QuotaPolicy &policy, int vmsKnown,
+                            Duration sinceStart) noexcept;
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/quota/include/quota/SpendRecord.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "core/Time.h"
+#include "quota/WorkspaceLimit.h"
+#include "quota/WorkspaceUse.h"
+
+namespace monsoonbay {
+
+/** What calls of one workspace used at one VM, by parts of the window. */
+struct SpendRecord
+{
+    /** Parts kept; one more than the window has, as the newest is never a whole one. */
+    static constexpr std::size_t parts = 33;
+
+    std::array<std::int64_t, parts> spent{};
+    std::array<std::int64_t, parts> asked{};
+    std::int64_t newestPart = 0;
+    double carry = 0; ///< see admitCall(); in [0, 1)
+};
+
+/** A call asks for `units`, whether it gets them or not. */
+void noteAsked(SpendRecord &record, const QuotaPolicy &policy, std::int64_t units, Instant now);
+
+void noteSpent(SpendRecord &record, const QuotaPolicy &policy, std::int64_t units, Instant now);
+
+/** A call that was let run at `spentAt` has not run. */
+void giveBack(SpendRecord &record, const QuotaPolicy &policy, std::int64_t units, Instant spentAt,
+              Instant now);
+
+WorkspaceUse useOf(SpendRecord &record, const QuotaPolicy &policy, Instant now);
+
+/** Units a second that were asked for, as it was told `before` ago. */
+double askedBefore(SpendRecord &record, const QuotaPolicy &policy, Duration before, Instant now);
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/quota/tests/Limits.cpp
@@ -0,0 +1,228 @@
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include "FleetModel.h"
+#include "quota/FleetSize.h"
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start = Instant{} + 1000s;
+
+WorkspaceLimit limitOf(double rate)
+{
+    WorkspaceLimit limit;
+    limit.unit = QuotaUnit::Tokens;
+    limit.ratePerSecond = rate;
+    limit.burst = rate;
+    limit.tokensIfUnsaid = 200;
+    return limit;
+}
+
+QuotaPolicy policyOfDays()
+{
+    QuotaPolicy policy;
+    policy.slack = 110000;
+    return policy;
+}
+
+/** Some days of a workspace at deployments of 7 and 70 VMs. */
+std::vector<FleetDay> daysOf(double rate)
+{
+    std::vector<FleetDay> days;
+    for (const int vms : {7, 70}) {
+        FleetDay day;
+        day.vms = vms;
+        day.callersAt = vms;
+        day.newsAge = vms == 7 ? 100ms : 450ms;
+        day.limit = limitOf(rate);
+        day.policy = policyOfDays();
+        days.push_back(day);
+    }
+    return days;
+}
+
+void mostStaysWithin(const FleetDay &day)
+{
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+        FleetDay played = day;
+        played.seed = seed;
+        const FleetOutcome outcome = playDay(played, Division::BySum);
+        cr_expect_leq(outcome.mostOfBound, 1.0, "%d VMs, rate %g: %g of the bound", day.vms,
+                      day.limit.ratePerSecond, outcome.mostOfBound);
+    }
+}
+
+} // namespace
+
+Test(limits, a_call_counts_its_tokens_or_what_is_configured_or_one)
+{
+    WorkspaceLimit limit = limitOf(1000);
+    cr_assert_eq(costOf(limit, 9190), 9190);
+    cr_assert_eq(costOf(limit, std::nullopt), 200);
+    limit.unit = QuotaUnit::Calls;
+    cr_assert_eq(costOf(limit, 9190), 1);
+}
+
+Test(limits, what_was_used_leaves_with_its_window)
+{
+    const QuotaPolicy policy = policyOfDays();
+    SpendRecord record;
+    noteAsked(record, policy, 700, start);
+    noteSpent(record, policy, 700, start);
+    cr_assert_eq(useOf(record, policy, start + 1s).recent, 700);
+    cr_assert_eq(useOf(record, policy, start + 3s).recent, 0);
+    cr_assert_eq(useOf(record, policy, start + 7s).whole, 700);
+    cr_assert_eq(useOf(record, policy, start + 9s).whole, 0);
+    cr_assert(isUnused(useOf(record, policy, start + 100s)));
+}
+
+// Guards against a call that has not run and is taken off twice, or off a later window.
+Test(limits, what_has_not_run_is_given_back_where_it_was_taken)
+{
+    cr_assert(rc::check("given back", [] {
+        const QuotaPolicy policy = policyOfDays();
+        SpendRecord record;
+        const auto units = static_cast<std::int64_t>(*rc::gen::inRange(1, 100000));
+        const auto after = std::chrono::milliseconds(*rc::gen::inRange(0, 20000));
+        const Instant now = start + after;
+        noteSpent(record, policy, units, start);
+        noteSpent(record, policy, 5, now);
+        giveBack(record, policy, units, start, now);
+        RC_ASSERT(useOf(record, policy, now).whole == 5);
+    }));
+}
+
+// Guards against refusing a workspace that asks for less than its limit gives.
+Test(limits, usual_demand_is_let_run)
+{
+    for (const double rate : {29000.0, 200000.0, 887000.0}) {
+        for (const FleetDay &day : daysOf(rate))
+            cr_expect_geq(playDay(day, Division::BySum).served, 0.97);
+    }
+}
+
+// Guards against a sum over all VMs beyond the limit while a workspace asks for many times its
+// usual, at all VMs or at a few of them.
+Test(limits, many_times_the_usual_stays_within_the_limit)
+{
+    for (const double rate : {29000.0, 200000.0, 887000.0}) {
+        for (FleetDay day : daysOf(rate)) {
+            day.hot = 7.5;
+            mostStaysWithin(day);
+            cr_expect_geq(playDay(day, Division::BySum).served, 0.9);
+            day.callersAt = std::max(2, day.vms / 10);
+            mostStaysWithin(day);
+        }
+    }
+}
+
+// Guards against VMs that hear nobody and each take the whole limit for their own.
+Test(limits, vms_that_hear_nobody_keep_to_their_part)
+{
+    for (const double rate : {29000.0, 200000.0, 887000.0}) {
+        for (FleetDay day : daysOf(rate)) {
+            day.hot = 7.5;
+            day.cutAlone = day.vms / 3;
+            mostStaysWithin(day);
+        }
+    }
+}
+
+// Guards against an availability zone that is cut off and takes the whole limit for its own.
+Test(limits, a_zone_that_is_cut_off_keeps_to_its_part)
+{
+    for (const double rate : {29000.0, 200000.0, 887000.0}) {
+        for (FleetDay day : daysOf(rate)) {
+            day.hot = 7.5;
+            day.cutTogether = 0.25;
+            mostStaysWithin(day);
+        }
+    }
+}
+
+// Guards against a second allowance for those who are started anew: all VMs end at once in the
+// middle of a window and know nothing of it when they are back.
+Test(limits, a_common_restart_gives_nothing_twice)
+{
+    for (const double rate : {29000.0, 200000.0, 887000.0}) {
+        for (FleetDay day : daysOf(rate)) {
+            day.hot = 7.5;
+            day.restart = true;
+            mostStaysWithin(day);
+            day.hot = 1;
+            cr_expect_geq(playDay(day, Division::BySum).served, 0.95,
+                          "usual demand is let run at once");
+        }
+    }
+}
+
+Test(limits, a_lowered_limit_binds_within_a_window)
+{
+    for (const double rate : {200000.0, 887000.0}) {
+        for (FleetDay day : daysOf(rate)) {
+            day.lowered = 0.3;
+            mostStaysWithin(day);
+        }
+    }
+}
+
+Test(limits, what_can_never_fit_is_refused)
+{
+    const WorkspaceLimit limit = limitOf(1000);
+    const QuotaPolicy policy = policyOfDays();
+    SpendRecord record;
+    record.carry = 0.99;
+    const std::int64_t units = 10'000'000;
+    for (int call = 0; call < 20; ++call) {
+        noteAsked(record, policy, units, start + call * 1s);
+        const QuotaVerdict verdict =
+            admitCall(record, limit, policy, FleetUse(), units, start + call * 1s);
+        cr_assert(!verdict.admitted);
+        cr_assert(verdict.retryAfter > 0s);
+    }
+}
+
+Test(limits, no_limit_admits_all)
+{
+    SpendRecord record;
+    const QuotaVerdict verdict = admitCall(record, WorkspaceLimit(), policyOfDays(), FleetUse(),
+                                           1'000'000'000, start);
+    cr_assert(verdict.admitted);
+}
+
+// Guards against a VM in a long cut that forgets the others and takes their part.
+Test(limits, silent_vms_keep_their_part_while_the_store_is_not_heard)
+{
+    FleetSize size;
+    noteInTouch(size, 70, 70, true, start);
+    noteInTouch(size, 1, 1, false, start + 300s);
+    cr_assert_eq(size.known, 70);
+    noteInTouch(size, 1, 1, true, start + 301s);
+    cr_assert_eq(size.known, 1, "they are gone: the store was heard, and they were not");
+    noteInTouch(size, 2, 5, true, start + 302s);
+    cr_assert_eq(size.known, 5, "listed ones may be letting calls run");
+}
+
+// Sums of what VMs tell come apart again exactly, whatever the order.
+Test(limits, sums_of_uses_come_apart_exactly)
+{
+    cr_assert(rc::check("sums", [] {
+        const auto units = rc::gen::inRange<std::int64_t>(0, 1'000'000'000);
+        WorkspaceUses first;
+        WorkspaceUses second;
+        for (const char *name : {"a", "b", "c"}) {
+            first[name] = {*units, *units, *units};
+            second[name] = {*units, *units, *units};
+        }
+        WorkspaceUses sum;
+        addUses(sum, first);
+        addUses(sum, second);
+        subtractUses(sum, first);
+        std::erase_if(second, [](const auto &entry) { return isUnused(entry.second); });
+        std::erase_if(sum, [](const auto &entry) { return isUnused(entry.second); });
+        RC_ASSERT(sum == second);
+    }));
+}
