Limits nearer to what the rule bears; a restarted VM tells its own part only; unknown keys wait once

It now tells nothing before it knows how many VMs there are, and then its part of them. (2) After a common restart the number of VMs fell to those heard so far (7 of 70): the list counts for 15 s now. (3) A workspace at three times its rate was kept to 7 rates in a window of which the rule bears 9.9: room went over two seconds, asks were over-estimated by a growth that could only raise them.

--- a/libs/gateway/src/CallerAccess.cpp
+++ b/libs/gateway/src/CallerAccess.cpp
@@ -11,6 +11,7 @@
 constexpr double newKeyTimeShare = 0.35; ///< of what the caller will wait
 /** Callers without a valid key must not take the memory of others. */
 constexpr int mostKeysAwaited = 64;
+constexpr std::size_t mostUnknownKeys = 1024;
 
 /** Another VM may be in touch. */
 constexpr Duration comeBackElsewhere = std::chrono::milliseconds(300);
@@ -31,20 +32,29 @@
     return mayTrustKeys(node.settings.access, confirmedHere(node), BootClock::now());
 }
 
-/** True once the configuration in force is known to be newer than anything the caller can know. */
-bool knowsAllKeysOf(const CallRun &run)
+/** True once the configuration in force is known to have been the newest at `since` or later. */
+bool isConfirmedSince(const GatewayNode &node, Instant since)
 {
-    const std::optional<Instant> confirmed = confirmedHere(run.node);
-    return confirmed && *confirmed >= run.arrivedAt;
+    const std::optional<Instant> confirmed = confirmedHere(node);
+    return confirmed && *confirmed >= since;
 }
 
-asio::awaitable<void> awaitKey(const CallRun &run)
+// A caller goes on calling with a key that was taken; only its first call has to wait for news.
+Instant firstSeen(CallRun &run)
+{
+    GatewayNode &node = run.node;
+    if (node.unknownKeys.size() >= mostUnknownKeys)
+        node.unknownKeys.clear();
+    return node.unknownKeys.try_emplace(*run.key, run.arrivedAt).first->second;
+}
+
+asio::awaitable<void> awaitKey(const CallRun &run, Instant seen)
 {
     GatewayNode &node = run.node;
     const Duration left = fromSeconds(newKeyTimeShare * toSeconds(timeLeft(run)));
     const Instant limit = run.arrivedAt + std::min(newKeyPatience, left);
     ++node.keysAwaited;
-    while (workspaceOf(node.keys, *run.key) == nullptr && !knowsAllKeysOf(run)
+    while (workspaceOf(node.keys, *run.key) == nullptr && !isConfirmedSince(node, seen)
            && BootClock::now() < limit)
         co_await node.confirmed.wait(limit - BootClock::now());
     --node.keysAwaited;
@@ -61,11 +71,14 @@
         co_return ownAnswer(401, "the call has no key, or more than one", Duration::zero());
     run.key = digestOfKey(run.facts.callerKey);
     run.facts.callerKey.clear();
-    const bool isKnown = workspaceOf(node.keys, *run.key) != nullptr;
-    if (!isKnown && node.keysAwaited < mostKeysAwaited)
-        co_await awaitKey(run);
+    Instant seen{};
+    if (workspaceOf(node.keys, *run.key) == nullptr) {
+        seen = firstSeen(run);
+        if (node.keysAwaited < mostKeysAwaited)
+            co_await awaitKey(run, seen);
+    }
     const std::string *workspace = workspaceOf(node.keys, *run.key);
-    if (workspace == nullptr && knowsAllKeysOf(run))
+    if (workspace == nullptr && isConfirmedSince(node, seen))
         co_return ownAnswer(401, "no workspace has this key", Duration::zero());
     if (workspace == nullptr)
         co_return ownAnswer(503, "this VM cannot tell whether the key is a new one", comeBackLater);
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -39,6 +39,7 @@
     const KeyChanges keys =
         updateKeys(node.keys, replaced->config().workspaces, node.routes->config().workspaces);
     putNewest(node.config, std::move(packed), BootClock::now());
+    node.unknownKeys.clear();
     node.started.notifyAll();
     node.confirmed.notifyAll();
     logEvent(EventId::ConfigInForce,
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -447,6 +447,8 @@
     const Duration callerPatience = run->facts.timeLeft.value_or(run->route->timeout);
     run->deadline = run->arrivedAt + std::min(run->route->timeout, callerPatience);
     std::optional<OwnAnswer> refused = co_await refuseCaller(*run);
+    if (refused)
+        node.metrics.add(Counter::KeysRefused);
     if (!refused)
         refused = takeUnits(*run);
     if (refused) {
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -240,6 +240,7 @@
     KeyTable keys; ///< of the configuration in force
     Confirmations confirmations;
     Signal confirmed; ///< a version was confirmed, or is in force
+    std::unordered_map<KeyDigest, Instant, KeyDigestHash> unknownKeys; ///< when they came first
     int keysAwaited = 0; ///< calls that wait to learn whether their key is a new one
     std::unordered_map<std::string, SpendRecord> spending; ///< of own calls, by workspace
     FleetSize fleet;
--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -33,10 +33,18 @@
     return hearsRelay(node, now) ? std::max(node.upstream.vmsInTouch, below) : below;
 }
 
+/** VMs that may let calls run, whether they are heard or not. */
+int vmsKnown(const GatewayNode &node, Instant now)
+{
+    const bool counted = node.fleet.heardAt != Instant{};
+    const int listed = counted ? 0 : 1 + namedPeers(node);
+    return std::max({node.fleet.known, vmsInTouch(node, now), listed});
+}
+
 /** False while a VM that has just started cannot know how many others there are. */
 bool knowsOthers(const GatewayNode &node)
 {
-    return node.vmsRead || node.upstream.at != Instant{} || namedPeers(node) > 0;
+    return node.vmsRead || node.upstream.at != Instant{};
 }
 
 SpendRecord &recordOf(GatewayNode &node, const std::string &workspace)
@@ -57,8 +65,8 @@
     if (found != node.spending.end())
         use = useOf(found->second, policy, now);
     const Duration up = now - node.bootedAt;
-    if (!node.settings.firstStart && up < policy.window)
-        addUse(use, useBeforeStart(workspace.limit, policy, node.fleet.known, up));
+    if (!node.settings.firstStart && up < 2 * policy.window && knowsOthers(node))
+        addUse(use, useBeforeStart(workspace.limit, policy, vmsKnown(node, now), up));
     return use;
 }
 
@@ -79,7 +87,7 @@
     if (hearsRelay(node, now))
         addUseOf(fleet.use, node.upstream.otherWorkspaces, workspace.name);
     fleet.vmsInTouch = vmsInTouch(node, now);
-    fleet.vmsKnown = std::max(node.fleet.known, fleet.vmsInTouch);
+    fleet.vmsKnown = vmsKnown(node, now);
     fleet.newsAge = loadNewsAge(node);
     return fleet;
 }
@@ -121,6 +129,7 @@
     const QuotaVerdict verdict = admitCall(record, workspace->limit, policy, fleet, units, now);
     if (!verdict.admitted) {
         logOverLimit(run, *workspace, fleet, units);
+        node.metrics.add(Counter::OverLimit);
         return ownAnswer(429, "the workspace has used up its limit", verdict.retryAfter);
     }
     noteSpent(record, policy, units, now);
--- a/libs/gateway/tests/Workspaces.cpp
+++ b/libs/gateway/tests/Workspaces.cpp
@@ -110,6 +110,22 @@
     cr_assert_eq(served.used(), 0);
 }
 
+// Guards against refusing calls of all workspaces for seconds after a single VM was started anew:
+// it took itself for the only one and told the whole limit as used before its start.
+Test(workspaces, a_restarted_vm_tells_its_own_part_of_the_window_before_as_used)
+{
+    Served served(600);
+    served.node.settings.firstStart = false;
+    served.node.vmsRead = false;
+    cr_assert_eq(served.used(), 0, "it cannot say before it knows how many there are");
+    for (int vm = 2; vm <= 70; ++vm)
+        addPeer(served.node, {"10.0.1." + std::to_string(vm), 7380},
+                {"vm-" + std::to_string(vm), "zone-a", 1});
+    served.node.vmsRead = true;
+    cr_assert_gt(served.used(), 0);
+    cr_assert_leq(served.used(), 10 * 1000 / 70);
+}
+
 Test(workspaces, use_of_other_vms_leaves_less)
 {
     Served served(600);
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -26,6 +26,8 @@
     PeerMessagesSent,
     EngineCalls,
     TokensStreamed,
+    KeysRefused, ///< calls without a key that is known to be valid
+    OverLimit, ///< calls beyond their workspace's limit
     Count, ///< number of counters, not one of them
 };
 
--- a/libs/quota/include/quota/FleetSize.h
+++ b/libs/quota/include/quota/FleetSize.h
@@ -14,6 +14,7 @@
 {
     int known = 1;
     Instant heardAt{}; ///< when all known ones were heard last; zero: they are only listed
+    Instant begunAt{}; ///< when the first count was noted
     int least = 0; ///< that were heard at once in the present span
     Instant spanFrom{}; ///< zero: nothing was noted yet
     bool firstSpan = true;
--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -7,16 +7,20 @@
 namespace {
 
 /**
- * Of the tolerance beside rate and burst; the rest is for what was let run elsewhere and has not
- * been told yet.
+ * Of what use may pass a limit by; the rest is for what was let run elsewhere and has not been told
+ * yet. A small workspace's slack is a few of its calls, so more of it is left.
  */
-constexpr double toleranceUsed = 0.6;
+constexpr double excessUsed = 0.7;
+constexpr double slackUsed = 0.4;
 
 /**
  * Room goes in this part of the window: a workspace that asks for many times its limit is then
  * served evenly, and not all at once and nothing afterwards.
  */
-constexpr double fillShare = 0.25;
+constexpr double fillShare = 0.125;
+
+/** What is counted as used before a start ends this part of a window after what can have been. */
+constexpr double endShare = 0.125;
 
 /** Calls, spread over a window, below which growth is not told from chance. */
 constexpr double fewCalls = 12;
@@ -35,7 +39,7 @@
 double usableInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy)
 {
     const double granted = limit.ratePerSecond * toSeconds(policy.window) + limit.burst;
-    return granted + toleranceUsed * (mostInWindow(limit, policy) - granted);
+    return granted * (1 + excessUsed * policy.excess) + slackUsed * policy.slack;
 }
 
 } // namespace
@@ -61,7 +65,7 @@
     const double others = std::max(static_cast<double>(fleet.use.askedPerSecond) - here, 0.0);
     const double few = fewCalls * static_cast<double>(units) / toSeconds(policy.window);
     const double growth = (here + few) / (before + few);
-    return here + others * std::clamp(growth, 1.0, mostGrowth);
+    return here + others * std::clamp(growth, 1 / mostGrowth, mostGrowth);
 }
 
 // Every VM lets the same share of calls run, the share that keeps all of them together within the
@@ -85,7 +89,7 @@
     const auto cost = static_cast<double>(units);
     // Where one call is more than the part of these VMs, the share alone decides: it then lets run
     // as many of such calls, over all parts, as fit together.
-    const bool fits = static_cast<double>(fleet.use.whole) + cost <= most
+    const bool fits = static_cast<double>(ahead.use.whole) + cost <= most
         || (cost > most && cost <= mostInWindow(limit, policy));
     own.carry += fits ? std::min(rate / asked, 1.0) : 0;
     if (own.carry >= 1) {
@@ -102,7 +106,7 @@
                             Duration sinceStart) noexcept
 {
     const double window = toSeconds(policy.window);
-    const double kept = std::max(1 - toSeconds(sinceStart) / window, 0.0);
+    const double kept = std::clamp(1 + endShare - toSeconds(sinceStart) / window, 0.0, 1.0);
     const double most = usableInWindow(limit, policy) - limit.ratePerSecond * fillShare * window;
     WorkspaceUse use;
     use.whole = static_cast<std::int64_t>(most * kept / std::max(vmsKnown, 1));
--- a/libs/quota/src/FleetSize.cpp
+++ b/libs/quota/src/FleetSize.cpp
@@ -9,6 +9,9 @@
 /** A VM that was silent for so long, while the store was heard, is taken as gone. */
 constexpr Duration silentCounts = std::chrono::seconds(60);
 
+/** When many start at once, it takes some seconds until all of them are heard. */
+constexpr Duration listCounts = std::chrono::seconds(15);
+
 /**
  * A VM that goes from one relay to another is counted by both for a moment; only what is heard all
  * through a span of this length counts.
@@ -18,7 +21,8 @@
 void takeSettled(FleetSize &size, int settled, bool storeHeard, Instant now)
 {
     const bool onlyListed = size.heardAt == Instant{};
-    const bool forgotten = storeHeard && (onlyListed || now - size.heardAt > silentCounts);
+    const Instant since = onlyListed ? size.begunAt : size.heardAt;
+    const bool forgotten = storeHeard && now - since > (onlyListed ? listCounts : silentCounts);
     if (settled < size.known && !forgotten)
         return;
     size.known = settled;
@@ -34,6 +38,7 @@
     if (size.heardAt == Instant{})
         size.known = std::max({size.known, count.inTouch, count.listed});
     if (size.spanFrom == Instant{}) {
+        size.begunAt = now;
         size.spanFrom = now;
         size.least = count.inTouch;
     }
--- a/libs/quota/tests/Limits.cpp
+++ b/libs/quota/tests/Limits.cpp
@@ -235,6 +235,8 @@
     Instant now = start;
     noteFor(size, {1, 200, true}, 1s, now);
     cr_assert_eq(size.known, 200);
+    noteFor(size, {40, 200, true}, 9s, now);
+    cr_assert_eq(size.known, 200, "all start at once, and some are not heard yet");
     noteFor(size, {70, 200, true}, 10s, now);
     cr_assert_eq(size.known, 70, "the others on the list are gone for long");
     FleetSize cut;
