A VM that has just started takes no other new one's word for how many VMs there are

A VM that had heard a relay, but not read the store's list, took those that this relay had found so far for all there are, and its part of the limit for theirs. Without the list a relay's word counts only after 4 s.

--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -13,6 +13,8 @@
 
 /** The store, or a VM that reaches it, was heard within this. */
 constexpr Duration storeHeard = std::chrono::seconds(5);
+/** When all start at once, they have found each other without the store within this. */
+constexpr Duration othersHeard = std::chrono::seconds(4);
 constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
 
 int namedPeers(const GatewayNode &node)
@@ -41,10 +43,15 @@
     return std::max({node.fleet.known, vmsInTouch(node, now), listed});
 }
 
-/** False while a VM that has just started cannot know how many others there are. */
-bool knowsOthers(const GatewayNode &node)
+/**
+ * False while a VM that has just started cannot know how many others there are. A relay may have
+ * just started as well, and know of few: without the store's list its word counts only after a
+ * while.
+ */
+bool knowsOthers(const GatewayNode &node, Instant now)
 {
-    return node.vmsRead || node.upstream.at != Instant{};
+    const bool heardForLong = node.upstream.at != Instant{} && now - node.bootedAt > othersHeard;
+    return node.vmsRead || heardForLong;
 }
 
 SpendRecord &recordOf(GatewayNode &node, const std::string &workspace)
@@ -65,7 +72,7 @@
     if (found != node.spending.end())
         use = useOf(found->second, policy, now);
     const Duration up = now - node.bootedAt;
-    if (!node.settings.firstStart && up < 2 * policy.window && knowsOthers(node))
+    if (!node.settings.firstStart && up < 2 * policy.window && knowsOthers(node, now))
         addUse(use, useBeforeStart(workspace.limit, policy, vmsKnown(node, now), up));
     return use;
 }
@@ -118,9 +125,9 @@
         return std::nullopt;
     if (workspace->limit.unit == QuotaUnit::Tokens && run.facts.tokensMalformed)
         return ownAnswer(400, "the call's count of tokens is no count", Duration::zero());
-    if (!knowsOthers(node))
-        return ownAnswer(503, "this VM does not know of the others yet", comeBackSoon);
     const Instant now = BootClock::now();
+    if (!knowsOthers(node, now))
+        return ownAnswer(503, "this VM does not know of the others yet", comeBackSoon);
     const QuotaPolicy &policy = node.settings.quota;
     const std::int64_t units = costOf(workspace->limit, run.facts.tokens);
     SpendRecord &record = recordOf(node, workspace->name);
--- a/libs/gateway/tests/Workspaces.cpp
+++ b/libs/gateway/tests/Workspaces.cpp
@@ -110,6 +110,20 @@
     cr_assert_eq(served.used(), 0);
 }
 
+// Guards against the limit many times over after a common restart: VMs that had found only each
+// other so far, in twos and threes, each took themselves for all there are.
+Test(workspaces, a_relay_that_has_just_started_does_not_tell_how_many_vms_there_are)
+{
+    Served served(600);
+    served.node.vmsRead = false;
+    served.node.upstream.at = BootClock::now();
+    served.node.upstream.vmsInTouch = 2;
+    const std::optional<OwnAnswer> refused = takeUnits(served.run);
+    cr_assert(refused && refused->status == 503);
+    served.node.bootedAt = BootClock::now() - 10s;
+    cr_assert(!takeUnits(served.run), "without the store, those that are heard count in the end");
+}
+
 // Guards against refusing calls of all workspaces for seconds after a single VM was started anew:
 // it took itself for the only one and told the whole limit as used before its start.
 Test(workspaces, a_restarted_vm_tells_its_own_part_of_the_window_before_as_used)
--- a/libs/quota/tests/FleetModel.cpp
+++ b/libs/quota/tests/FleetModel.cpp
@@ -101,7 +101,7 @@
             this->refill(vm, seconds);
         if (this->day.restart && this->within(at, 16, 17))
             return;
-        const bool hot = this->within(at, 12, 24);
+        const bool hot = this->within(at, this->day.hotFrom, 24);
         const double rate =
             this->day.usual * this->day.limit.ratePerSecond * (hot ? this->day.hot : 1);
         const double mean = std::exp(8.6 + 0.5);
--- a/libs/quota/tests/Limits.cpp
+++ b/libs/quota/tests/Limits.cpp
@@ -157,6 +157,18 @@
     }
 }
 
+// Guards against a second allowance where most of the window was used just before all VMs end: none
+// of it leaves the window for seconds, and nobody knows of it.
+Test(limits, a_common_restart_soon_after_a_burst_gives_nothing_twice)
+{
+    for (FleetDay day : daysOf(887000)) {
+        day.hot = 7.5;
+        day.hotFrom = 13;
+        day.restart = true;
+        mostStaysWithin(day);
+    }
+}
+
 Test(limits, a_lowered_limit_binds_within_a_window)
 {
     for (const double rate : {200000.0, 887000.0}) {
