--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -149,10 +149,9 @@
              "look for call-bounced with the same call"},
     EventRow{EventId::CallAnswered, "call-answered", EventLevel::Info,
              "the caller has its whole answer; the fields tell where its time went", "none"},
-    EventRow{
-        EventId::CallOverLimit, "call-over-limit", EventLevel::Info,
-        "a call was refused for its workspace's limit; the fields tell what was known of it",
-        "none if the workspace asks for more than its limit; else compare vmsInTouch, vmsKnown"},
+    EventRow{EventId::CallOverLimit, "call-over-limit", EventLevel::Info,
+             "a call was refused for its workspace's limit; the fields tell what was known",
+             "none if it asks for more than its limit; else compare vmsInTouch, vmsKnown"},
     EventRow{EventId::CallFoundHarmful, "call-found-harmful", EventLevel::Error,
              "targets ended under the same call again and again; it is refused from now on",
              "find its caller by call-refused with this reason, and mend the call or the target"},
