A daemon that ends ends the calls that come while it does

Cause: endAll() ended what was registered at that moment; the server takes calls until its shutdown takes effect, and one that came in between was registered after it, on a context that had stopped, so nobody ever finished it. Now OpenCalls is closed by endAll(): what is registered later is ended at once by the one who registers it. That holds for the three that share it: the server and the clients of both kinds of peers, and waitAll() for late ones of a client. No timeout hides anything.

--- a/libs/transport/include/transport/OpenCalls.h
+++ b/libs/transport/include/transport/OpenCalls.h
@@ -16,13 +16,20 @@
 class OpenCalls
 {
 public:
-    /** Registers a call and how to end it from outside. */
+    /** Registers a call and how to end it from outside; after endAll() it is ended at once. */
     std::uint64_t add(std::function<void()> end)
     {
-        const std::lock_guard guard(this->mutex);
-        this->ends[++this->last] = std::move(end);
+        std::unique_lock guard(this->mutex);
+        const std::uint64_t call = ++this->last;
         ++this->open;
-        return this->last;
+        if (!this->closed) {
+            this->ends[call] = std::move(end);
+            return call;
+        }
+        // A server takes calls until its shutdown takes effect, and waits for each of them.
+        guard.unlock();
+        end();
+        return call;
     }
 
     /** True for the one who may end the call now. */
@@ -40,12 +47,13 @@
         this->changed.notify_all();
     }
 
-    /** Ends all that are open. */
+    /** Ends all that are open, and each that comes from now on. */
     void endAll()
     {
         std::map<std::uint64_t, std::function<void()>> taken;
         {
             const std::lock_guard guard(this->mutex);
+            this->closed = true;
             taken.swap(this->ends);
         }
         for (const auto &[call, end] : taken)
@@ -65,6 +73,7 @@
     std::map<std::uint64_t, std::function<void()>> ends;
     std::uint64_t last = 0;
     int open = 0;
+    bool closed = false; ///< nobody is left to end what comes
 };
 
 } // namespace monsoonbay
