--- a/libs/access/src/KeyTable.cpp
+++ b/libs/access/src/KeyTable.cpp
@@ -1,13 +1,11 @@
 #include "access/KeyTable.h"
 
 #include <algorithm>
-#include <memory>
-#include <new>
+#include <bit>
 #include <set>
 #include <span>
 
-#include <openssl/evp.h>
-#include <openssl/sha.h>
+#include "core/Digest.h"
 
 namespace monsoonbay {
 
@@ -60,37 +58,11 @@
     return beside;
 }
 
-/** Looked up once: that takes longer than a digest. */
-const EVP_MD *sha256()
-{
-    static const EVP_MD *const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
-    return algorithm;
-}
-
-struct ContextEnd
-{
-    void operator()(EVP_MD_CTX *context) const
-    {
-        EVP_MD_CTX_free(context);
-    }
-};
-
 } // namespace
 
 KeyDigest digestOfKey(std::string_view key)
 {
-    thread_local const std::unique_ptr<EVP_MD_CTX, ContextEnd> context(EVP_MD_CTX_new());
-    KeyDigest digest;
-    static_assert(sizeof(digest.words) == SHA256_DIGEST_LENGTH);
-    const bool made = EVP_DigestInit_ex2(context.get(), sha256(), nullptr) == 1
-        && EVP_DigestUpdate(context.get(), key.data(), key.size()) == 1
-        && EVP_DigestFinal_ex(context.get(), reinterpret_cast<unsigned char *>(digest.words.data()),
-                              nullptr)
-            == 1;
-    // Only without memory; a digest that is not one would let a wrong key through.
-    if (!made)
-        throw std::bad_alloc();
-    return digest;
+    return std::bit_cast<KeyDigest>(sha256(key));
 }
 
 std::string shortText(const KeyDigest &digest)
--- a/libs/core/include/core/Digest.h
+++ b/libs/core/include/core/Digest.h
@@ -1,10 +1,15 @@
 #pragma once
 
+#include <array>
 #include <string>
 #include <string_view>
 
 namespace monsoonbay {
 
+using Sha256 = std::array<unsigned char, 32>;
+
+Sha256 sha256(std::string_view text);
+
 /** SHA-256 of a text in lower-case hex; used for service tokens. */
 std::string sha256Hex(std::string_view text);
 
--- a/libs/core/src/Digest.cpp
+++ b/libs/core/src/Digest.cpp
@@ -1,17 +1,49 @@
 #include "core/Digest.h"
 
-#include <array>
+#include <memory>
+#include <new>
 
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
+#include <openssl/evp.h>
 
 namespace monsoonbay {
 
+namespace {
+
+/** Looked up once: that takes longer than a digest. */
+const EVP_MD *sha256Algorithm()
+{
+    static const EVP_MD *const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    return algorithm;
+}
+
+struct ContextEnd
+{
+    void operator()(EVP_MD_CTX *context) const
+    {
+        EVP_MD_CTX_free(context);
+    }
+};
+
+} // namespace
+
+Sha256 sha256(std::string_view text)
+{
+    thread_local const std::unique_ptr<EVP_MD_CTX, ContextEnd> context(EVP_MD_CTX_new());
+    Sha256 digest{};
+    const bool made = EVP_DigestInit_ex2(context.get(), sha256Algorithm(), nullptr) == 1
+        && EVP_DigestUpdate(context.get(), text.data(), text.size()) == 1
+        && EVP_DigestFinal_ex(context.get(), digest.data(), nullptr) == 1;
+    // Only without memory; a digest that is not one would let a wrong key through.
+    if (!made)
+        throw std::bad_alloc();
+    return digest;
+}
+
 std::string sha256Hex(std::string_view text)
 {
     static constexpr std::string_view digits = "0123456789abcdef";
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
+    const Sha256 digest = sha256(text);
     std::string hex;
     hex.reserve(digest.size() * 2);
     for (const unsigned char byte : digest) {
