One way to add up uses by name, for targets and for workspaces

addUses() and subtractUses() stood twice, for TargetUse and for WorkspaceUse, and usesExcept() had a twin in workspacesExcept(). core/KeyedSums.h serves both kinds; the ledger takes one reporter off either sum by the same lines. Behaviour as before; quota-tests and serving-tests pass.

--- a/libs/quota/include/quota/WorkspaceUse.h
+++ b/libs/quota/include/quota/WorkspaceUse.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
-#include <unordered_map>
+
+#include "core/KeyedSums.h"
 
 namespace monsoonbay {
 
@@ -18,16 +18,13 @@
     bool operator==(const WorkspaceUse &) const = default;
 };
 
-using WorkspaceUses = std::unordered_map<std::string, WorkspaceUse>; ///< by workspace
+using WorkspaceUses = KeyedSums<WorkspaceUse>; ///< by workspace
 
 bool isUnused(const WorkspaceUse &use) noexcept;
 
 void addUse(WorkspaceUse &sum, const WorkspaceUse &use) noexcept;
 
-/** Adds all of `uses` to `sums`. */
-void addUses(WorkspaceUses &sums, const WorkspaceUses &uses);
-
-/** Takes all of `uses`, which were added before, off `sums`; what is not used any more goes. */
-void subtractUses(WorkspaceUses &sums, const WorkspaceUses &uses);
+/** Takes `use`, which was added before, off `sum`. */
+void subtractUse(WorkspaceUse &sum, const WorkspaceUse &use) noexcept;
 
 } // namespace monsoonbay
--- a/libs/serving/include/serving/TargetUse.h
+++ b/libs/serving/include/serving/TargetUse.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <string>
-#include <unordered_map>
+#include "core/KeyedSums.h"
 
 namespace monsoonbay {
 
@@ -18,7 +17,7 @@
     bool operator==(const TargetUse &) const = default;
 };
 
-using TargetUses = std::unordered_map<std::string, TargetUse>; ///< by target id
+using TargetUses = KeyedSums<TargetUse>; ///< by target id
 
 /** True if nothing is under way there, and nothing was lately. */
 bool isUnused(const TargetUse &use) noexcept;
@@ -29,10 +28,4 @@
 /** Takes `use`, which was added before, off `sum`. Tokens are whole numbers, so this is exact. */
 void subtractUse(TargetUse &sum, const TargetUse &use);
 
-/** Adds all of `uses` to `sums`. */
-void addUses(TargetUses &sums, const TargetUses &uses);
-
-/** Takes all of `uses` off `sums`; what nothing uses any more goes. */
-void subtractUses(TargetUses &sums, const TargetUses &uses);
-
 } // namespace monsoonbay
--- a/libs/serving/src/TargetUse.cpp
+++ b/libs/serving/src/TargetUse.cpp
@@ -27,22 +27,4 @@
     sum.goods -= use.goods;
 }
 
-void addUses(TargetUses &sums, const TargetUses &uses)
-{
-    for (const auto &[target, use] : uses)
-        addUse(sums[target], use);
-}
-
-void subtractUses(TargetUses &sums, const TargetUses &uses)
-{
-    for (const auto &[target, use] : uses) {
-        const auto found = sums.find(target);
-        if (found == sums.end())
-            continue;
-        subtractUse(found->second, use);
-        if (isUnused(found->second))
-            sums.erase(found);
-    }
-}
-
 } // namespace monsoonbay
--- a/libs/serving/src/UseLedger.cpp
+++ b/libs/serving/src/UseLedger.cpp
@@ -29,22 +29,30 @@
     }
 }
 
-TargetUses usesExcept(const UseLedger &ledger, const std::string &reporter)
+namespace {
+
+/** A sum over all reporters less what one of them reported. */
+template <typename Uses>
+Uses sumExcept(const UseLedger &ledger, const std::string &reporter, Uses UseLedger::*total,
+               Uses UseReport::*reported)
 {
-    TargetUses rest = ledger.total;
+    Uses rest = ledger.*total;
     const auto found = ledger.reports.find(reporter);
     if (found != ledger.reports.end())
-        subtractUses(rest, found->second.uses);
+        subtractUses(rest, found->second.*reported);
     return rest;
 }
 
+} // namespace
+
+TargetUses usesExcept(const UseLedger &ledger, const std::string &reporter)
+{
+    return sumExcept(ledger, reporter, &UseLedger::total, &UseReport::uses);
+}
+
 WorkspaceUses workspacesExcept(const UseLedger &ledger, const std::string &reporter)
 {
-    WorkspaceUses rest = ledger.workspaceTotal;
-    const auto found = ledger.reports.find(reporter);
-    if (found != ledger.reports.end())
-        subtractUses(rest, found->second.workspaces);
-    return rest;
+    return sumExcept(ledger, reporter, &UseLedger::workspaceTotal, &UseReport::workspaces);
 }
 
 int vmsReported(const UseLedger &ledger) noexcept
