One window of counts for retries and for limits; on a young clock use is counted once

SpendRecord and ServiceRetryBudget each kept a ring of parts with the same steps to go on in time. core/WindowCounts.h serves both. Looked at side by side they differed: the sum over a SpendRecord reached to parts before the clock's zero, whose places in the ring are those of other parts, so on a VM whose clock had run for less than a window (8 s) use counted twice, and calls below a limit were refused. Sums now end at the clock's zero; the test fails on the code before (1,400 for 700). Retries summed all parts and were right.

--- a/libs/quota/include/quota/SpendRecord.h
+++ b/libs/quota/include/quota/SpendRecord.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
 
 #include "core/Time.h"
+#include "core/WindowCounts.h"
 #include "quota/WorkspaceLimit.h"
 #include "quota/WorkspaceUse.h"
 
@@ -12,12 +12,10 @@
 /** What calls of one workspace used at one VM, by parts of the window. */
 struct SpendRecord
 {
-    /** Parts kept; one more than the window has, as the newest is never a whole one. */
-    static constexpr std::size_t parts = 33;
+    static constexpr std::size_t parts = 32; ///< of the window
 
-    std::array<std::int64_t, parts> spent{};
-    std::array<std::int64_t, parts> asked{};
-    std::int64_t newestPart = 0;
+    WindowCounts<std::int64_t, parts> spent;
+    WindowCounts<std::int64_t, parts> asked;
     Instant since{}; ///< the VM's start: there were no asks before
     double carry = 0; ///< see admitCall(); in [0, 1)
 };
--- a/libs/quota/tests/Limits.cpp
+++ b/libs/quota/tests/Limits.cpp
@@ -77,6 +77,15 @@
     cr_assert(isUnused(useOf(record, policy, start + 100s)));
 }
 
+// Guards against use that is counted twice on a VM whose clock has run for less than a window.
+Test(limits, use_counts_once_on_a_clock_that_has_just_begun)
+{
+    const QuotaPolicy policy = policyOfDays();
+    SpendRecord record;
+    noteSpent(record, policy, 700, Instant{} + 1s);
+    cr_assert_eq(useOf(record, policy, Instant{} + 5s).whole, 700);
+}
+
 // Guards against a call that has not run and is taken off twice, or off a later window.
 Test(limits, what_has_not_run_is_given_back_where_it_was_taken)
 {
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
 
 #include "core/Time.h"
+#include "core/WindowCounts.h"
 
 namespace monsoonbay {
 
@@ -20,12 +20,10 @@
 /** Counts of one VM for one service, by parts of the window. */
 struct ServiceRetryBudget
 {
-    /** Parts kept; one more than the window has, as the newest is never a whole one. */
-    static constexpr std::size_t parts = 21;
+    static constexpr std::size_t parts = 20; ///< of the window
 
-    std::array<std::uint32_t, parts> calls{};
-    std::array<std::uint32_t, parts> repeats{};
-    std::int64_t newestPart = 0;
+    WindowCounts<std::uint32_t, parts> calls;
+    WindowCounts<std::uint32_t, parts> repeats;
 };
 
 void noteCall(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant now);
