Limits and keys: what was said in several places is said in one

When the configuration in force was confirmed stood in three files (configConfirmedAt()), what rate and burst give in a window in two (grantedInWindow()); VMs in touch were counted twice for each call (all reports of a relay's zone each time); own answers were put together by hand beside ownAnswer(); two functions that only admitCall() uses stood in its public header; the model of access included what it did not use. Behaviour as before.

--- a/libs/access/tests/AccessModel.cpp
+++ b/libs/access/tests/AccessModel.cpp
@@ -1,8 +1,6 @@
 #include "AccessModel.h"
 
-#include <array>
 #include <optional>
-#include <unordered_set>
 
 #include "access/Confirmation.h"
 
--- a/libs/gateway/src/CallerAccess.cpp
+++ b/libs/gateway/src/CallerAccess.cpp
@@ -22,20 +22,15 @@
     return ownAnswer(503, "this VM cannot tell whether the key was taken away", comeBackElsewhere);
 }
 
-std::optional<Instant> confirmedHere(const GatewayNode &node)
-{
-    return confirmedAt(node.confirmations, node.routes->config().version);
-}
-
 bool mayTrustKeysNow(const GatewayNode &node)
 {
-    return mayTrustKeys(node.settings.access, confirmedHere(node), BootClock::now());
+    return mayTrustKeys(node.settings.access, configConfirmedAt(node), BootClock::now());
 }
 
 /** True once the configuration in force is known to have been the newest at `since` or later. */
 bool isConfirmedSince(const GatewayNode &node, Instant since)
 {
-    const std::optional<Instant> confirmed = confirmedHere(node);
+    const std::optional<Instant> confirmed = configConfirmedAt(node);
     return confirmed && *confirmed >= since;
 }
 
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -176,9 +176,7 @@
                       {"identity", identityText(identityOf(this->run))}});
             if (again)
                 continue;
-            OwnAnswer answer;
-            answer.reason = "the target did not take the call";
-            answer.retryAfter = comeBackSoon;
+            OwnAnswer answer = ownAnswer(503, "the target did not take the call", comeBackSoon);
             co_await this->giveUp(std::move(answer));
             co_return;
         }
@@ -191,10 +189,9 @@
         const HarmfulCall *harmful = harmfulCall(this->run);
         if (harmful == nullptr)
             co_return false;
-        OwnAnswer answer;
-        answer.reason = std::to_string(harmful->ends) + " targets ended while they ran this call";
-        answer.retryAfter =
-            std::max<Duration>(forgottenAt(*harmful) - BootClock::now(), comeBackSoon);
+        OwnAnswer answer = ownAnswer(
+            503, std::to_string(harmful->ends) + " targets ended while they ran this call",
+            std::max<Duration>(forgottenAt(*harmful) - BootClock::now(), comeBackSoon));
         co_await this->giveUp(std::move(answer));
         co_return true;
     }
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -111,6 +111,11 @@
     return version == nullptr ? 0 : *version;
 }
 
+std::optional<Instant> configConfirmedAt(const GatewayNode &node)
+{
+    return confirmedAt(node.confirmations, node.routes->config().version);
+}
+
 void noteStoreAnswer(GatewayNode &node, bool answered, Instant now)
 {
     if (answered) {
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -4,6 +4,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -318,6 +319,9 @@
 /** The version of an adapter that is in force; 0 if none was named. */
 std::int64_t versionInForce(const GatewayNode &node, const std::string &adapter);
 
+/** When the configuration in force was last known to be the newest; nothing: never. */
+std::optional<Instant> configConfirmedAt(const GatewayNode &node);
+
 /** The store has answered this VM, or has failed to. */
 void noteStoreAnswer(GatewayNode &node, bool answered, Instant now);
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -191,7 +191,7 @@
 /** For how long this VM has not known its configuration to be the newest, and 1 ms; 0: never. */
 std::uint64_t confirmedAgoMs(const GatewayNode &node)
 {
-    const auto at = confirmedAt(node.confirmations, node.routes->config().version);
+    const std::optional<Instant> at = configConfirmedAt(node);
     if (!at)
         return 0;
     return static_cast<std::uint64_t>(std::max<std::int64_t>(toMillis(BootClock::now() - *at), 0))
--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -36,11 +36,11 @@
 }
 
 /** VMs that may let calls run, whether they are heard or not. */
-int vmsKnown(const GatewayNode &node, Instant now)
+int vmsKnown(const GatewayNode &node, int inTouch)
 {
     const bool counted = node.fleet.heardAt != Instant{};
     const int listed = counted ? 0 : 1 + namedPeers(node);
-    return std::max({node.fleet.known, vmsInTouch(node, now), listed});
+    return std::max({node.fleet.known, inTouch, listed});
 }
 
 /**
@@ -72,8 +72,10 @@
     if (found != node.spending.end())
         use = useOf(found->second, policy, now);
     const Duration up = now - node.bootedAt;
-    if (!node.settings.firstStart && up < 2 * policy.window && knowsOthers(node, now))
-        addUse(use, useBeforeStart(workspace.limit, policy, vmsKnown(node, now), up));
+    if (node.settings.firstStart || up >= 2 * policy.window || !knowsOthers(node, now))
+        return use;
+    const int known = vmsKnown(node, vmsInTouch(node, now));
+    addUse(use, useBeforeStart(workspace.limit, policy, known, up));
     return use;
 }
 
@@ -94,7 +96,7 @@
     if (hearsRelay(node, now))
         addUseOf(fleet.use, node.upstream.otherWorkspaces, workspace.name);
     fleet.vmsInTouch = vmsInTouch(node, now);
-    fleet.vmsKnown = vmsKnown(node, now);
+    fleet.vmsKnown = vmsKnown(node, fleet.vmsInTouch);
     fleet.newsAge = loadNewsAge(node);
     return fleet;
 }
@@ -187,7 +189,7 @@
 
 void noteVmsInTouch(GatewayNode &node, Instant now)
 {
-    const auto confirmed = confirmedAt(node.confirmations, node.routes->config().version);
+    const std::optional<Instant> confirmed = configConfirmedAt(node);
     VmCount count;
     count.inTouch = vmsInTouch(node, now);
     count.listed = 1 + namedPeers(node);
--- a/libs/quota/include/quota/Admission.h
+++ b/libs/quota/include/quota/Admission.h
@@ -28,14 +28,6 @@
     auto operator<=>(const QuotaVerdict &) const = default;
 };
 
-/** Units a second that all VMs in touch together may let run now. */
-double admittedPerSecond(const WorkspaceLimit &limit, const QuotaPolicy &policy,
-                         const FleetUse &fleet) noexcept;
-
-/** Units a second that all VMs in touch are asked for now; what they told of it is older. */
-double askedNow(SpendRecord &own, const QuotaPolicy &policy, const FleetUse &fleet,
-                std::int64_t units, Instant now);
-
 /**
  * Whether a call that asks for `units` may run. What it asks for must have been noted before; what
  * it uses is noted by the caller if it is admitted.
--- a/libs/quota/include/quota/WorkspaceLimit.h
+++ b/libs/quota/include/quota/WorkspaceLimit.h
@@ -43,6 +43,9 @@
 /** Units that a call counts; `tokens`: as the call says, if it does. */
 std::int64_t costOf(const WorkspaceLimit &limit, std::optional<std::int64_t> tokens) noexcept;
 
+/** Units that rate and burst give in one window. */
+double grantedInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy) noexcept;
+
 /** The most units that all VMs may let run in one window. */
 double mostInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy) noexcept;
 
--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -38,12 +38,11 @@
 /** Units that all VMs may use in a window, some of the tolerance among them. */
 double usableInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy)
 {
-    const double granted = limit.ratePerSecond * toSeconds(policy.window) + limit.burst;
-    return granted * (1 + excessUsed * policy.excess) + slackUsed * policy.slack;
+    return grantedInWindow(limit, policy) * (1 + excessUsed * policy.excess)
+        + slackUsed * policy.slack;
 }
 
-} // namespace
-
+/** Units a second that all VMs in touch together may let run now. */
 double admittedPerSecond(const WorkspaceLimit &limit, const QuotaPolicy &policy,
                          const FleetUse &fleet) noexcept
 {
@@ -55,8 +54,9 @@
     return std::max(room / fill, 0.0);
 }
 
-// Where calls are many, the asks at this VM grow as those at all others do: they are a sample. A
-// few calls say nothing, so as many are counted on both sides as make the ratio change little.
+// Units a second that all VMs in touch are asked for now; what they told of it is older. Where
+// calls are many, the asks at this VM grow as those at all others do: they are a sample. A few
+// calls say nothing, so as many are counted on both sides as make the ratio change little.
 double askedNow(SpendRecord &own, const QuotaPolicy &policy, const FleetUse &fleet,
                 std::int64_t units, Instant now)
 {
@@ -68,6 +68,8 @@
     return here + others * std::clamp(growth, 1 / mostGrowth, mostGrowth);
 }
 
+} // namespace
+
 // Every VM lets the same share of calls run, the share that keeps all of them together within the
 // limit: so none has to know what its part is, and news that are some tenths of a second old only
 // shift that share a little. The carry spreads what is let run evenly, whatever the calls' sizes;
--- a/libs/quota/src/WorkspaceLimit.cpp
+++ b/libs/quota/src/WorkspaceLimit.cpp
@@ -9,10 +9,14 @@
     return tokens.value_or(limit.tokensIfUnsaid);
 }
 
+double grantedInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy) noexcept
+{
+    return limit.ratePerSecond * toSeconds(policy.window) + limit.burst;
+}
+
 double mostInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy) noexcept
 {
-    const double granted = limit.ratePerSecond * toSeconds(policy.window) + limit.burst;
-    return granted * (1 + policy.excess) + policy.slack;
+    return grantedInWindow(limit, policy) * (1 + policy.excess) + policy.slack;
 }
 
 } // namespace monsoonbay
