--- a/libs/access/benchmark/Keys.cpp
+++ b/libs/access/benchmark/Keys.cpp
@@ -1,4 +1,5 @@
-// Keys are looked up on the way of every call, and changed one by one on a VM with a tenth of a core.
+// Keys are looked up on the way of every call, and changed one by one on a VM with a tenth of a
+// core.
 
 #include <benchmark/benchmark.h>
 
--- a/libs/access/src/KeyTable.cpp
+++ b/libs/access/src/KeyTable.cpp
@@ -84,8 +84,8 @@
     static_assert(sizeof(digest.words) == SHA256_DIGEST_LENGTH);
     const bool made = EVP_DigestInit_ex2(context.get(), sha256(), nullptr) == 1
         && EVP_DigestUpdate(context.get(), key.data(), key.size()) == 1
-        && EVP_DigestFinal_ex(context.get(),
-                              reinterpret_cast<unsigned char *>(digest.words.data()), nullptr)
+        && EVP_DigestFinal_ex(context.get(), reinterpret_cast<unsigned char *>(digest.words.data()),
+                              nullptr)
             == 1;
     // Only without memory; a digest that is not one would let a wrong key through.
     if (!made)
--- a/libs/access/tests/AccessModel.h
+++ b/libs/access/tests/AccessModel.h
@@ -20,9 +20,9 @@
 };
 
 /**
- * Plays all schedules of `depth` steps of a store, a VM that reads it and one that learns from that:
- * keys taken and given to another workspace, reads and answers that are late, lost or as old as they
- * may be, a VM that is suspended, cut off or restarted.
+ * Plays all schedules of `depth` steps of a store, a VM that reads it and one that learns from
+ * that: keys taken and given to another workspace, reads and answers that are late, lost or as old
+ * as they may be, a VM that is suspended, cut off or restarted.
  */
 Exploration exploreAccess(int depth, AccessFault fault);
 
--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -5,8 +5,10 @@
 #include <string_view>
 #include <vector>
 
+#include "access/Confirmation.h"
 #include "config/Settings.h"
 #include "core/Time.h"
+#include "quota/WorkspaceLimit.h"
 #include "serving/EngineBoard.h"
 #include "serving/HolderLease.h"
 #include "serving/ServiceRetryBudget.h"
@@ -32,6 +34,8 @@
     Duration heartbeat = std::chrono::milliseconds(1200); ///< of targets in the list
     Duration shutdownLimit = std::chrono::seconds(7);
     RetryPolicy retries;
+    AccessPolicy access;
+    QuotaPolicy quota;
     LeaseTiming lease;
     EngineWeights weights;
     int logLinesPerSecond = 40; ///< of one kind of event
--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -48,6 +48,8 @@
 struct PlatformSink
 {
     std::function<void(ServingConfig, std::string document)> config;
+    /** A read that began then found no configuration newer than that version. */
+    std::function<void(std::int64_t version, Instant readBegan)> configConfirmed;
     std::function<void(std::string adapter, std::int64_t version)> adapterVersion;
     std::function<void()> listRead; ///< before the changes of each read of the list
     std::function<void(TargetEntry)> target;
--- a/libs/gateway/src/CallRun.cpp
+++ b/libs/gateway/src/CallRun.cpp
@@ -108,9 +108,19 @@
     co_return !error;
 }
 
+OwnAnswer ownAnswer(int status, std::string reason, Duration retryAfter)
+{
+    OwnAnswer answer;
+    answer.status = status;
+    answer.reason = std::move(reason);
+    answer.retryAfter = retryAfter;
+    return answer;
+}
+
 asio::awaitable<void> answerOwn(CallRun &run, OwnAnswer answer)
 {
-    const bool notRun = answer.status == 503 || answer.status == 429 || answer.status == 404;
+    const bool ours = answer.status == 503 || (answer.status >= 400 && answer.status < 500);
+    const bool notRun = ours && !run.mayHaveRun;
     HttpReply reply;
     reply.status = answer.status;
     reply.contentType = "application/problem+json";
@@ -127,6 +137,8 @@
               {"route", run.route != nullptr ? run.route->name : run.host + run.path},
               {"afterMs", std::to_string(toSeconds(BootClock::now() - run.arrivedAt) * 1000)},
               {"sends", std::to_string(run.sends)},
+              {"workspace", run.workspace},
+              {"key", run.key ? shortText(*run.key) : std::string()},
               {"configVersion", std::to_string(run.routes->config().version)}});
     run.node.metrics.add(refused ? Counter::RequestsRefused : Counter::RequestsFailed);
     co_await writeAnswer(run, std::move(reply));
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -30,6 +30,10 @@
     std::shared_ptr<const RouteTable> routes;
     const Route *route = nullptr;
     std::string service;
+    std::optional<KeyDigest> key; ///< nothing: the route needs none
+    std::string workspace; ///< that holds the key; empty: nobody's call
+    std::int64_t units = 0; ///< that the call counts against its workspace's limit
+    Instant unitsTakenAt{};
     Instant arrivedAt;
     Instant deadline;
 
@@ -81,6 +85,8 @@
     Duration retryAfter{}; ///< zero: none
 };
 
+OwnAnswer ownAnswer(int status, std::string reason, Duration retryAfter);
+
 /** Answers by ourselves and logs why. */
 asio::awaitable<void> answerOwn(CallRun &run, OwnAnswer answer);
 
--- /dev/null
+++ b/libs/gateway/src/CallerAccess.cpp
@@ -0,0 +1,100 @@
+#include "CallerAccess.h"
+
+#include <algorithm>
+
+namespace monsoonbay {
+
+namespace {
+
+/** News of a configuration take one read of the store that is under way, and one after it. */
+constexpr Duration newKeyPatience = std::chrono::milliseconds(2000);
+constexpr double newKeyTimeShare = 0.35; ///< of what the caller will wait
+/** Callers without a valid key must not take the memory of others. */
+constexpr int mostKeysAwaited = 64;
+
+/** Another VM may be in touch. */
+constexpr Duration comeBackElsewhere = std::chrono::milliseconds(300);
+constexpr Duration comeBackLater = std::chrono::milliseconds(1000);
+
+OwnAnswer untrusted()
+{
+    return ownAnswer(503, "this VM cannot tell whether the key was taken away", comeBackElsewhere);
+}
+
+std::optional<Instant> confirmedHere(const GatewayNode &node)
+{
+    return confirmedAt(node.confirmations, node.routes->config().version);
+}
+
+bool mayTrustKeysNow(const GatewayNode &node)
+{
+    return mayTrustKeys(node.settings.access, confirmedHere(node), BootClock::now());
+}
+
+/** True once the configuration in force is known to be newer than anything the caller can know. */
+bool knowsAllKeysOf(const CallRun &run)
+{
+    const std::optional<Instant> confirmed = confirmedHere(run.node);
+    return confirmed && *confirmed >= run.arrivedAt;
+}
+
+asio::awaitable<void> awaitKey(const CallRun &run)
+{
+    GatewayNode &node = run.node;
+    const Duration left = fromSeconds(newKeyTimeShare * toSeconds(timeLeft(run)));
+    const Instant limit = run.arrivedAt + std::min(newKeyPatience, left);
+    ++node.keysAwaited;
+    while (workspaceOf(node.keys, *run.key) == nullptr && !knowsAllKeysOf(run)
+           && BootClock::now() < limit)
+        co_await node.confirmed.wait(limit - BootClock::now());
+    --node.keysAwaited;
+}
+
+} // namespace
+
+asio::awaitable<std::optional<OwnAnswer>> refuseCaller(CallRun &run)
+{
+    GatewayNode &node = run.node;
+    if (run.route->open || node.routes->config().workspaces.empty())
+        co_return std::nullopt;
+    if (run.facts.callerKey.empty())
+        co_return ownAnswer(401, "the call has no key, or more than one", Duration::zero());
+    run.key = digestOfKey(run.facts.callerKey);
+    run.facts.callerKey.clear();
+    const bool isKnown = workspaceOf(node.keys, *run.key) != nullptr;
+    if (!isKnown && node.keysAwaited < mostKeysAwaited)
+        co_await awaitKey(run);
+    const std::string *workspace = workspaceOf(node.keys, *run.key);
+    if (workspace == nullptr && knowsAllKeysOf(run))
+        co_return ownAnswer(401, "no workspace has this key", Duration::zero());
+    if (workspace == nullptr)
+        co_return ownAnswer(503, "this VM cannot tell whether the key is a new one", comeBackLater);
+    if (!mayTrustKeysNow(node))
+        co_return untrusted();
+    run.workspace = *workspace;
+    co_return std::nullopt;
+}
+
+std::optional<OwnAnswer> refuseKeyNow(const CallRun &run)
+{
+    if (!run.key)
+        return std::nullopt;
+    const std::string *workspace = workspaceOf(run.node.keys, *run.key);
+    if (workspace == nullptr)
+        return ownAnswer(401, "the key was taken away", Duration::zero());
+    if (*workspace != run.workspace)
+        return ownAnswer(503, "the key has gone to another workspace", comeBackElsewhere);
+    if (!mayTrustKeysNow(run.node))
+        return untrusted();
+    return std::nullopt;
+}
+
+int priorityOf(const CallRun &run)
+{
+    const Workspace *workspace = run.node.routes->findWorkspace(run.workspace);
+    if (workspace == nullptr)
+        return run.route->priority;
+    return workspace->priority.value_or(run.route->priority);
+}
+
+} // namespace monsoonbay
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -34,14 +34,20 @@
         return;
     const std::int64_t version = config.version;
     const std::uint64_t plainBytes = packed.plainBytes;
+    const std::shared_ptr<const RouteTable> replaced = node.routes;
     node.routes = std::make_shared<RouteTable>(std::move(config));
+    const KeyChanges keys =
+        updateKeys(node.keys, replaced->config().workspaces, node.routes->config().workspaces);
     putNewest(node.config, std::move(packed), BootClock::now());
     node.started.notifyAll();
+    node.confirmed.notifyAll();
     logEvent(EventId::ConfigInForce,
              {{"version", std::to_string(version)},
               {"before", std::to_string(before)},
               {"routes", std::to_string(node.routes->config().routes.size())},
               {"bytes", std::to_string(plainBytes)},
+              {"keysAdded", std::to_string(keys.added)},
+              {"keysTaken", std::to_string(keys.taken)},
               {"source", source}});
 }
 
@@ -155,6 +161,10 @@
         PackedDocument packed = packDocument(config.version, document);
         takeConfig(node, std::move(config), std::move(packed), "store");
     };
+    sink.configConfirmed = [&node](std::int64_t version, Instant readBegan) {
+        noteConfirmed(node.confirmations, {version, readBegan});
+        node.confirmed.notifyAll();
+    };
     sink.adapterVersion = [&node](const std::string &adapter, std::int64_t version) {
         noteAdapterVersion(node, adapter, version);
     };
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "CallerAccess.h"
 #include "HarmfulWatch.h"
 #include "PassedHeaders.h"
 #include "Placing.h"
@@ -9,6 +10,7 @@
 #include "TargetEnds.h"
 #include "TargetExchange.h"
 #include "TargetWords.h"
+#include "WorkspaceQuota.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -36,6 +38,7 @@
     Failed, ///< the target answered with an error of its own
     Broken, ///< the answer was lost, cut off or spoiled
     CallerLost, ///< the caller does not take the answer
+    KeyRefused, ///< nothing was sent: the key is not honoured any more
 };
 
 /** An answer that was read whole, to be passed on unless a better one can be had. */
@@ -156,6 +159,10 @@
                 noteAnswered(this->run, target);
                 noteAnsweredCall(this->run);
             }
+            if (end == SendEnd::KeyRefused) {
+                co_await this->giveUp(std::move(this->refusal));
+                co_return;
+            }
             const bool over = end == SendEnd::Done || end == SendEnd::CallerLost;
             if (over || this->run.callerGone)
                 co_return;
@@ -224,16 +231,24 @@
         this->run.connection = exchange.connection();
         if (this->run.cancelled())
             co_return SendEnd::Unreachable;
+        std::optional<OwnAnswer> keyRefusal = refuseKeyNow(this->run);
+        if (keyRefusal) {
+            this->refusal = std::move(*keyRefusal);
+            co_return SendEnd::KeyRefused;
+        }
         SendFacts facts;
         facts.targetId = target.id;
+        facts.workspace = this->run.workspace;
         if (this->run.facts.timeLeft)
             facts.timeLeft = std::max(timeLeft(this->run) - timeMargin, Duration::zero());
         facts.expectedVersion = versionInForce(this->node, this->run.facts.adapter);
-        facts.urgency = this->run.route->priority;
+        facts.urgency = priorityOf(this->run);
         facts.resumeAfter = this->relay.lastId();
         ++this->run.sends;
         const bool mayHaveRunBefore = this->run.mayHaveRun;
         this->run.mayHaveRun = true;
+        if (mayHaveRunBefore)
+            takeUnitsAgain(this->run);
         ++this->runsStarted;
         const bool headed = co_await exchange.send(requestFor(this->run, facts));
         if (!headed) {
@@ -244,6 +259,8 @@
         takeTargetWords(this->node, target.id, exchange.facts());
         if (exchange.facts().notRun) {
             this->run.mayHaveRun = mayHaveRunBefore;
+            if (mayHaveRunBefore)
+                giveUnitsBack(this->run);
             --this->runsStarted;
             co_await this->takeNotRun(exchange, target);
             co_return SendEnd::NotRun;
@@ -375,6 +392,7 @@
     GatewayNode &node;
     StreamRelay relay;
     KeptAnswer kept;
+    OwnAnswer refusal;
     int runsStarted = 0;
 };
 
@@ -390,15 +408,6 @@
     });
 }
 
-OwnAnswer ownAnswer(int status, std::string reason, Duration retryAfter)
-{
-    OwnAnswer answer;
-    answer.status = status;
-    answer.reason = std::move(reason);
-    answer.retryAfter = retryAfter;
-    return answer;
-}
-
 /**
  * A VM that has just started knows its configuration and targets within some 50 to 150 ms of its
  * first call, from the store or a peer. Callers that were refused until then came back after a
@@ -435,10 +444,17 @@
         co_await answerOwn(*run, std::move(answer));
         co_return;
     }
-    const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
-    run->service = pickService(*run->route, draw);
     const Duration callerPatience = run->facts.timeLeft.value_or(run->route->timeout);
     run->deadline = run->arrivedAt + std::min(run->route->timeout, callerPatience);
+    std::optional<OwnAnswer> refused = co_await refuseCaller(*run);
+    if (!refused)
+        refused = takeUnits(*run);
+    if (refused) {
+        co_await answerOwn(*run, std::move(*refused));
+        co_return;
+    }
+    const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
+    run->service = pickService(*run->route, draw);
     noteCall(node.retryBudgets[run->service], node.settings.retries, run->arrivedAt);
     node.metrics.add(Counter::RequestsReceived);
 
@@ -447,6 +463,8 @@
     watchCaller(run);
     CallServing serving(*run);
     co_await serving.serve();
+    if (!run->mayHaveRun)
+        giveUnitsBack(*run);
     run->ended = true;
     timer.cancel();
 }
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -16,9 +16,13 @@
 #include "GatewayPeers.h"
 #include "Signal.h"
 #include "TargetPool.h"
+#include "access/Confirmation.h"
+#include "access/KeyTable.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/PlatformPort.h"
 #include "observe/Metrics.h"
+#include "quota/FleetSize.h"
+#include "quota/SpendRecord.h"
 #include "serving/CallIdentity.h"
 #include "serving/ChangeLog.h"
 #include "serving/EngineBoard.h"
@@ -204,6 +208,8 @@
     Instant at{}; ///< zero: none is heard
     TargetUses others; ///< calls of all VMs but those that this VM reports for
     int vms = 1; ///< all that are heard of, in all zones
+    WorkspaceUses otherWorkspaces; ///< of all VMs in touch but those that this one reports for
+    int vmsInTouch = 1; ///< that these are of, this VM and those it reports for among them
 };
 
 /** A configuration that is being read from peers, part after part. */
@@ -231,6 +237,12 @@
     std::shared_ptr<const RouteTable> routes; ///< never null
     DocumentShelf config; ///< as others read it
     ConfigReading configReading;
+    KeyTable keys; ///< of the configuration in force
+    Confirmations confirmations;
+    Signal confirmed; ///< a version was confirmed, or is in force
+    int keysAwaited = 0; ///< calls that wait to learn whether their key is a new one
+    std::unordered_map<std::string, SpendRecord> spending; ///< of own calls, by workspace
+    FleetSize fleet;
     Signal configOffered; ///< a peer has a newer one
     SharedFacts facts;
     TargetBook book;
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -68,6 +68,35 @@
     retries.window = fromSeconds(reader.number(object, path, "windowSeconds", window, 1, 3600));
 }
 
+void readAccess(JsonReader &reader, const Json &root, AccessPolicy &access)
+{
+    if (!root.contains("access"))
+        return;
+    const Json &object = root["access"];
+    const std::string path = "/access";
+    if (!reader.isObject(object, path))
+        return;
+    reader.onlyKeys(object, path, {"strict", "takenWithinMs"});
+    access.strict = reader.boolean(object, path, "strict", access.strict);
+    access.takenWithin =
+        readMs(reader, object, path, "takenWithinMs", access.takenWithin, 1000, 3600000);
+}
+
+void readQuota(JsonReader &reader, const Json &root, QuotaPolicy &quota)
+{
+    if (!root.contains("quota"))
+        return;
+    const Json &object = root["quota"];
+    const std::string path = "/quota";
+    if (!reader.isObject(object, path))
+        return;
+    reader.onlyKeys(object, path, {"windowSeconds", "excess", "slack"});
+    const double window = toSeconds(quota.window);
+    quota.window = fromSeconds(reader.number(object, path, "windowSeconds", window, 1, 3600));
+    quota.excess = reader.number(object, path, "excess", quota.excess, 0, 10);
+    quota.slack = reader.number(object, path, "slack", quota.slack, 0, 1e12);
+}
+
 void readLease(JsonReader &reader, const Json &root, LeaseTiming &lease)
 {
     if (!root.contains("lease"))
@@ -96,10 +125,11 @@
     const Json root = reader.parseObject(json);
     if (reader.problems.empty()) {
         GatewaySettings &settings = parsed.value;
-        reader.onlyKeys(root, "",
-                        {"vm", "zone", "platform", "callers", "readiness", "operators", "peers",
-                         "peersListen", "seeds", "store", "partitions", "heartbeatMs", "shutdownMs",
-                         "retries", "lease", "logLinesPerSecond", "capacity", "firstStart"});
+        reader.onlyKeys(
+            root, "", {"vm",         "zone",        "platform",          "callers",  "readiness",
+                       "operators",  "peers",       "peersListen",       "seeds",    "store",
+                       "partitions", "heartbeatMs", "shutdownMs",        "retries",  "access",
+                       "quota",      "lease",       "logLinesPerSecond", "capacity", "firstStart"});
         settings.vm = reader.text(root, "", "vm");
         settings.zone = reader.text(root, "", "zone");
         settings.firstStart = reader.boolean(root, "", "firstStart", settings.firstStart);
@@ -120,6 +150,8 @@
         settings.shutdownLimit =
             readMs(reader, root, "", "shutdownMs", settings.shutdownLimit, 100, 3600000);
         readRetries(reader, root, settings.retries);
+        readAccess(reader, root, settings.access);
+        readQuota(reader, root, settings.quota);
         readLease(reader, root, settings.lease);
         settings.logLinesPerSecond = static_cast<int>(
             reader.number(root, "", "logLinesPerSecond", settings.logLinesPerSecond, 1, 100000));
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -103,6 +103,23 @@
     told.set_goods(static_cast<std::uint32_t>(std::max(use.goods, 0)));
 }
 
+void encodeWorkspaceUse(const std::string &workspace, const WorkspaceUse &use,
+                        v1::WorkspaceUse &told)
+{
+    told.set_workspace(workspace);
+    told.set_units(static_cast<std::uint64_t>(std::max<std::int64_t>(use.whole, 0)));
+    told.set_asked_per_second(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(use.askedPerSecond, 0)));
+}
+
+WorkspaceUse decodeWorkspaceUse(const v1::WorkspaceUse &told)
+{
+    WorkspaceUse use;
+    use.whole = static_cast<std::int64_t>(told.units());
+    use.askedPerSecond = static_cast<std::int64_t>(told.asked_per_second());
+    return use;
+}
+
 TargetUse decodeUse(const v1::EngineUse &told)
 {
     TargetUse use;
--- a/libs/gateway/src/NewsCodec.h
+++ b/libs/gateway/src/NewsCodec.h
@@ -23,6 +23,10 @@
 
 /** The adapters go to the holder of an engine only, see UseNotes.h. */
 void encodeUse(const std::string &target, const TargetUse &use, gateway::v1::EngineUse &told);
+void encodeWorkspaceUse(const std::string &workspace, const WorkspaceUse &use,
+                        gateway::v1::WorkspaceUse &told);
+WorkspaceUse decodeWorkspaceUse(const gateway::v1::WorkspaceUse &told);
+
 TargetUse decodeUse(const gateway::v1::EngineUse &told);
 
 void encodeTarget(const std::string &target, const TargetFact &fact, gateway::v1::Target &told);
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -11,6 +11,7 @@
 #include "SharedEngines.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
+#include "WorkspaceQuota.h"
 #include "ZoneView.h"
 #include "observe/Events.h"
 
@@ -128,6 +129,8 @@
     report->set_vms(static_cast<std::uint32_t>(zoneVms(node)));
     for (const auto &[target, use] : zoneUses(node))
         encodeUse(target, use, *report->add_uses());
+    for (const auto &[workspace, use] : zoneWorkspaceUses(node, BootClock::now()))
+        encodeWorkspaceUse(workspace, use, *report->add_workspaces());
     for (const auto &[target, entry] : node.facts.engines.all()) {
         const bool held =
             entry.value.holderLive && zoneOfTarget(node, target) == node.settings.zone;
@@ -178,6 +181,31 @@
     for (const auto &[target, use] : others)
         encodeUse(target, use, *digest.add_others());
     digest.set_vms(static_cast<std::uint32_t>(liveGateways(node)));
+    WorkspaceUses workspaces = workspacesExcept(node.reported, asker.endpoint.text());
+    addUses(workspaces, ownWorkspaceUses(node, BootClock::now()));
+    for (const auto &[workspace, use] : workspaces)
+        encodeWorkspaceUse(workspace, use, *digest.add_other_workspaces());
+    digest.set_vms_in_touch(static_cast<std::uint32_t>(1 + vmsReported(node.reported)));
+}
+
+/** For how long this VM has not known its configuration to be the newest, and 1 ms; 0: never. */
+std::uint64_t confirmedAgoMs(const GatewayNode &node)
+{
+    const auto at = confirmedAt(node.confirmations, node.routes->config().version);
+    if (!at)
+        return 0;
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(toMillis(BootClock::now() - *at), 0))
+        + 1;
+}
+
+void takeConfirmation(GatewayNode &node, const v1::Digest &digest, Instant askedAt)
+{
+    if (digest.config_confirmed_ago_ms() == 0)
+        return;
+    const std::chrono::milliseconds age(digest.config_confirmed_ago_ms());
+    noteConfirmed(node.confirmations,
+                  confirmationFromAnswer(digest.config_version(), age, askedAt));
+    node.confirmed.notifyAll();
 }
 
 /** Notes of which boot a peer's word is; its reports are counted anew in each. */
@@ -237,6 +265,7 @@
         digest.set_relay_port(node.upstream.relay.port);
     }
     digest.set_config_version(node.routes->config().version);
+    digest.set_config_confirmed_ago_ms(confirmedAgoMs(node));
     const Endpoint endpoint = decodeEndpoint(report.from());
     if (endpoint == node.settings.peers)
         return digest;
@@ -272,6 +301,8 @@
         uses.vms = static_cast<int>(report.vms());
         for (const v1::EngineUse &told : report.uses())
             uses.uses[told.target()] = decodeUse(told);
+        for (const v1::WorkspaceUse &told : report.workspaces())
+            uses.workspaces[told.workspace()] = decodeWorkspaceUse(told);
         // A VM that does not relay hears of the other zones from its relay; twice would count
         // twice.
         if (mate || node.relaying)
@@ -343,6 +374,10 @@
     node.upstream.others.clear();
     for (const v1::EngineUse &told : digest.others())
         node.upstream.others[told.target()] = decodeUse(told);
+    node.upstream.vmsInTouch = static_cast<int>(digest.vms_in_touch());
+    node.upstream.otherWorkspaces.clear();
+    for (const v1::WorkspaceUse &told : digest.other_workspaces())
+        node.upstream.otherWorkspaces[told.workspace()] = decodeWorkspaceUse(told);
 }
 
 asio::awaitable<bool> exchangeWith(GatewayNode &node, Endpoint endpoint, bool withUse,
@@ -373,6 +408,7 @@
     }
     const std::uint64_t bootBefore = answered.boot;
     takeDigest(node, endpoint, *digest, upstream);
+    takeConfirmation(node, *digest, asked);
     if (withUse && bootBefore == digest->from().boot()) {
         answered.toldBoot = bootBefore;
         answered.toldChange = told;
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -63,15 +63,6 @@
         runtime.cachedParts.insert(partKey(run, part));
 }
 
-OwnAnswer refusal(std::string reason, Duration retryAfter)
-{
-    OwnAnswer answer;
-    answer.status = 503;
-    answer.reason = std::move(reason);
-    answer.retryAfter = retryAfter;
-    return answer;
-}
-
 bool isUsable(GatewayNode &node, const std::string &target, const TargetUse &all, Instant now)
 {
     return !isEjected(runtimeOf(node, target).health, now) && !isFailing(all);
@@ -200,15 +191,16 @@
         const std::vector<EngineView> views = engineViews(run, spec);
         const EngineChoice choice = nextEngine(run, views, need);
         if (choice.step == EngineStep::None) {
-            placement.refusal = refusal("no engine can be reached", comeBackWhenTaken(run));
+            placement.refusal = ownAnswer(503, "no engine can be reached", comeBackWhenTaken(run));
             co_return placement;
         }
         if (BootClock::now() >= refuseAt && choice.step != EngineStep::Send) {
             const bool anyOrderable =
                 std::any_of(views.begin(), views.end(),
                             [](const EngineView &view) { return view.usable && view.hasHolder; });
-            placement.refusal = anyOrderable ? refusal("no engine has room", comeBackSoon)
-                                             : refusal("no engine may be ordered", comeBackLater);
+            placement.refusal = anyOrderable
+                ? ownAnswer(503, "no engine has room", comeBackSoon)
+                : ownAnswer(503, "no engine may be ordered", comeBackLater);
             co_return placement;
         }
         const bool noneTakesIt = run.unloadable.size() >= mostDeclines;
@@ -242,7 +234,7 @@
         placement.target = record->second.entry;
         co_return placement;
     }
-    placement.refusal = refusal("the time ran out before an engine was found", comeBackSoon);
+    placement.refusal = ownAnswer(503, "the time ran out before an engine was found", comeBackSoon);
     co_return placement;
 }
 
@@ -264,7 +256,7 @@
     Placement placement;
     const auto chosen = choosePlain(views, node.settings.zone, run.tried, node.random());
     if (!chosen) {
-        placement.refusal = refusal("no target can be reached", comeBackWhenTaken(run));
+        placement.refusal = ownAnswer(503, "no target can be reached", comeBackWhenTaken(run));
         return placement;
     }
     placement.target = node.book.records.at(views[*chosen].id).entry;
--- /dev/null
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -0,0 +1,182 @@
+#include "WorkspaceQuota.h"
+
+#include <algorithm>
+
+#include "RelayLoops.h"
+#include "ZoneView.h"
+#include "observe/Events.h"
+#include "quota/Admission.h"
+
+namespace monsoonbay {
+
+namespace {
+
+/** The store, or a VM that reaches it, was heard within this. */
+constexpr Duration storeHeard = std::chrono::seconds(5);
+constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
+
+int namedPeers(const GatewayNode &node)
+{
+    return static_cast<int>(
+        std::count_if(node.peers.begin(), node.peers.end(),
+                      [](const auto &entry) { return !entry.second.name.empty(); }));
+}
+
+bool hearsRelay(const GatewayNode &node, Instant now)
+{
+    return node.upstream.at != Instant{} && now - node.upstream.at <= reporterSilence;
+}
+
+int vmsInTouch(const GatewayNode &node, Instant now)
+{
+    const int below = 1 + vmsReported(node.reported);
+    return hearsRelay(node, now) ? std::max(node.upstream.vmsInTouch, below) : below;
+}
+
+/** False while a VM that has just started cannot know how many others there are. */
+bool knowsOthers(const GatewayNode &node)
+{
+    return node.vmsRead || node.upstream.at != Instant{} || namedPeers(node) > 0;
+}
+
+SpendRecord &recordOf(GatewayNode &node, const std::string &workspace)
+{
+    const auto [found, added] = node.spending.try_emplace(workspace);
+    if (added) {
+        found->second.carry = std::uniform_real_distribution<double>(0, 1)(node.random);
+        found->second.since = node.bootedAt;
+    }
+    return found->second;
+}
+
+WorkspaceUse ownUseOf(GatewayNode &node, const Workspace &workspace, Instant now)
+{
+    const QuotaPolicy &policy = node.settings.quota;
+    WorkspaceUse use;
+    const auto found = node.spending.find(workspace.name);
+    if (found != node.spending.end())
+        use = useOf(found->second, policy, now);
+    const Duration up = now - node.bootedAt;
+    if (!node.settings.firstStart && up < policy.window)
+        addUse(use, useBeforeStart(workspace.limit, policy, node.fleet.known, up));
+    return use;
+}
+
+void addUseOf(WorkspaceUse &sum, const WorkspaceUses &uses, const std::string &workspace)
+{
+    const auto found = uses.find(workspace);
+    if (found != uses.end())
+        addUse(sum, found->second);
+}
+
+FleetUse fleetUseOf(GatewayNode &node, const Workspace &workspace, Instant now)
+{
+    // A VM that was suspended must not take what it heard before for what there is now.
+    dropSilent(node.reported, reporterSilence, now);
+    FleetUse fleet;
+    fleet.use = ownUseOf(node, workspace, now);
+    addUseOf(fleet.use, node.reported.workspaceTotal, workspace.name);
+    if (hearsRelay(node, now))
+        addUseOf(fleet.use, node.upstream.otherWorkspaces, workspace.name);
+    fleet.vmsInTouch = vmsInTouch(node, now);
+    fleet.vmsKnown = std::max(node.fleet.known, fleet.vmsInTouch);
+    fleet.newsAge = loadNewsAge(node);
+    return fleet;
+}
+
+void logOverLimit(const CallRun &run, const Workspace &workspace, const FleetUse &fleet,
+                  std::int64_t units)
+{
+    logEvent(EventId::CallOverLimit,
+             {{"call", run.facts.attemptId},
+              {"workspace", workspace.name},
+              {"units", std::to_string(units)},
+              {"ratePerSecond",
+               std::to_string(static_cast<std::int64_t>(workspace.limit.ratePerSecond))},
+              {"window", std::to_string(fleet.use.whole)},
+              {"askedPerSecond", std::to_string(fleet.use.askedPerSecond)},
+              {"vmsInTouch", std::to_string(fleet.vmsInTouch)},
+              {"vmsKnown", std::to_string(fleet.vmsKnown)},
+              {"newsAgeMs", std::to_string(toMillis(fleet.newsAge))}});
+}
+
+} // namespace
+
+std::optional<OwnAnswer> takeUnits(CallRun &run)
+{
+    GatewayNode &node = run.node;
+    const Workspace *workspace = node.routes->findWorkspace(run.workspace);
+    if (workspace == nullptr || !isLimited(workspace->limit))
+        return std::nullopt;
+    if (workspace->limit.unit == QuotaUnit::Tokens && run.facts.tokensMalformed)
+        return ownAnswer(400, "the call's count of tokens is no count", Duration::zero());
+    if (!knowsOthers(node))
+        return ownAnswer(503, "this VM does not know of the others yet", comeBackSoon);
+    const Instant now = BootClock::now();
+    const QuotaPolicy &policy = node.settings.quota;
+    const std::int64_t units = costOf(workspace->limit, run.facts.tokens);
+    SpendRecord &record = recordOf(node, workspace->name);
+    noteAsked(record, policy, units, now);
+    const FleetUse fleet = fleetUseOf(node, *workspace, now);
+    const QuotaVerdict verdict = admitCall(record, workspace->limit, policy, fleet, units, now);
+    if (!verdict.admitted) {
+        logOverLimit(run, *workspace, fleet, units);
+        return ownAnswer(429, "the workspace has used up its limit", verdict.retryAfter);
+    }
+    noteSpent(record, policy, units, now);
+    run.units = units;
+    run.unitsTakenAt = now;
+    return std::nullopt;
+}
+
+void takeUnitsAgain(CallRun &run)
+{
+    if (run.units == 0)
+        return;
+    run.unitsTakenAt = BootClock::now();
+    noteSpent(recordOf(run.node, run.workspace), run.node.settings.quota, run.units,
+              run.unitsTakenAt);
+}
+
+void giveUnitsBack(CallRun &run)
+{
+    if (run.units == 0)
+        return;
+    giveBack(recordOf(run.node, run.workspace), run.node.settings.quota, run.units,
+             run.unitsTakenAt, BootClock::now());
+}
+
+WorkspaceUses ownWorkspaceUses(GatewayNode &node, Instant now)
+{
+    WorkspaceUses uses;
+    for (const Workspace &workspace : node.routes->config().workspaces) {
+        if (!isLimited(workspace.limit))
+            continue;
+        const WorkspaceUse use = ownUseOf(node, workspace, now);
+        if (!isUnused(use))
+            uses[workspace.name] = use;
+    }
+    return uses;
+}
+
+WorkspaceUses zoneWorkspaceUses(GatewayNode &node, Instant now)
+{
+    WorkspaceUses uses = ownWorkspaceUses(node, now);
+    for (const auto &[reporter, report] : node.reported.reports) {
+        if (!reporter.starts_with(zoneReporter))
+            addUses(uses, report.workspaces);
+    }
+    return uses;
+}
+
+void noteVmsInTouch(GatewayNode &node, Instant now)
+{
+    const auto confirmed = confirmedAt(node.confirmations, node.routes->config().version);
+    VmCount count;
+    count.inTouch = vmsInTouch(node, now);
+    count.listed = 1 + namedPeers(node);
+    count.storeHeard = confirmed && now - *confirmed < storeHeard;
+    noteVms(node.fleet, count, now);
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/src/WorkspaceQuota.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+
+#include "CallRun.h"
+
+namespace monsoonbay {
+
+/** Limits of workspaces over all VMs; see quota/Admission.h. */
+
+/** Takes what the call counts off its workspace's limit; the refusal if it does not fit. */
+std::optional<OwnAnswer> takeUnits(CallRun &run);
+
+/** The call is sent once more although it may have run: it counts once more. */
+void takeUnitsAgain(CallRun &run);
+
+/** What was taken last has not run. */
+void giveUnitsBack(CallRun &run);
+
+/** What calls of this VM use, by workspace. */
+WorkspaceUses ownWorkspaceUses(GatewayNode &node, Instant now);
+
+/** The same of this VM and those of its zone that report to it. */
+WorkspaceUses zoneWorkspaceUses(GatewayNode &node, Instant now);
+
+/** Counts the VMs that may let calls run. */
+void noteVmsInTouch(GatewayNode &node, Instant now);
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/tests/Workspaces.cpp
@@ -0,0 +1,177 @@
+#include "CallerAccess.h"
+#include "GatewayNode.h"
+#include "PeerExchange.h"
+#include "WorkspaceQuota.h"
+
+#include <boost/beast/core/tcp_stream.hpp>
+#include <criterion/criterion.h>
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+GatewaySettings settingsOf(const std::string &vm, const std::string &address)
+{
+    GatewaySettings settings;
+    settings.vm = vm;
+    settings.zone = "zone-a";
+    settings.peers = {address, 7380};
+    settings.firstStart = true;
+    return settings;
+}
+
+/** One workspace, "ferry", which holds "key-1". */
+std::shared_ptr<const RouteTable> routesOf(std::int64_t version)
+{
+    ServingConfig config;
+    config.version = version;
+    Workspace ferry;
+    ferry.name = "ferry";
+    ferry.keys = {"key-1"};
+    ferry.priority = 3;
+    ferry.limit.unit = QuotaUnit::Tokens;
+    ferry.limit.ratePerSecond = 1000;
+    ferry.limit.burst = 1000;
+    config.workspaces.push_back(ferry);
+    return std::make_shared<RouteTable>(std::move(config));
+}
+
+/** A VM that knows of no others, and a call of "ferry" at it. */
+struct Served
+{
+    explicit Served(std::int64_t tokens)
+        : node(settingsOf("vm-1", "10.0.0.1"))
+        , caller(this->node.context)
+        , run(this->node, this->caller, HttpRequest())
+    {
+        this->node.routes = routesOf(7);
+        this->node.vmsRead = true;
+        this->run.workspace = "ferry";
+        this->run.key = digestOfKey("key-1");
+        this->run.facts.tokens = tokens;
+        updateKeys(this->node.keys, {}, this->node.routes->config().workspaces);
+    }
+
+    std::int64_t used()
+    {
+        return ownWorkspaceUses(this->node, BootClock::now())["ferry"].whole;
+    }
+
+    GatewayNode node;
+    boost::beast::tcp_stream caller;
+    CallRun run;
+};
+
+gateway::v1::Report reportOf(GatewayNode &node, std::uint64_t sequence)
+{
+    gateway::v1::Report report;
+    report.mutable_from()->set_name(node.settings.vm);
+    report.mutable_from()->set_address(node.settings.peers.address);
+    report.mutable_from()->set_port(node.settings.peers.port);
+    report.mutable_from()->set_boot(node.boot);
+    report.mutable_from()->set_zone(node.settings.zone);
+    report.set_sequence(sequence);
+    report.set_carries_use(true);
+    report.set_vms(1);
+    return report;
+}
+
+} // namespace
+
+// Guards against units that are lost with calls that have not run.
+Test(workspaces, calls_that_have_not_run_use_nothing_up)
+{
+    Served served(600);
+    cr_assert(!takeUnits(served.run));
+    cr_assert_eq(served.used(), 600);
+    giveUnitsBack(served.run);
+    cr_assert_eq(served.used(), 0);
+}
+
+// Guards against calls that run twice and count once.
+Test(workspaces, a_repeat_that_may_run_again_counts_again)
+{
+    Served served(600);
+    cr_assert(!takeUnits(served.run));
+    takeUnitsAgain(served.run);
+    cr_assert_eq(served.used(), 1200);
+    giveUnitsBack(served.run);
+    cr_assert_eq(served.used(), 600, "the repeat has not run; the first send may have");
+}
+
+// Guards against a VM that has just started and takes itself for the only one.
+Test(workspaces, a_vm_that_knows_of_no_others_yet_lets_nothing_run)
+{
+    Served served(600);
+    served.node.vmsRead = false;
+    const std::optional<OwnAnswer> refused = takeUnits(served.run);
+    cr_assert(refused && refused->status == 503);
+    cr_assert_eq(served.used(), 0);
+}
+
+Test(workspaces, use_of_other_vms_leaves_less)
+{
+    Served served(600);
+    GatewayNode other(settingsOf("vm-2", "10.0.0.2"));
+    gateway::v1::Report report = reportOf(other, 1);
+    gateway::v1::WorkspaceUse &use = *report.add_workspaces();
+    use.set_workspace("ferry");
+    use.set_units(9800);
+    use.set_asked_per_second(1000);
+    const gateway::v1::Digest digest = answerReport(served.node, report);
+    cr_assert_eq(digest.vms_in_touch(), 2);
+    const std::optional<OwnAnswer> refused = takeUnits(served.run);
+    cr_assert(refused && refused->status == 429);
+    cr_assert(refused->retryAfter > 0s);
+}
+
+// Guards against a VM that is told of its own use again and counts it twice.
+Test(workspaces, a_vm_is_told_of_what_all_others_use)
+{
+    Served served(600);
+    cr_assert(!takeUnits(served.run));
+    GatewayNode other(settingsOf("vm-2", "10.0.0.2"));
+    gateway::v1::Report report = reportOf(other, 1);
+    gateway::v1::WorkspaceUse &use = *report.add_workspaces();
+    use.set_workspace("ferry");
+    use.set_units(50);
+    const gateway::v1::Digest digest = answerReport(served.node, report);
+    cr_assert_eq(digest.other_workspaces_size(), 1);
+    cr_assert_eq(digest.other_workspaces(0).units(), 600);
+}
+
+// Guards against a key that is still honoured by a send that waited while it was taken.
+Test(workspaces, a_key_is_looked_at_again_before_each_send)
+{
+    Served served(600);
+    cr_assert(!refuseKeyNow(served.run));
+    cr_assert_eq(priorityOf(served.run), 3);
+    updateKeys(served.node.keys, served.node.routes->config().workspaces, {});
+    const std::optional<OwnAnswer> taken = refuseKeyNow(served.run);
+    cr_assert(taken && taken->status == 401);
+}
+
+// Guards against a VM that was suspended, or cut off, while a key was taken.
+Test(workspaces, an_old_confirmation_stops_a_send_where_keys_are_taken_strictly)
+{
+    Served served(600);
+    served.node.settings.access = {true, 5s};
+    noteConfirmed(served.node.confirmations, {7, BootClock::now()});
+    cr_assert(!refuseKeyNow(served.run));
+    served.node.confirmations = Confirmations();
+    noteConfirmed(served.node.confirmations, {7, BootClock::now() - 5s});
+    const std::optional<OwnAnswer> refused = refuseKeyNow(served.run);
+    cr_assert(refused && refused->status == 503);
+}
+
+Test(workspaces, an_answer_tells_how_old_the_knowledge_of_the_configuration_is)
+{
+    Served served(600);
+    GatewayNode other(settingsOf("vm-2", "10.0.0.2"));
+    cr_assert_eq(answerReport(served.node, reportOf(other, 1)).config_confirmed_ago_ms(), 0);
+    noteConfirmed(served.node.confirmations, {7, BootClock::now() - 400ms});
+    const gateway::v1::Digest digest = answerReport(served.node, reportOf(other, 2));
+    cr_assert_eq(digest.config_version(), 7);
+    cr_assert_geq(digest.config_confirmed_ago_ms(), 400);
+}
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -67,6 +67,7 @@
     StreamCut = 7043,
     CallAnswered = 7044,
     CallFoundHarmful = 7045,
+    CallOverLimit = 7046,
 };
 
 enum class EventLevel : std::uint8_t { Info, Warning, Error };
--- a/libs/quota/include/quota/FleetSize.h
+++ b/libs/quota/include/quota/FleetSize.h
@@ -13,15 +13,24 @@
 struct FleetSize
 {
     int known = 1;
-    Instant heardAt{}; ///< when all known ones were heard last
+    Instant heardAt{}; ///< when all known ones were heard last; zero: they are only listed
+    int least = 0; ///< that were heard at once in the present span
+    Instant spanFrom{}; ///< zero: nothing was noted yet
+    bool firstSpan = true;
 
     auto operator<=>(const FleetSize &) const = default;
 };
 
-/**
- * `inTouch` VMs are heard now, this one among them; `listed` are known by name. `mayForget`: the
- * store was heard lately, so that silent VMs are not only cut off from this one.
- */
-void noteInTouch(FleetSize &size, int inTouch, int listed, bool mayForget, Instant now) noexcept;
+/** What a VM knows of the number of VMs. */
+struct VmCount
+{
+    int inTouch = 1; ///< heard now, this one among them
+    int listed = 1; ///< known by name; some of them may be gone for long
+    bool storeHeard = false; ///< lately: silent VMs are not only cut off from this one
+
+    auto operator<=>(const VmCount &) const = default;
+};
+
+void noteVms(FleetSize &size, const VmCount &count, Instant now) noexcept;
 
 } // namespace monsoonbay
--- a/libs/quota/include/quota/SpendRecord.h
+++ b/libs/quota/include/quota/SpendRecord.h
@@ -18,6 +18,7 @@
     std::array<std::int64_t, parts> spent{};
     std::array<std::int64_t, parts> asked{};
     std::int64_t newestPart = 0;
+    Instant since{}; ///< the VM's start: there were no asks before
     double carry = 0; ///< see admitCall(); in [0, 1)
 };
 
--- a/libs/quota/include/quota/WorkspaceUse.h
+++ b/libs/quota/include/quota/WorkspaceUse.h
@@ -12,8 +12,7 @@
  */
 struct WorkspaceUse
 {
-    std::int64_t recent = 0; ///< units in the last quarter of the window
-    std::int64_t whole = 0; ///< units in the whole window
+    std::int64_t whole = 0; ///< units in the window
     std::int64_t askedPerSecond = 0; ///< units, whether they were let run or not
 
     bool operator==(const WorkspaceUse &) const = default;
--- a/libs/quota/src/FleetSize.cpp
+++ b/libs/quota/src/FleetSize.cpp
@@ -9,20 +9,43 @@
 /** A VM that was silent for so long, while the store was heard, is taken as gone. */
 constexpr Duration silentCounts = std::chrono::seconds(60);
 
-} // namespace
+/**
+ * A VM that goes from one relay to another is counted by both for a moment; only what is heard all
+ * through a span of this length counts.
+ */
+constexpr Duration span = std::chrono::seconds(2);
 
-void noteInTouch(FleetSize &size, int inTouch, int listed, bool mayForget, Instant now) noexcept
+void takeSettled(FleetSize &size, int settled, bool storeHeard, Instant now)
 {
-    const int counted = std::max(inTouch, listed);
-    if (counted >= size.known) {
-        size.known = counted;
-        size.heardAt = now;
+    const bool onlyListed = size.heardAt == Instant{};
+    const bool forgotten = storeHeard && (onlyListed || now - size.heardAt > silentCounts);
+    if (settled < size.known && !forgotten)
         return;
+    size.known = settled;
+    size.heardAt = now;
+}
+
+} // namespace
+
+// The list names VMs that are gone for long as well, so it only counts until the first ones that
+// are heard have been counted.
+void noteVms(FleetSize &size, const VmCount &count, Instant now) noexcept
+{
+    if (size.heardAt == Instant{})
+        size.known = std::max({size.known, count.inTouch, count.listed});
+    if (size.spanFrom == Instant{}) {
+        size.spanFrom = now;
+        size.least = count.inTouch;
     }
-    if (mayForget && now - size.heardAt > silentCounts) {
-        size.known = counted;
-        size.heardAt = now;
-    }
+    size.least = std::min(size.least, count.inTouch);
+    if (now - size.spanFrom < span)
+        return;
+    // In its first span a VM does not hear all yet.
+    if (!size.firstSpan)
+        takeSettled(size, size.least, count.storeHeard, now);
+    size.firstSpan = false;
+    size.spanFrom = now;
+    size.least = count.inTouch;
 }
 
 } // namespace monsoonbay
--- a/libs/quota/src/SpendRecord.cpp
+++ b/libs/quota/src/SpendRecord.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::int64_t partsInWindow = SpendRecord::parts - 1;
-constexpr std::int64_t partsInRecent = partsInWindow / 4;
+/** Parts that asks are averaged over: a few calls, and no longer than a burst. */
+constexpr std::int64_t partsAveraged = partsInWindow / 4;
 
 std::int64_t partOf(const QuotaPolicy &policy, Instant at)
 {
@@ -42,10 +43,14 @@
     return sum;
 }
 
-double perSecond(const QuotaPolicy &policy, std::int64_t unitsInRecent)
+/** `until`: end of the parts that the units are of. */
+double perSecond(const SpendRecord &record, const QuotaPolicy &policy, std::int64_t units,
+                 Instant until)
 {
-    const double seconds = toSeconds(policy.window) * partsInRecent / partsInWindow;
-    return static_cast<double>(unitsInRecent) / seconds;
+    const Duration part = policy.window / partsInWindow;
+    const Duration averaged =
+        std::clamp<Duration>(until - record.since, part, part * partsAveraged);
+    return static_cast<double>(units) / toSeconds(averaged);
 }
 
 } // namespace
@@ -76,11 +81,9 @@
 {
     advance(record, policy, now);
     WorkspaceUse use;
-    use.recent = sumOf(record.spent, record.newestPart, 0, partsInRecent);
-    use.whole = use.recent
-        + sumOf(record.spent, record.newestPart, partsInRecent + 1, partsInWindow);
-    const std::int64_t asked = sumOf(record.asked, record.newestPart, 0, partsInRecent);
-    use.askedPerSecond = std::llround(perSecond(policy, asked));
+    use.whole = sumOf(record.spent, record.newestPart, 0, partsInWindow);
+    const std::int64_t asked = sumOf(record.asked, record.newestPart, 0, partsAveraged);
+    use.askedPerSecond = std::llround(perSecond(record, policy, asked, now));
     return use;
 }
 
@@ -88,8 +91,8 @@
 {
     advance(record, policy, now);
     const std::int64_t age = record.newestPart - partOf(policy, now - before);
-    return perSecond(policy,
-                     sumOf(record.asked, record.newestPart, age, age + partsInRecent));
+    const std::int64_t asked = sumOf(record.asked, record.newestPart, age, age + partsAveraged);
+    return perSecond(record, policy, asked, now - before);
 }
 
 } // namespace monsoonbay
--- a/libs/quota/src/WorkspaceUse.cpp
+++ b/libs/quota/src/WorkspaceUse.cpp
@@ -9,7 +9,6 @@
 
 void addUse(WorkspaceUse &sum, const WorkspaceUse &use) noexcept
 {
-    sum.recent += use.recent;
     sum.whole += use.whole;
     sum.askedPerSecond += use.askedPerSecond;
 }
@@ -26,7 +25,7 @@
         const auto found = sums.find(workspace);
         if (found == sums.end())
             continue;
-        addUse(found->second, {-use.recent, -use.whole, -use.askedPerSecond});
+        addUse(found->second, {-use.whole, -use.askedPerSecond});
         if (isUnused(found->second))
             sums.erase(found);
     }
--- a/libs/serving/include/serving/CallFacts.h
+++ b/libs/serving/include/serving/CallFacts.h
@@ -25,6 +25,10 @@
     std::optional<Duration> timeLeft; ///< how long the caller will wait
     std::string model;
     std::string adapter; ///< key; empty: the base model alone
+    std::string callerKey; ///< a secret; empty: it has none, or more than one
+    /** Prompt and most output together; nothing: it does not say. */
+    std::optional<std::int64_t> tokens;
+    bool tokensMalformed = false; ///< what it says of its tokens is no count
     double promptTokens = 0;
     double maxOutputTokens = 0;
     std::vector<PromptPart> prompt;
@@ -40,6 +44,7 @@
     std::optional<Duration> timeLeft;
     std::int64_t expectedVersion = 0; ///< of the adapter; 0: any
     std::optional<int> urgency; ///< 0 goes first
+    std::string workspace; ///< whose call it is; empty: nobody's
     std::optional<std::uint64_t> resumeAfter;
 
     auto operator<=>(const SendFacts &) const = default;
--- a/libs/serving/include/serving/ServingConfig.h
+++ b/libs/serving/include/serving/ServingConfig.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "access/Workspace.h"
 #include "serving/Route.h"
 #include "serving/ServiceSpec.h"
 
@@ -28,6 +29,7 @@
     std::int64_t version = 0;
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
+    std::vector<Workspace> workspaces; ///< none: calls need no key
     CallerLimits limits;
 
     auto operator<=>(const ServingConfig &) const = default;
@@ -48,10 +50,14 @@
     /** Null if there is no such service. */
     const ServiceSpec *findService(const std::string &name) const;
 
+    /** Null if there is no such workspace. */
+    const Workspace *findWorkspace(const std::string &name) const;
+
 private:
     ServingConfig whole;
     std::unordered_map<std::string, std::size_t> routeByHostAndPrefix;
     std::unordered_map<std::string, std::size_t> serviceByName;
+    std::unordered_map<std::string, std::size_t> workspaceByName;
 };
 
 /** True if `offered` may replace a configuration of version `current`: it never goes back. */
--- a/libs/serving/include/serving/UseLedger.h
+++ b/libs/serving/include/serving/UseLedger.h
@@ -4,6 +4,7 @@
 #include <unordered_map>
 
 #include "core/Time.h"
+#include "quota/WorkspaceUse.h"
 #include "serving/TargetUse.h"
 
 namespace monsoonbay {
@@ -12,6 +13,7 @@
 struct UseReport
 {
     TargetUses uses;
+    WorkspaceUses workspaces;
     int vms = 1; ///< VMs that it speaks for
     Instant at{};
 
@@ -23,6 +25,7 @@
 {
     std::unordered_map<std::string, UseReport> reports; ///< by reporter
     TargetUses total;
+    WorkspaceUses workspaceTotal;
 };
 
 /** Takes a reporter's newest word in place of the one before. */
@@ -37,6 +40,9 @@
 /** What all but one reporter take. */
 TargetUses usesExcept(const UseLedger &ledger, const std::string &reporter);
 
+/** What the calls of all but one reporter's workspaces use. */
+WorkspaceUses workspacesExcept(const UseLedger &ledger, const std::string &reporter);
+
 /** VMs that the reporters speak for. */
 int vmsReported(const UseLedger &ledger) noexcept;
 
--- a/libs/serving/src/ServingConfig.cpp
+++ b/libs/serving/src/ServingConfig.cpp
@@ -30,6 +30,8 @@
     }
     for (std::size_t index = 0; index < this->whole.services.size(); ++index)
         this->serviceByName[this->whole.services[index].name] = index;
+    for (std::size_t index = 0; index < this->whole.workspaces.size(); ++index)
+        this->workspaceByName[this->whole.workspaces[index].name] = index;
 }
 
 const ServingConfig &RouteTable::config() const noexcept
@@ -61,6 +63,12 @@
     return found == this->serviceByName.end() ? nullptr : &this->whole.services[found->second];
 }
 
+const Workspace *RouteTable::findWorkspace(const std::string &name) const
+{
+    const auto found = this->workspaceByName.find(name);
+    return found == this->workspaceByName.end() ? nullptr : &this->whole.workspaces[found->second];
+}
+
 bool mayReplace(std::int64_t current, std::int64_t offered) noexcept
 {
     return offered > current;
--- a/libs/serving/src/UseLedger.cpp
+++ b/libs/serving/src/UseLedger.cpp
@@ -10,6 +10,8 @@
     UseReport &known = ledger.reports[reporter];
     subtractUses(ledger.total, known.uses);
     addUses(ledger.total, report.uses);
+    subtractUses(ledger.workspaceTotal, known.workspaces);
+    addUses(ledger.workspaceTotal, report.workspaces);
     known = std::move(report);
 }
 
@@ -22,6 +24,7 @@
     }
     for (const std::string &reporter : silent) {
         subtractUses(ledger.total, ledger.reports.at(reporter).uses);
+        subtractUses(ledger.workspaceTotal, ledger.reports.at(reporter).workspaces);
         ledger.reports.erase(reporter);
     }
 }
@@ -35,6 +38,15 @@
     return rest;
 }
 
+WorkspaceUses workspacesExcept(const UseLedger &ledger, const std::string &reporter)
+{
+    WorkspaceUses rest = ledger.workspaceTotal;
+    const auto found = ledger.reports.find(reporter);
+    if (found != ledger.reports.end())
+        subtractUses(rest, found->second.workspaces);
+    return rest;
+}
+
 int vmsReported(const UseLedger &ledger) noexcept
 {
     int vms = 0;
--- a/tools/check-words.sh
+++ b/tools/check-words.sh
@@ -8,8 +8,9 @@
 wire='X-Attempt-Id|X-Time-Budget|X-Server-Seal|X-Target-Instance|X-Not-Executed|X-Urgency-Level'
 wire="$wire|X-Token-Count|X-Prompt-Prefix|X-Model|X-Expected-Version|X-Instance-Id|Last-Event-Id"
 wire="$wire|WritesPerS|TargetLatencyMs|PathPrefix|AdapterSlots|SessionAffinity"
+wire="$wire|X-Api-Key|X-Tenant|AuthExempt|RatePerS|BurstSize|PlainTokens|Store-Era"
 wire="$wire|log-append|log-read|log-join|log-newest|kv-events|model_load|keyed\\.op|keyed\\.servers"
-wording='fleetbench|requester|liveness report|time budget|disturbance|latency target|work unit'
+wording='fleetbench|requester|liveness report|time budget|disturbance|latency target|work unit|allotment'
 found=$(grep -rnIE --include='*.cpp' --include='*.h' --include='*.proto' --include='*.txt' \
     "$wire" "$@" || true)
 worded=$(grep -rnIiE --include='*.cpp' --include='*.h' --include='*.proto' "$wording" "$@" \
