--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -167,13 +167,7 @@
             if (over || this->run.callerGone)
                 co_return;
             const bool again = this->mayTryAgain(end);
-            logEvent(EventId::CallBounced,
-                     {{"call", this->run.facts.attemptId},
-                      {"target", target.id},
-                      {"end", std::to_string(static_cast<int>(end))},
-                      {"sends", std::to_string(this->run.sends)},
-                      {"again", again ? "yes" : "no"},
-                      {"identity", identityText(identityOf(this->run))}});
+            this->logBounced(target.id, end, again);
             if (again)
                 continue;
             OwnAnswer answer = ownAnswer(503, "the target did not take the call", comeBackSoon);
@@ -196,6 +190,20 @@
         co_return true;
     }
 
+    void logBounced(const std::string &target, SendEnd end, bool again)
+    {
+        const ServiceRetryBudget &budget = this->node.retryBudgets[this->run.service];
+        logEvent(EventId::CallBounced,
+                 {{"call", this->run.facts.attemptId},
+                  {"target", target},
+                  {"end", std::to_string(static_cast<int>(end))},
+                  {"sends", std::to_string(this->run.sends)},
+                  {"again", again ? "yes" : "no"},
+                  {"repeats", std::to_string(repeatsTaken(budget))},
+                  {"vmsCounted", std::to_string(liveGateways(this->node))},
+                  {"identity", identityText(identityOf(this->run))}});
+    }
+
     // What may be sent again, and whether there is budget for it. A call that certainly has not
     // run may always go elsewhere; one that may have run only if its route lets it run twice.
     bool mayTryAgain(SendEnd end)
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -31,4 +31,7 @@
 /** Takes one repeat out of this VM's share; false if the share is used up. */
 bool takeRepeat(ServiceRetryBudget &budget, const RetryPolicy &policy, int vms, Instant now);
 
+/** Repeats that this VM has taken in the window, as of the last call or repeat. */
+std::uint32_t repeatsTaken(const ServiceRetryBudget &budget) noexcept;
+
 } // namespace monsoonbay
--- a/libs/serving/src/ServiceRetryBudget.cpp
+++ b/libs/serving/src/ServiceRetryBudget.cpp
@@ -31,4 +31,9 @@
     return true;
 }
 
+std::uint32_t repeatsTaken(const ServiceRetryBudget &budget) noexcept
+{
+    return sumOf(budget.repeats);
+}
+
 } // namespace monsoonbay
