--- a/libs/gateway/tests/Peers.cpp
+++ b/libs/gateway/tests/Peers.cpp
@@ -198,13 +198,14 @@
 namespace {
 
 /** One exchange: `asker` takes what `relay` answers; returns whether there is more. */
-bool exchangeOnce(GatewayNode &asker, GatewayNode &relay, std::uint64_t sequence)
+bool exchangeOnce(GatewayNode &asker, GatewayNode &relay, std::uint64_t sequence,
+                  bool upstream = true)
 {
     const Endpoint endpoint = relay.settings.peers;
     const PeerState &known = asker.peers[endpoint];
     auto report = reportFrom("vm-7", known.seenBoot, known.seenChange, sequence);
     report.set_in_whole(known.inWhole);
-    takeDigest(asker, endpoint, answerReport(relay, report), true);
+    takeDigest(asker, endpoint, answerReport(relay, report), upstream);
     return asker.peers[endpoint].moreToTell;
 }
 
@@ -259,3 +260,49 @@
     cr_assert_eq(asker.book.records.size(), 1);
     cr_assert_not_null(entryOf(asker, "only"));
 }
+
+namespace {
+
+/** A VM that has read the list, with just one target in it. */
+std::unique_ptr<GatewayNode> relayThatLists(const std::string &target)
+{
+    auto relay = std::make_unique<GatewayNode>(settingsOfVm1());
+    noteListRead(relay->book, BootClock::now());
+    takeTargetsByPeer(*relay, {listedTarget(target, false)});
+    return relay;
+}
+
+} // namespace
+
+// Guards against calls to a target that has left, by a VM whose relay told its list beside the
+// regular reports.
+Test(peers, what_a_relay_told_before_it_was_the_relay_is_heard_in_whole_again)
+{
+    const auto relay = relayThatLists("stays");
+    GatewayNode asker(settingsOfVm7());
+    takeTargetsByPeer(asker, {listedTarget("stays", false), listedTarget("left", false)});
+    std::uint64_t sequence = 0;
+    exchangeOnce(asker, *relay, ++sequence, false);
+    while (exchangeOnce(asker, *relay, ++sequence)) { }
+    cr_assert_null(entryOf(asker, "left"));
+    cr_assert_not_null(entryOf(asker, "stays"));
+}
+
+// Guards against calls to a target that came and left while another VM was the relay.
+Test(peers, a_relay_that_comes_back_is_heard_in_whole)
+{
+    const auto relay = relayThatLists("stays");
+    GatewaySettings settings = settingsOfVm1();
+    settings.vm = "vm-2";
+    settings.peers = {"10.0.0.2", 7380};
+    GatewayNode between(settings);
+    noteListRead(between.book, BootClock::now());
+    takeTargetsByPeer(between, {listedTarget("stays", false), listedTarget("left", false)});
+    GatewayNode asker(settingsOfVm7());
+    std::uint64_t sequence = 0;
+    while (exchangeOnce(asker, *relay, ++sequence)) { }
+    while (exchangeOnce(asker, between, ++sequence)) { }
+    cr_assert_not_null(entryOf(asker, "left"));
+    while (exchangeOnce(asker, *relay, ++sequence)) { }
+    cr_assert_null(entryOf(asker, "left"));
+}
--- a/libs/serving/tests/Relays.cpp
+++ b/libs/serving/tests/Relays.cpp
@@ -72,6 +72,19 @@
     cr_assert(!chooseUpstream(self, true, mates), "it knows nothing either");
 }
 
+// Guards against a VM that neither reads the list nor is told of it: the one above it is starting.
+Test(relays, a_vm_relays_on_until_the_one_above_it_has_started)
+{
+    RelayRank self;
+    self.capacity = 0.25;
+    std::vector<RelayMate> mates{mate(0.5, 1)};
+    mates[0].starting = true;
+    cr_assert(!chooseUpstream(self, false, mates));
+    cr_assert(isRelay(self, mates));
+    mates[0].starting = false;
+    cr_assert(!isRelay(self, mates));
+}
+
 // VMs that see the same mates agree on one relay, and all others report to it.
 Test(relays, vms_with_the_same_view_agree)
 {
