A VM that starts has its part of the retry budget's slack a window later, among all VMs known

Cause: the slack is divided by the VMs that a VM hears, and from its start on it hears none but itself; and what its former boot sent is forgotten. Class: a share of something that belongs to all, worked out by one that knows of fewer than there are. Workspaces' limits had been mended for it, this one had not. Why it holds: until a VM knows how many others there are it has no slack; a boot that is not the system's first has none for one window, so that former boots, or the others when they were fewer, have spent theirs before. VMs that are not heard are counted on for a minute, as for limits (one count for both now, in FleetCount); before they were forgotten after 15 s, so that each side of a longer cut took the whole slack.

--- /dev/null
+++ b/libs/gateway/src/FleetCount.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "GatewayNode.h"
+
+namespace monsoonbay {
+
+/**
+ * How many VMs there are, for all that is divided among them: a VM that takes itself for one of
+ * fewer than there are uses what belongs to others.
+ */
+
+/** VMs that are heard now, this one among them. */
+int vmsInTouch(const GatewayNode &node, Instant now);
+
+/** VMs that may let calls run, whether they are heard or not. */
+int vmsKnown(const GatewayNode &node, Instant now);
+
+/** False while a VM that has just started cannot know how many others there are. */
+bool knowsOthers(const GatewayNode &node, Instant now);
+
+/** Looks how many are in touch; called all the time. */
+void countVms(GatewayNode &node, Instant now);
+
+/** The VM's relay told something lately. */
+bool hearsRelay(const GatewayNode &node, Instant now);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "CallerAccess.h"
+#include "FleetCount.h"
 #include "HarmfulWatch.h"
 #include "PassedHeaders.h"
 #include "Placing.h"
@@ -122,6 +123,16 @@
                    : "no"}});
 }
 
+SlackSharing slackSharing(const GatewayNode &node, Instant now)
+{
+    SlackSharing sharing;
+    if (knowsOthers(node, now))
+        sharing.vms = vmsKnown(node, now);
+    if (!node.settings.firstStart)
+        sharing.from = slackAfterStart(node.settings.retries, node.bootedAt);
+    return sharing;
+}
+
 /** The life of one call after its route is known. */
 class CallServing
 {
@@ -200,7 +211,7 @@
                   {"sends", std::to_string(this->run.sends)},
                   {"again", again ? "yes" : "no"},
                   {"repeats", std::to_string(repeatsTaken(budget))},
-                  {"vmsCounted", std::to_string(liveGateways(this->node))},
+                  {"vmsCounted", std::to_string(slackSharing(this->node, BootClock::now()).vms)},
                   {"identity", identityText(identityOf(this->run))}});
     }
 
@@ -220,7 +231,7 @@
         if (ran && this->runsStarted >= this->run.route->maxAttempts)
             return false;
         return takeRepeat(this->node.retryBudgets[this->run.service], this->node.settings.retries,
-                          liveGateways(this->node), BootClock::now());
+                          slackSharing(this->node, BootClock::now()), BootClock::now());
     }
 
     asio::awaitable<SendEnd> sendTo(const TargetEntry &target)
--- a/libs/gateway/src/RelayLoops.cpp
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
+#include "FleetCount.h"
 #include "PeerExchange.h"
 #include "SharedEngines.h"
-#include "WorkspaceQuota.h"
 #include "ZoneView.h"
 #include "observe/Events.h"
 
@@ -196,7 +196,7 @@
             node.upstream = UpstreamWord();
         markHolders(node, now);
         countGateways(node, now);
-        noteVmsInTouch(node, now);
+        countVms(node, now);
         const RelayRank self = ownRank(node);
         std::vector<Endpoint> wanted;
         for (const auto &[endpoint, peer] : node.peers) {
--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -1,7 +1,6 @@
 #include "WorkspaceQuota.h"
 
-#include <algorithm>
-
+#include "FleetCount.h"
 #include "RelayLoops.h"
 #include "ZoneView.h"
 #include "observe/Events.h"
@@ -11,49 +10,8 @@
 
 namespace {
 
-/** The store, or a VM that reaches it, was heard within this. */
-constexpr Duration storeHeard = std::chrono::seconds(5);
-/** When all start at once, they have found each other without the store within this. */
-constexpr Duration othersHeard = std::chrono::seconds(4);
 constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
 
-int namedPeers(const GatewayNode &node)
-{
-    return static_cast<int>(
-        std::count_if(node.peers.begin(), node.peers.end(),
-                      [](const auto &entry) { return !entry.second.name.empty(); }));
-}
-
-bool hearsRelay(const GatewayNode &node, Instant now)
-{
-    return node.upstream.at != Instant{} && now - node.upstream.at <= reporterSilence;
-}
-
-int vmsInTouch(const GatewayNode &node, Instant now)
-{
-    const int below = 1 + vmsReported(node.reported);
-    return hearsRelay(node, now) ? std::max(node.upstream.vmsInTouch, below) : below;
-}
-
-/** VMs that may let calls run, whether they are heard or not. */
-int vmsKnown(const GatewayNode &node, int inTouch)
-{
-    const bool counted = node.fleet.heardAt != Instant{};
-    const int listed = counted ? 0 : 1 + namedPeers(node);
-    return std::max({node.fleet.known, inTouch, listed});
-}
-
-/**
- * False while a VM that has just started cannot know how many others there are. A relay may have
- * just started as well, and know of few: without the store's list its word counts only after a
- * while.
- */
-bool knowsOthers(const GatewayNode &node, Instant now)
-{
-    const bool heardForLong = node.upstream.at != Instant{} && now - node.bootedAt > othersHeard;
-    return node.vmsRead || heardForLong;
-}
-
 SpendRecord &recordOf(GatewayNode &node, const std::string &workspace)
 {
     const auto [found, added] = node.spending.try_emplace(workspace);
@@ -74,7 +32,7 @@
     const Duration up = now - node.bootedAt;
     if (node.settings.firstStart || up >= 2 * policy.window || !knowsOthers(node, now))
         return use;
-    const int known = vmsKnown(node, vmsInTouch(node, now));
+    const int known = vmsKnown(node, now);
     addUse(use, useBeforeStart(workspace.limit, policy, known, up));
     return use;
 }
@@ -96,7 +54,7 @@
     if (hearsRelay(node, now))
         addUseOf(fleet.use, node.upstream.otherWorkspaces, workspace.name);
     fleet.vmsInTouch = vmsInTouch(node, now);
-    fleet.vmsKnown = vmsKnown(node, fleet.vmsInTouch);
+    fleet.vmsKnown = vmsKnown(node, now);
     fleet.newsAge = loadNewsAge(node);
     return fleet;
 }
@@ -187,14 +145,4 @@
     return uses;
 }
 
-void noteVmsInTouch(GatewayNode &node, Instant now)
-{
-    const std::optional<Instant> confirmed = configConfirmedAt(node);
-    VmCount count;
-    count.inTouch = vmsInTouch(node, now);
-    count.listed = 1 + namedPeers(node);
-    count.storeHeard = confirmed && now - *confirmed < storeHeard;
-    noteVms(node.fleet, count, now);
-}
-
 } // namespace monsoonbay
--- a/libs/gateway/src/WorkspaceQuota.h
+++ b/libs/gateway/src/WorkspaceQuota.h
@@ -23,7 +23,4 @@
 /** The same of this VM and those of its zone that report to it. */
 WorkspaceUses zoneWorkspaceUses(GatewayNode &node, Instant now);
 
-/** Counts the VMs that may let calls run. */
-void noteVmsInTouch(GatewayNode &node, Instant now);
-
 } // namespace monsoonbay
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -28,8 +28,24 @@
 
 void noteCall(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant now);
 
+/** Among whom the slack of a budget is divided, as one VM knows it. */
+struct SlackSharing
+{
+    int vms = 0; ///< that may send again, heard or not; 0: not known yet
+    Instant from{}; ///< this VM has no part of the slack before
+
+    auto operator<=>(const SlackSharing &) const = default;
+};
+
+/**
+ * When a VM that started at `start` may use its part of the slack: a window later, as the window
+ * may still hold what was sent by the boot before it, or by the others when they were fewer.
+ */
+Instant slackAfterStart(const RetryPolicy &policy, Instant start) noexcept;
+
 /** Takes one repeat out of this VM's share; false if the share is used up. */
-bool takeRepeat(ServiceRetryBudget &budget, const RetryPolicy &policy, int vms, Instant now);
+bool takeRepeat(ServiceRetryBudget &budget, const RetryPolicy &policy, const SlackSharing &sharing,
+                Instant now);
 
 /** Repeats that this VM has taken in the window, as of the last call or repeat. */
 std::uint32_t repeatsTaken(const ServiceRetryBudget &budget) noexcept;
--- a/libs/serving/src/ServiceRetryBudget.cpp
+++ b/libs/serving/src/ServiceRetryBudget.cpp
@@ -1,7 +1,5 @@
 #include "serving/ServiceRetryBudget.h"
 
-#include <algorithm>
-
 namespace monsoonbay {
 
 namespace {
@@ -17,14 +15,32 @@
     ++advance(budget.calls, policy.window, now);
 }
 
+namespace {
+
+double slackShare(const RetryPolicy &policy, const SlackSharing &sharing, Instant now)
+{
+    if (sharing.vms < 1 || now < sharing.from)
+        return 0;
+    return policy.slack / sharing.vms;
+}
+
+} // namespace
+
+Instant slackAfterStart(const RetryPolicy &policy, Instant start) noexcept
+{
+    constexpr auto parts = static_cast<std::int64_t>(ServiceRetryBudget::parts);
+    return start + policy.window + policy.window / parts;
+}
+
 // The bound holds for all VMs together. Each takes the ratio of its own calls and an even part of
 // the slack, so that no message is needed and the sum can never pass the bound.
-bool takeRepeat(ServiceRetryBudget &budget, const RetryPolicy &policy, int vms, Instant now)
+bool takeRepeat(ServiceRetryBudget &budget, const RetryPolicy &policy, const SlackSharing &sharing,
+                Instant now)
 {
     advance(budget.calls, policy.window, now);
     std::uint32_t &newestRepeats = advance(budget.repeats, policy.window, now);
     const double repeats = sumOf(budget.repeats);
-    const double share = policy.ratio * sumOf(budget.calls) + policy.slack / std::max(vms, 1);
+    const double share = policy.ratio * sumOf(budget.calls) + slackShare(policy, sharing, now);
     if (repeats + 1 > usedShare * share)
         return false;
     ++newestRepeats;
--- a/libs/serving/tests/Retries.cpp
+++ b/libs/serving/tests/Retries.cpp
@@ -10,43 +10,73 @@
 
 namespace {
 
+enum class Kind : std::uint8_t { Call, Repeat, Restart };
+
 struct Happening
 {
     int vm;
-    bool repeat;
+    Kind kind;
     int afterMs;
 };
 
 std::vector<Happening> drawHappenings(int vms)
 {
-    const auto one = rc::gen::construct<Happening>(
-        rc::gen::inRange(0, vms), rc::gen::arbitrary<bool>(), rc::gen::inRange(0, 120));
+    const auto kind =
+        rc::gen::weightedElement<Kind>({{9, Kind::Call}, {9, Kind::Repeat}, {1, Kind::Restart}});
+    const auto one =
+        rc::gen::construct<Happening>(rc::gen::inRange(0, vms), kind, rc::gen::inRange(0, 120));
     return *rc::gen::resize(400, rc::gen::container<std::vector<Happening>>(one));
 }
 
+/** One VM's part of the budget of a service. */
+struct Vm
+{
+    ServiceRetryBudget budget;
+    SlackSharing sharing;
+    Instant knowsOthersAt{};
+};
+
+SlackSharing among(int vms)
+{
+    SlackSharing sharing;
+    sharing.vms = vms;
+    return sharing;
+}
+
 } // namespace
 
 // The bound over all VMs, looked at in every window that ends with a repeat: repeats are at most
-// the ratio of the calls in that window, or the one before, plus the slack.
+// the ratio of the calls in that window, or the one before, plus the slack. VMs start anew
+// meanwhile, together or not, and learn only then how many there are.
 Test(retries, all_vms_together_stay_within_the_bound)
 {
     cr_assert(rc::check("bound", [] {
         const int vms = *rc::gen::inRange(1, 5);
         RetryPolicy policy;
         policy.slack = *rc::gen::inRange(4, 30);
-        std::vector<ServiceRetryBudget> budgets(static_cast<std::size_t>(vms));
+        std::vector<Vm> all(static_cast<std::size_t>(vms));
+        for (Vm &vm : all)
+            vm.sharing = among(vms);
         std::deque<Instant> calls;
         std::deque<Instant> repeats;
         Instant now = Instant{} + 100s;
         for (const Happening &happening : drawHappenings(vms)) {
             now += std::chrono::milliseconds(happening.afterMs);
-            ServiceRetryBudget &budget = budgets[static_cast<std::size_t>(happening.vm)];
-            if (!happening.repeat) {
-                noteCall(budget, policy, now);
+            Vm &vm = all[static_cast<std::size_t>(happening.vm)];
+            if (happening.kind == Kind::Restart) {
+                vm = Vm();
+                vm.sharing.from = slackAfterStart(policy, now);
+                vm.knowsOthersAt = now + 300ms;
+                continue;
+            }
+            if (now >= vm.knowsOthersAt)
+                vm.sharing.vms = vms;
+            if (happening.kind == Kind::Call) {
+                noteCall(vm.budget, policy, now);
                 calls.push_back(now);
                 continue;
             }
-            if (!takeRepeat(budget, policy, vms, now))
+            if (!takeRepeat(vm.budget, policy, vm.sharing, now))
                 continue;
             repeats.push_back(now);
             while (!repeats.empty() && now - repeats.front() > policy.window)
@@ -66,9 +96,33 @@
     ServiceRetryBudget budget;
     Instant now = Instant{} + 100s;
     int taken = 0;
-    while (takeRepeat(budget, policy, 1, now))
+    while (takeRepeat(budget, policy, among(1), now))
         ++taken;
     cr_assert_eq(taken, 9);
-    cr_assert(!takeRepeat(budget, policy, 1, now + 5s));
-    cr_assert(takeRepeat(budget, policy, 1, now + 11s));
+    cr_assert(!takeRepeat(budget, policy, among(1), now + 5s));
+    cr_assert(takeRepeat(budget, policy, among(1), now + 11s));
+}
+
+// Guards against the whole slack for each VM that does not know yet how many others there are.
+Test(retries, a_vm_that_knows_of_no_others_has_no_part_of_the_slack)
+{
+    RetryPolicy policy;
+    ServiceRetryBudget budget;
+    const Instant now = Instant{} + 100s;
+    cr_assert(!takeRepeat(budget, policy, among(0), now));
+    for (int call = 0; call < 100; ++call)
+        noteCall(budget, policy, now);
+    cr_assert(takeRepeat(budget, policy, among(0), now), "its own calls' part is its own");
+}
+
+// Guards against a part of the slack for each start of a VM instead of one for each VM.
+Test(retries, a_vm_has_its_part_of_the_slack_a_window_after_its_start)
+{
+    RetryPolicy policy;
+    ServiceRetryBudget budget;
+    const Instant start = Instant{} + 100s;
+    SlackSharing sharing = among(1);
+    sharing.from = slackAfterStart(policy, start);
+    cr_assert(!takeRepeat(budget, policy, sharing, start + policy.window));
+    cr_assert(takeRepeat(budget, policy, sharing, start + policy.window + 1s));
 }
