A VM relays on until the one above it has started

Cause, first part: a VM that had relayed while the one above it was away stopped as soon as that one said it was starting, but learns from no mate that starts. For a second it neither read the list nor was told of it. Evidence: relay-changed of both within 14 ms, no news at b-1 until a second later. Why it holds: whoever has something to learn from does not relay, and whoever has nothing does: the two decisions look at the same mates now (the test asserts both).

--- a/libs/gateway/src/RelayLoops.cpp
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -114,7 +114,7 @@
         }
         const ZoneMates zone = matesOf(node, node.settings.zone);
         const RelayRank self = ownRank(node);
-        setRelaying(node, isRelay(self, zone.mates));
+        setRelaying(node, isRelay(self, isStarting(node), zone.mates));
         const auto upstream = chooseUpstream(self, isStarting(node), zone.mates);
         if (!upstream) {
             node.upstream = UpstreamWord();
@@ -207,9 +207,12 @@
                 && now - peer.heardAt > reporterSilence;
             const bool failed =
                 peer.failures > 0 && (mate ? ranksBefore(rankOf(peer), self) : node.relaying);
+            // Until it has started, this VM reads the store beside it.
+            const bool aboveStarts = node.relaying && mate && peer.starting
+                && ranksBefore(rankOf(peer), self) && now - peer.heardAt > matesLook;
             const bool maybeBack = mate && (peer.storeAway || peer.stopping || peer.starting)
                 && now - peer.heardAt > listPatience;
-            if (silentBelow || failed || maybeBack)
+            if (silentBelow || failed || aboveStarts || maybeBack)
                 wanted.push_back(endpoint);
         }
         if (knowsMates(node, now) && (isStarting(node) || !node.vmsRead)) {
--- a/libs/serving/include/serving/ZoneRelay.h
+++ b/libs/serving/include/serving/ZoneRelay.h
@@ -38,8 +38,12 @@
 /** True if `left` goes before `right`. */
 bool ranksBefore(const RelayRank &left, const RelayRank &right) noexcept;
 
-/** True if this VM is to read the store for its zone. */
-bool isRelay(const RelayRank &self, const std::vector<RelayMate> &mates) noexcept;
+/**
+ * True if this VM is to read the store for its zone. One that knows something goes on until the one
+ * above it has started, too.
+ */
+bool isRelay(const RelayRank &self, bool selfStarting,
+             const std::vector<RelayMate> &mates) noexcept;
 
 /**
  * The mate to report to and learn from; nothing if there is none above this VM. A VM that is
--- a/libs/serving/src/ZoneRelay.cpp
+++ b/libs/serving/src/ZoneRelay.cpp
@@ -25,10 +25,14 @@
 
 } // namespace
 
-bool isRelay(const RelayRank &self, const std::vector<RelayMate> &mates) noexcept
+// Nobody learns from a mate that is starting, so a VM below it that stopped reading would hear of
+// nothing until it asks again.
+bool isRelay(const RelayRank &self, bool selfStarting,
+             const std::vector<RelayMate> &mates) noexcept
 {
     return std::none_of(mates.begin(), mates.end(), [&](const RelayMate &mate) {
-        return mate.reachable && ranksBefore(mate.rank, self);
+        const bool teaches = selfStarting || !mate.starting;
+        return mate.reachable && teaches && ranksBefore(mate.rank, self);
     });
 }
 
--- a/libs/serving/tests/Relays.cpp
+++ b/libs/serving/tests/Relays.cpp
@@ -54,7 +54,7 @@
     cr_assert_eq(chooseUpstream(self, false, mates), std::optional<std::size_t>(1));
     mates[1].reachable = false;
     cr_assert(!chooseUpstream(self, false, mates));
-    cr_assert(isRelay(self, mates));
+    cr_assert(isRelay(self, false, mates));
 }
 
 // Symptom: a VM that was started while the store was away knew nothing, though its mates knew all.
@@ -65,7 +65,7 @@
     RelayRank self;
     self.capacity = 0.5;
     std::vector<RelayMate> mates{mate(0.25, 1)};
-    cr_assert(isRelay(self, mates));
+    cr_assert(isRelay(self, true, mates));
     cr_assert(!chooseUpstream(self, false, mates));
     cr_assert_eq(chooseUpstream(self, true, mates), std::optional<std::size_t>(0));
     mates[0].starting = true;
@@ -80,9 +80,9 @@
     std::vector<RelayMate> mates{mate(0.5, 1)};
     mates[0].starting = true;
     cr_assert(!chooseUpstream(self, false, mates));
-    cr_assert(isRelay(self, mates));
+    cr_assert(isRelay(self, false, mates));
     mates[0].starting = false;
-    cr_assert(!isRelay(self, mates));
+    cr_assert(!isRelay(self, false, mates));
 }
 
 // VMs that see the same mates agree on one relay, and all others report to it.
@@ -104,7 +104,7 @@
             others.erase(others.begin() + vm);
             const RelayRank &self = all[static_cast<std::size_t>(vm)].rank;
             const auto upstream = chooseUpstream(self, false, others);
-            RC_ASSERT(isRelay(self, others) == !upstream.has_value());
+            RC_ASSERT(isRelay(self, false, others) == !upstream.has_value());
             relays += upstream ? 0 : 1;
             upstreams.insert(upstream ? others[*upstream].rank.hash : self.hash);
         }
