A relay that was not the relay before is heard in whole, once its list is newer than the own one

Cause, second part: the VM asked the mate that had just started beside the regular reports and was told all that it knows. Only the own relay's whole list drops what it lacks; but the reader's position moved on, so that the mate, as the relay, told changes only. Class: a position that moves past news which were not used. By the same way a target stays that came and left while another VM was the relay. Why it holds: a VM remembers whose whole list it holds; the first word as relay of any other VM, or boot, is answered by asking for all again.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -213,6 +213,15 @@
     int vmsInTouch = 1; ///< that these are of, this VM and those it reports for among them
 };
 
+/** Whose whole list of targets this VM holds, to follow the changes of. */
+struct ListSource
+{
+    Endpoint relay;
+    std::uint64_t boot = 0; ///< of the relay; 0: this VM reads the list itself, or has none
+
+    auto operator<=>(const ListSource &) const = default;
+};
+
 /** A configuration that is being read from peers, part after part. */
 struct ConfigReading
 {
@@ -255,6 +264,7 @@
     std::uint64_t reportSequence = 0;
     UseLedger reported; ///< by VMs that report here, and by the relays of other zones
     UpstreamWord upstream;
+    ListSource listSource;
     /** Adapters in use at engines that this VM orders, by engine and by the VM that told. */
     std::unordered_map<std::string, std::map<Endpoint, ToldRuns>> toldRuns;
     std::set<std::string> runsChanged; ///< engines whose holder is to be told of own calls
--- a/libs/gateway/src/NewsTelling.cpp
+++ b/libs/gateway/src/NewsTelling.cpp
@@ -26,6 +26,9 @@
  */
 constexpr std::size_t mostChangesTold = 300;
 
+/** An answer was under way for this long at most, so what it tells may be older by that. */
+constexpr Duration answerUnderWay = std::chrono::milliseconds(500);
+
 /** The last change that is told of those after `seen`. */
 std::uint64_t lastTold(const SharedFacts &facts, std::uint64_t seen)
 {
@@ -59,13 +62,23 @@
         addPeer(node, decodeEndpoint(vm), decodeVm(vm));
 }
 
+Instant listReadAt(const v1::Digest &digest)
+{
+    return BootClock::now() - std::chrono::milliseconds(digest.list_age_ms());
+}
+
+// A relay that has just come back may not have read yet of a target that this VM has read of.
+bool tellsNewerList(const GatewayNode &node, const v1::Digest &digest)
+{
+    return digest.list_known() && listReadAt(digest) > node.book.ownRead + answerUnderWay;
+}
+
 void takeListAge(GatewayNode &node, const v1::Digest &digest)
 {
     if (!digest.list_known())
         return;
-    const Instant now = BootClock::now();
-    noteListReadByPeer(node.book, now - std::chrono::milliseconds(digest.list_age_ms()),
-                       std::chrono::milliseconds(digest.list_failing_ms()), now);
+    noteListReadByPeer(node.book, listReadAt(digest),
+                       std::chrono::milliseconds(digest.list_failing_ms()), BootClock::now());
 }
 
 // The relay reads the list itself; what another VM says of it is only taken for what the relay
@@ -93,8 +106,10 @@
         return;
     takeTargetsByPeer(node, std::move(listed));
     const bool allTold = digest.complete() && !digest.more();
-    if (allTold && ownRelay && digest.list_known())
+    if (allTold && ownRelay && tellsNewerList(node, digest)) {
         dropUnlistedByPeer(node, peer.toldInWhole);
+        node.listSource = {peer.endpoint, digest.from().boot()};
+    }
     takeListAge(node, digest);
     node.started.notifyAll();
 }
@@ -138,6 +153,21 @@
     tellListAge(node, digest);
 }
 
+namespace {
+
+// What a peer told before it was the relay was not taken as the list, and meanwhile this VM may
+// have heard of targets by another that this one never had: it would never say that they are gone.
+void hearInWhole(PeerState &peer)
+{
+    peer.seenBoot = 0;
+    peer.seenChange = 0;
+    peer.moreToTell = true;
+    peer.inWhole = false;
+    peer.toldInWhole.clear();
+}
+
+} // namespace
+
 void takeNews(GatewayNode &node, PeerState &peer, const v1::Digest &digest, bool ownRelay)
 {
     if (peer.seenBoot != digest.from().boot() || !digest.complete())
@@ -153,6 +183,9 @@
     peer.inWhole = digest.complete() && digest.more();
     if (!peer.inWhole)
         peer.toldInWhole.clear();
+    const ListSource source{peer.endpoint, digest.from().boot()};
+    if (ownRelay && tellsNewerList(node, digest) && node.listSource != source)
+        hearInWhole(peer);
     takeVms(node, digest);
     takeEvidenceTold(node, digest.evidence());
 }
--- a/libs/gateway/src/RelayLoops.cpp
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -46,6 +46,7 @@
     if (node.relaying == relaying)
         return;
     node.relaying = relaying;
+    node.listSource = ListSource();
     if (!relaying)
         node.reported = UseLedger();
     logEvent(EventId::RelayChanged,
--- a/libs/gateway/tests/Peers.cpp
+++ b/libs/gateway/tests/Peers.cpp
@@ -306,3 +306,20 @@
     while (exchangeOnce(asker, *relay, ++sequence)) { }
     cr_assert_null(entryOf(asker, "left"));
 }
+
+// Guards against a target that gets no calls for a moment: this VM read of it just before the relay
+// came back, which has not yet.
+Test(peers, a_list_that_is_older_than_the_own_read_drops_nothing)
+{
+    const auto relay = relayThatLists("stays");
+    GatewayNode asker(settingsOfVm7());
+    takeTargetsByPeer(asker, {listedTarget("stays", false), listedTarget("new", false)});
+    noteListRead(asker.book, BootClock::now());
+    std::uint64_t sequence = 0;
+    cr_assert(!exchangeOnce(asker, *relay, ++sequence));
+    cr_assert(!exchangeOnce(asker, *relay, ++sequence), "it is not told again all the while");
+    cr_assert_not_null(entryOf(asker, "new"));
+    noteListRead(relay->book, BootClock::now() + std::chrono::seconds(2));
+    while (exchangeOnce(asker, *relay, ++sequence)) { }
+    cr_assert_null(entryOf(asker, "new"));
+}
--- a/libs/serving/include/serving/TargetBook.h
+++ b/libs/serving/include/serving/TargetBook.h
@@ -22,7 +22,8 @@
 struct TargetBook
 {
     std::unordered_map<std::string, TargetRecord> records;
-    Instant lastRead{}; ///< of the list; zero: never
+    Instant lastRead{}; ///< of the list, by whichever VM; zero: never
+    Instant ownRead{}; ///< by this VM itself
     Instant failingSince{}; ///< reads have failed since then; zero: the last one did not
     Instant outageEndedAt{}; ///< when the list could be read again after a gap
 };
--- a/libs/serving/src/TargetBook.cpp
+++ b/libs/serving/src/TargetBook.cpp
@@ -28,6 +28,7 @@
         book.outageEndedAt = now;
     book.failingSince = Instant{};
     book.lastRead = now;
+    book.ownRead = now;
 }
 
 // Only failed reads are an outage. A VM that begins to read in place of another may not have read
--- a/libs/serving/src/ZoneRelay.cpp
+++ b/libs/serving/src/ZoneRelay.cpp
@@ -27,8 +27,7 @@
 
 // Nobody learns from a mate that is starting, so a VM below it that stopped reading would hear of
 // nothing until it asks again.
-bool isRelay(const RelayRank &self, bool selfStarting,
-             const std::vector<RelayMate> &mates) noexcept
+bool isRelay(const RelayRank &self, bool selfStarting, const std::vector<RelayMate> &mates) noexcept
 {
     return std::none_of(mates.begin(), mates.end(), [&](const RelayMate &mate) {
         const bool teaches = selfStarting || !mate.starting;
