A VM that is told of an old list of targets reads it itself

Cause: a VM learns of the list from its relay alone. The relay was slow and still answered, so nobody took its place; with each answer it told how old its list was, and nobody looked at that. Class: a fact that is used without its age. Evidence: the relay dropped the target at 44.60 s, its mate at 44.84 s, five VMs of other zones between 42.53 and 42.74 s. Why it holds: whatever holds the relay up, a list older than 1.1 s is read by each VM that has none newer; one lost read later it is still under 2 s.

--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -63,6 +63,8 @@
     std::function<void()> peersRead; ///< all VMs in the store's list have been told
     /** True while this VM is to read configuration and targets. */
     std::function<bool()> isReading;
+    /** The same for the list of targets, which a VM also reads that is told of it late. */
+    std::function<bool()> isReadingList;
     /** True if relays of other zones are heard who would tell what this VM reads late. */
     std::function<bool()> isBacked;
     /** What this VM has noted in the store, this boot counted. */
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -171,6 +171,8 @@
     };
     sink.listRead = [&node] {
         noteListRead(node.book, BootClock::now());
+        // What was read here the relay may never have known, and would not say that it is gone.
+        node.listSource = ListSource();
         node.started.notifyAll();
     };
     sink.target = [&node](TargetEntry entry) {
@@ -202,6 +204,9 @@
     sink.isReading = [&node] {
         return node.relaying;
     };
+    sink.isReadingList = [&node] {
+        return node.relaying || isListOld(node.book, BootClock::now());
+    };
     sink.isBacked = [&node] {
         const auto zones = std::count_if(
             node.reported.reports.begin(), node.reported.reports.end(),
--- a/libs/serving/include/serving/TargetBook.h
+++ b/libs/serving/include/serving/TargetBook.h
@@ -37,6 +37,12 @@
 /** Targets that live are listed again within two seconds of an outage's end, says the platform. */
 constexpr Duration relistGrace = std::chrono::milliseconds(2200);
 
+/**
+ * The list is read every 0.7 s and told on within 0.2 s. A target that leaves gets nothing new 2 s
+ * later, also if a read of one's own has to come first.
+ */
+constexpr Duration listStaysNew = std::chrono::milliseconds(1100);
+
 /** The list was read at `now`, whatever it said. Call before the changes of that read. */
 void noteListRead(TargetBook &book, Instant now);
 
@@ -49,6 +55,12 @@
  */
 void noteListReadByPeer(TargetBook &book, Instant readAt, Duration failing, Instant now);
 
+/**
+ * True if what is known of the list is so old that a target may have left without notice: the VM
+ * that reads it for others is slow, or its word is late.
+ */
+bool isListOld(const TargetBook &book, Instant now) noexcept;
+
 void noteListed(TargetBook &book, TargetEntry entry);
 void noteRemoved(TargetBook &book, const std::string &id, Instant now);
 
--- a/libs/serving/src/TargetBook.cpp
+++ b/libs/serving/src/TargetBook.cpp
@@ -50,6 +50,11 @@
         book.failingSince = now - failing;
 }
 
+bool isListOld(const TargetBook &book, Instant now) noexcept
+{
+    return book.lastRead != Instant{} && now - book.lastRead > listStaysNew;
+}
+
 void noteListed(TargetBook &book, TargetEntry entry)
 {
     TargetRecord &record = book.records[entry.id];
--- a/libs/serving/tests/Targets.cpp
+++ b/libs/serving/tests/Targets.cpp
@@ -44,6 +44,18 @@
     cr_assert(mayTakeWork(book.records.at("b")));
 }
 
+// Guards against calls to a target that has left, by a VM whose relay reads the list late.
+Test(targets, a_list_that_nobody_has_read_lately_is_old)
+{
+    const TargetBook never;
+    cr_assert(!isListOld(never, start), "there is none yet");
+    TargetBook book = following({"a"});
+    cr_assert(!isListOld(book, start + 1s));
+    cr_assert(isListOld(book, start + 1200ms));
+    noteListReadByPeer(book, start + 700ms, Duration::zero(), start + 1200ms);
+    cr_assert(!isListOld(book, start + 1200ms));
+}
+
 // Symptom: after an outage of the store a service had no targets for two seconds. Sequence: the
 // store is away for 5 s; the entries expire meanwhile; it returns and the removals are read before
 // the targets could renew their entries. Cause: expiries taken for departures.
