A dropped target does not come back by a VM that only waits whether it does

Cause: a target whose entry has expired was told as any other. Now it is told as lapsed; who has dropped the target within the last minute does not take it, who knows nothing does. Test: a_dropped_target_does_not_come_back_by_one_that_waits_for_it; with the condition off it fails.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -72,7 +72,8 @@
         noteResident(runtime, std::move(resident));
         runtime.models = std::set<std::string>(entry.models.begin(), entry.models.end());
     }
-    const bool sameForPeers = !isNew && leaving == wasLeaving
+    const bool wasLapsed = !isNew && known->second.lapsedAt != Instant{};
+    const bool sameForPeers = !isNew && !wasLapsed && leaving == wasLeaving
         && withoutAdapters(known->second.entry) == withoutAdapters(entry);
     if (!sameForPeers)
         node.facts.targets.set(id, {entry, false}, node.facts.counter);
@@ -94,6 +95,10 @@
 
 void sweep(GatewayNode &node)
 {
+    for (const auto &[id, record] : node.book.records) {
+        if (record.lapsedAt != Instant{})
+            node.facts.targets.set(id, {record.entry, false, true}, node.facts.counter);
+    }
     for (const std::string &id : dropGone(node.book, BootClock::now())) {
         logEvent(EventId::TargetGone, {{"target", id}});
         noteEndByList(node, id, 0);
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -149,6 +149,7 @@
 {
     TargetEntry entry;
     bool gone = false;
+    bool lapsed = false; ///< its entry has expired in an outage; it may be listed again
 
     auto operator<=>(const TargetFact &) const = default;
 };
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -146,6 +146,7 @@
     told.set_slots(entry.slots);
     told.set_leaving(entry.leaving);
     told.set_born(entry.born);
+    told.set_lapsed(fact.lapsed);
     for (const std::string &model : entry.models)
         told.add_models(model);
     for (const HeldAdapter &held : entry.adapters) {
@@ -159,6 +160,7 @@
 {
     TargetFact fact;
     fact.gone = told.gone();
+    fact.lapsed = told.lapsed();
     fact.entry.id = told.id();
     fact.entry.service = told.service();
     fact.entry.endpoint = {told.address(), portOf(told.port())};
--- a/libs/gateway/src/NewsTelling.cpp
+++ b/libs/gateway/src/NewsTelling.cpp
@@ -99,7 +99,9 @@
             noteLeavingByPeer(node, fact.entry.id, fact.entry.born);
         if (digest.complete())
             peer.toldInWhole.insert(fact.entry.id);
-        if (follows)
+        // It is gone, by what this VM has heard, and the peer only waits whether it comes back.
+        const bool keepOut = fact.lapsed && wasDropped(node.book, fact.entry.id);
+        if (follows && !keepOut)
             listed.push_back(std::move(fact.entry));
     }
     if (!follows)
--- a/libs/gateway/tests/Peers.cpp
+++ b/libs/gateway/tests/Peers.cpp
@@ -323,3 +323,26 @@
     while (exchangeOnce(asker, *relay, ++sequence)) { }
     cr_assert_null(entryOf(asker, "new"));
 }
+
+// Guards against calls to a target that this VM has dropped: its relay, back from an outage of its
+// own, still waits whether the target is listed again.
+Test(peers, a_dropped_target_does_not_come_back_by_one_that_waits_for_it)
+{
+    const auto relay = relayThatLists("left");
+    noteListFailed(relay->book, BootClock::now() - std::chrono::seconds(4));
+    noteListRead(relay->book, BootClock::now());
+    dropTargetByPeer(*relay, "left", false);
+    cr_assert_not_null(entryOf(*relay, "left"), "it waits");
+    GatewayNode starter(settingsOfVm7());
+    std::uint64_t sequence = 0;
+    while (exchangeOnce(starter, *relay, ++sequence)) { }
+    cr_assert_not_null(entryOf(starter, "left"), "one that knows nothing waits, too");
+    GatewayNode asker(settingsOfVm7());
+    takeTargetsByPeer(asker, {listedTarget("left", false)});
+    dropTargetByPeer(asker, "left", true);
+    while (exchangeOnce(asker, *relay, ++sequence)) { }
+    cr_assert_null(entryOf(asker, "left"));
+    takeTargetsByPeer(*relay, {listedTarget("left", false)});
+    while (exchangeOnce(asker, *relay, ++sequence)) { }
+    cr_assert_not_null(entryOf(asker, "left"), "it was listed again");
+}
--- a/libs/serving/include/serving/TargetBook.h
+++ b/libs/serving/include/serving/TargetBook.h
@@ -22,6 +22,7 @@
 struct TargetBook
 {
     std::unordered_map<std::string, TargetRecord> records;
+    std::unordered_map<std::string, Instant> droppedAt; ///< lately
     Instant lastRead{}; ///< of the list, by whichever VM; zero: never
     Instant ownRead{}; ///< by this VM itself
     Instant failingSince{}; ///< reads have failed since then; zero: the last one did not
@@ -74,6 +75,9 @@
 /** Forgets what has been gone for good; returns the ids that went. */
 std::vector<std::string> dropGone(TargetBook &book, Instant now);
 
+/** True if the target was dropped within the last minute, and not listed since. */
+bool wasDropped(const TargetBook &book, const std::string &id);
+
 /** True if new work may be sent to this target. */
 bool mayTakeWork(const TargetRecord &record) noexcept;
 
--- a/libs/serving/src/TargetBook.cpp
+++ b/libs/serving/src/TargetBook.cpp
@@ -6,6 +6,13 @@
 
 namespace monsoonbay {
 
+namespace {
+
+/** Longer than a peer that was in an outage goes on with a target whose entry has expired. */
+constexpr Duration droppedRemembered = std::chrono::minutes(1);
+
+} // namespace
+
 std::string adapterKey(const std::string &model, const std::string &adapter)
 {
     return model + "/" + adapter;
@@ -70,6 +77,7 @@
     record.entry.leaving = leaving;
     record.gone = false;
     record.lapsedAt = Instant{};
+    book.droppedAt.erase(record.entry.id);
 }
 
 // While the list could not be read, targets could not renew their entries either, and these may
@@ -116,11 +124,20 @@
         if (record.gone || lapsed)
             dropped.push_back(id);
     }
-    for (const std::string &id : dropped)
+    for (const std::string &id : dropped) {
         book.records.erase(id);
+        book.droppedAt[id] = now;
+    }
+    std::erase_if(book.droppedAt,
+                  [now](const auto &entry) { return now - entry.second > droppedRemembered; });
     return dropped;
 }
 
+bool wasDropped(const TargetBook &book, const std::string &id)
+{
+    return book.droppedAt.count(id) > 0;
+}
+
 bool mayTakeWork(const TargetRecord &record) noexcept
 {
     return !record.entry.leaving && !record.gone;
