A removal that is read after an outage is waited for from the outage's end on

Cause: living targets whose entries expired in an outage are listed again within 2 s of its end. The wait was counted from the moment at which the removal was read, so that a target which left 2.1 s after the end had another 2.2 s. Evidence: zone a was cut until 71.6 s; the target left at 74.14 s, others dropped it at 74.57 s, the three VMs of zone a between 76.66 and 76.72 s. Why it holds: the wait ends 2.2 s after the outage whenever the removal is read; what is gone is looked for every 200 ms in place of 500. Test: a_removal_is_waited_for_until_the_outage_is_over_for_long_enough, which failed before.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -24,7 +24,7 @@
     return entry;
 }
 
-constexpr Duration sweepEvery = std::chrono::milliseconds(500);
+constexpr Duration sweepEvery = std::chrono::milliseconds(200);
 
 void takeConfig(GatewayNode &node, ServingConfig config, PackedDocument packed,
                 const std::string &source)
--- a/libs/serving/src/TargetBook.cpp
+++ b/libs/serving/src/TargetBook.cpp
@@ -119,7 +119,9 @@
 {
     std::vector<std::string> dropped;
     for (const auto &[id, record] : book.records) {
-        const Instant countsFrom = std::max(record.lapsedAt, book.outageEndedAt);
+        // Living targets are back that long after the outage's end, whenever the removal was read.
+        const bool afterOutage = record.lapsedAt - book.outageEndedAt < relistGrace;
+        const Instant countsFrom = afterOutage ? book.outageEndedAt : record.lapsedAt;
         const bool lapsed = record.lapsedAt != Instant{} && now - countsFrom >= relistGrace;
         if (record.gone || lapsed)
             dropped.push_back(id);
--- a/libs/serving/tests/Targets.cpp
+++ b/libs/serving/tests/Targets.cpp
@@ -44,6 +44,18 @@
     cr_assert(mayTakeWork(book.records.at("b")));
 }
 
+// Guards against calls to a target that left well after an outage, for as long again as entries may
+// be missing after one.
+Test(targets, a_removal_is_waited_for_until_the_outage_is_over_for_long_enough)
+{
+    TargetBook book = following({"left"});
+    noteListFailed(book, start + 1s);
+    noteListRead(book, start + 5s);
+    noteRemoved(book, "left", start + 7s);
+    cr_assert(dropGone(book, start + 7s).empty());
+    cr_assert_eq(dropGone(book, start + 5s + relistGrace), std::vector<std::string>{"left"});
+}
+
 // Guards against calls to a target that has left, by a VM whose relay reads the list late.
 Test(targets, a_list_that_nobody_has_read_lately_is_old)
 {
