Each VM keeps to its part of a limit that a target names in its answers

Callers saw: little yet; a target in need named one call a second for all VMs and got up to 14 in 4 s (11 allowed), and turned calls away in the end. Cause: nobody read the word. Class: a word of a target that is passed on unread, as leaving and the time to come back were before. Why it holds: a VM that has the word sends no more than its even part, counted over a span of 4 s before the connection is made; VMs that are not heard are counted in, so that no message and no cut matters. Where the part is less than a call, each VM draws in each span whether it sends one. A whole answer without the word lifts the limit, a refusal without it does not. A call that finds all targets at their limits is refused at once.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -31,6 +31,7 @@
 #include "serving/HarmfulCalls.h"
 #include "serving/HolderLease.h"
 #include "serving/LoadQueue.h"
+#include "serving/NamedLimit.h"
 #include "serving/OrderDesk.h"
 #include "serving/ServiceRetryBudget.h"
 #include "serving/ServingConfig.h"
@@ -70,6 +71,7 @@
     TargetPool pool;
     LostCalls lost;
     Instant wantsNothingUntil{}; ///< by its own word to this VM
+    NamedLimit limit;
     bool leaves = false; ///< it has said so; also once the list has dropped it
     TargetUse own;
     std::map<std::string, int> ownAdapterRuns; ///< calls under way, by adapter
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -5,6 +5,7 @@
 #include "EngineOrders.h"
 #include "LeaseKeeping.h"
 #include "RelayLoops.h"
+#include "TargetWords.h"
 #include "UseNotes.h"
 #include "serving/PlainChoice.h"
 
@@ -93,7 +94,7 @@
 {
     std::vector<const TargetRecord *> targets = targetsOf(run.node, run.service);
     std::erase_if(targets, [&](const TargetRecord *record) {
-        return wantsNothingUntil(run.node, record->entry.id, now) != Instant{};
+        return !takesCalls(run.node, record->entry.id, now);
     });
     return targets;
 }
@@ -229,7 +230,7 @@
         }
         const auto record = node.book.records.find(id);
         const bool mayTake = record != node.book.records.end() && mayTakeWork(record->second);
-        if (!mayTake || wantsNothingUntil(node, id, BootClock::now()) != Instant{})
+        if (!mayTake || !takesCalls(node, id, BootClock::now()))
             continue;
         placement.target = record->second.entry;
         co_return placement;
@@ -268,11 +269,15 @@
 asio::awaitable<Placement> placeCall(CallRun &run)
 {
     const ServiceSpec *spec = run.routes->findService(run.service);
-    if (spec != nullptr && spec->engine) {
-        Placement placement = co_await placeOnEngine(run, *spec);
-        co_return placement;
-    }
-    co_return placeOnPlain(run);
+    Placement placement;
+    if (spec != nullptr && spec->engine)
+        placement = co_await placeOnEngine(run, *spec);
+    else
+        placement = placeOnPlain(run);
+    // Counted before it is sent: other calls are placed while a connection is made.
+    if (placement.target)
+        noteSent(runtimeOf(run.node, placement.target->id).limit, BootClock::now());
+    co_return placement;
 }
 
 UseGuard::UseGuard(CallRun &run, const std::string &target)
--- a/libs/gateway/src/TargetStarts.cpp
+++ b/libs/gateway/src/TargetStarts.cpp
@@ -12,6 +12,7 @@
 {
     runtime.health = TargetHealth();
     runtime.wantsNothingUntil = Instant{};
+    runtime.limit = NamedLimit();
     runtime.leaves = false;
     for (const TargetConnectionPtr &connection : runtime.pool.idle)
         closeConnection(*connection);
--- a/libs/gateway/src/TargetWords.cpp
+++ b/libs/gateway/src/TargetWords.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "FleetCount.h"
 #include "TargetStarts.h"
 #include "observe/Events.h"
 
@@ -28,6 +29,39 @@
     noteLeaving(node, target, "peer");
 }
 
+namespace {
+
+// A refusal need not repeat the limit, so only a whole answer without it lifts it.
+void takeLimit(GatewayNode &node, const std::string &target, const AnswerFacts &answer)
+{
+    if (!answer.callsPerSecond && !answer.authentic)
+        return;
+    NamedLimit &limit = runtimeOf(node, target).limit;
+    if (!noteLimit(limit, answer.callsPerSecond))
+        return;
+    logEvent(EventId::TargetLimited,
+             {{"target", target},
+              {"callsPerSecond", std::to_string(limit.perSecond)},
+              {"vms", std::to_string(vmsKnown(node, BootClock::now()))}});
+}
+
+} // namespace
+
+bool takesCalls(GatewayNode &node, const std::string &target, Instant now)
+{
+    const auto found = node.targets.find(target);
+    if (found == node.targets.end())
+        return true;
+    TargetRuntime &runtime = *found->second;
+    if (runtime.wantsNothingUntil > now)
+        return false;
+    if (runtime.limit.perSecond == 0)
+        return true;
+    const int vms = knowsOthers(node, now) ? vmsKnown(node, now) : 0;
+    const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
+    return admitsCall(runtime.limit, vms, draw, now);
+}
+
 // The list may be away for as long as a target needs to leave; its answers still come, and what is
 // sent to it after them is cut when it ends.
 void takeTargetWords(GatewayNode &node, const std::string &target, const AnswerFacts &answer)
@@ -36,6 +70,7 @@
         return;
     if (answer.leaving)
         noteLeaving(node, target, "answer");
+    takeLimit(node, target, answer);
     if (answer.wantsNothingFor == Duration::zero())
         return;
     TargetRuntime &runtime = runtimeOf(node, target);
--- a/libs/gateway/src/TargetWords.h
+++ b/libs/gateway/src/TargetWords.h
@@ -6,11 +6,15 @@
 namespace monsoonbay {
 
 /**
- * Takes what a target says of itself with an answer: that it leaves, which all VMs are told, and
- * for how long it wants nothing of this one. An answer of another target says nothing of it.
+ * Takes what a target says of itself with an answer: that it leaves, which all VMs are told,
+ * for how long it wants nothing of this one, and how many calls it takes from all VMs. An answer of
+ * another target says nothing of it.
  */
 void takeTargetWords(GatewayNode &node, const std::string &target, const AnswerFacts &answer);
 
+/** True if the target takes calls of this VM now, by its own words. */
+bool takesCalls(GatewayNode &node, const std::string &target, Instant now);
+
 /** A peer knows that the start `born` of this target is leaving; 0: it does not say which. */
 void noteLeavingByPeer(GatewayNode &node, const std::string &target, std::int64_t born);
 
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -58,6 +58,7 @@
     TargetRestarted = 7024,
     TargetEnded = 7025,
     TargetHeldBack = 7026,
+    TargetLimited = 7027,
     LeaseChanged = 7030,
     OrderGiven = 7031,
     OrdersNoted = 7032,
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -131,6 +131,9 @@
     EventRow{EventId::TargetHeldBack, "target-held-back", EventLevel::Info,
              "a target refused a call and named a time; it gets nothing of this VM until then",
              "none; if most targets of a service do, it needs more of them"},
+    EventRow{EventId::TargetLimited, "target-limited", EventLevel::Info,
+             "a target names another limit than before for the calls of all VMs, or none any more",
+             "none; if most targets of a service do, it needs more of them"},
     EventRow{EventId::LeaseChanged, "lease-changed", EventLevel::Info,
              "this VM may order other engines than before", "none"},
     EventRow{EventId::OrdersNoted, "orders-noted", EventLevel::Info,
@@ -143,7 +146,10 @@
     EventRow{EventId::CallFailed, "call-failed", EventLevel::Warning,
              "a call failed; it may have run", "look for call-bounced with the same call"},
     EventRow{EventId::CallBounced, "call-bounced", EventLevel::Info,
-             "a send to a target did not end in an answer for the caller", "none if it is rare"},
+             "a send to a target did not end in an answer for the caller; `repeats` and "
+             "`vmsCounted` tell what this VM has used of the retry budget and among how many it "
+             "divides it",
+             "none if it is rare"},
     EventRow{EventId::StreamCut, "stream-cut", EventLevel::Warning,
              "a stream was broken off after it had begun",
              "look for call-bounced with the same call"},
--- a/libs/serving/include/serving/CallFacts.h
+++ b/libs/serving/include/serving/CallFacts.h
@@ -59,6 +59,7 @@
     bool misdirected = false; ///< another target has the address, or this one lacks the adapter
     bool leaving = false; ///< the target says that it will end soon
     Duration wantsNothingFor{}; ///< with a refusal: it wants no calls of this VM for so long
+    std::optional<double> callsPerSecond; ///< that the target takes from all VMs; empty: no limit
     std::string answeredBy; ///< id of the target that answered; empty if it does not say
 
     auto operator<=>(const AnswerFacts &) const = default;
--- /dev/null
+++ b/libs/serving/src/NamedLimit.cpp
@@ -0,0 +1,50 @@
+#include "serving/NamedLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonbay {
+
+namespace {
+
+/**
+ * Of the limit. VMs that begin to send together draw for the span under way and for the next one
+ * within one span of the target, and chance lets more of them send than on average; a target takes
+ * half as much again and five calls more than it names.
+ */
+constexpr double usedShare = 0.45;
+
+/** Without a call now and then nobody would hear that the limit has gone. */
+constexpr double leastPerSecond = 0.2;
+
+} // namespace
+
+bool noteLimit(NamedLimit &limit, std::optional<double> perSecond) noexcept
+{
+    const double before = limit.perSecond;
+    limit.perSecond = perSecond ? std::max(*perSecond, leastPerSecond) : 0;
+    return limit.perSecond != before;
+}
+
+bool admitsCall(NamedLimit &limit, int vms, double draw, Instant now) noexcept
+{
+    if (limit.perSecond == 0)
+        return true;
+    if (vms < 1)
+        return false;
+    advance(limit.sent, NamedLimit::span, now);
+    const std::int64_t current = now.time_since_epoch() / NamedLimit::span;
+    if (limit.drawnFor != current) {
+        const double even = usedShare * limit.perSecond * toSeconds(NamedLimit::span) / vms;
+        limit.part = static_cast<std::uint32_t>(std::floor(even + draw));
+        limit.drawnFor = current;
+    }
+    return sumOf(limit.sent) < limit.part;
+}
+
+void noteSent(NamedLimit &limit, Instant now) noexcept
+{
+    ++advance(limit.sent, NamedLimit::span, now);
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/serving/tests/NamedLimits.cpp
@@ -0,0 +1,79 @@
+#include "serving/NamedLimit.h"
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant{} + 1000s;
+
+/** The most calls that a target gets in a span if `vms` VMs send whatever they may all the time. */
+std::size_t mostInSpan(int vms, double perSecond, unsigned seed)
+{
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::vector<NamedLimit> limits(static_cast<std::size_t>(vms));
+    std::vector<Duration> offsets;
+    for (NamedLimit &limit : limits) {
+        noteLimit(limit, perSecond);
+        offsets.push_back(fromSeconds(4 * draw(random)));
+    }
+    std::deque<Instant> sent;
+    std::size_t most = 0;
+    for (Instant now = start; now < start + 60s; now += 100ms) {
+        for (std::size_t vm = 0; vm < limits.size(); ++vm) {
+            // Clocks of VMs are unrelated.
+            if (!admitsCall(limits[vm], vms, draw(random), now + offsets[vm]))
+                continue;
+            noteSent(limits[vm], now + offsets[vm]);
+            sent.push_back(now);
+        }
+        while (!sent.empty() && now - sent.front() > NamedLimit::span)
+            sent.pop_front();
+        most = std::max(most, sent.size());
+    }
+    return most;
+}
+
+} // namespace
+
+// Guards against more calls than a target takes by its own word, from few VMs and from many.
+Test(named_limits, all_vms_together_stay_within_the_limit)
+{
+    for (const int vms : {1, 2, 6, 7, 70, 300}) {
+        for (const double perSecond : {0.5, 1.0, 4.0, 20.0}) {
+            const double allowed = 1.5 * 4 * perSecond + 5;
+            for (unsigned seed = 0; seed < 10; ++seed) {
+                const std::size_t most = mostInSpan(vms, perSecond, seed);
+                cr_assert_leq(static_cast<double>(most), allowed, "%d VMs, %f a second: %zu", vms,
+                              perSecond, most);
+            }
+        }
+    }
+}
+
+// Guards against a target that gets nothing although it takes some calls.
+Test(named_limits, a_limited_target_is_used)
+{
+    for (const int vms : {1, 7, 70})
+        cr_assert_geq(mostInSpan(vms, 4, 1), 8, "%d VMs", vms);
+}
+
+// Guards against a VM that takes itself for the only one.
+Test(named_limits, a_vm_that_knows_of_no_others_sends_nothing)
+{
+    NamedLimit limit;
+    cr_assert(admitsCall(limit, 0, 0.9, start), "no limit is named");
+    noteLimit(limit, 10);
+    cr_assert(!admitsCall(limit, 0, 0.9, start));
+    cr_assert(admitsCall(limit, 2, 0.9, start));
+    noteLimit(limit, std::nullopt);
+    cr_assert(admitsCall(limit, 0, 0.9, start));
+}
