--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -10,10 +10,7 @@
 
 namespace {
 
-/**
- * The share of each VM in the retry budget is what all may send beyond the first try, over their
- * number. VMs that fell silent may only be cut off and go on using their share.
- */
+/** VMs that fell silent count on for a while: a cut does not space exchanges more closely. */
 constexpr Duration silentCounts = std::chrono::seconds(15);
 
 /**
