VMs that hear of the list late read it together about as often as one relay does

Cause, by the code and those bytes, not by a trace: in a large zone reports are spaced so that the list is older than 1.1 s at nearly all VMs at times; each then read the whole list, which held the relay up and made the list older. Now a VM reads for itself no more often than every 1.1 s for each mate of its zone, counted from its start or its own last read.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -8,6 +8,7 @@
 #include "PeerExchange.h"
 #include "TargetEnds.h"
 #include "TargetStarts.h"
+#include "ZoneView.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -26,6 +27,17 @@
 
 constexpr Duration sweepEvery = std::chrono::milliseconds(200);
 
+// All VMs of a large zone may hear of the list late at once, and their reads would hold it up more:
+// together they read about as often as one relay does.
+bool readsListItself(const GatewayNode &node, Instant now)
+{
+    const auto mates = std::count_if(node.peers.begin(), node.peers.end(),
+                                     [&](const auto &entry) { return isMate(node, entry.second); });
+    const Instant lastOwn = std::max(node.book.ownRead, node.bootedAt);
+    const Duration spacing = listStaysNew * std::max<int>(static_cast<int>(mates), 1);
+    return isListOld(node.book, now) && now - lastOwn > spacing;
+}
+
 void takeConfig(GatewayNode &node, ServingConfig config, PackedDocument packed,
                 const std::string &source)
 {
@@ -210,7 +222,7 @@
         return node.relaying;
     };
     sink.isReadingList = [&node] {
-        return node.relaying || isListOld(node.book, BootClock::now());
+        return node.relaying || readsListItself(node, BootClock::now());
     };
     sink.isBacked = [&node] {
         const auto zones = std::count_if(
