One count of the zone's mates, and only for a VM whose list is old

The spacing of reports and that of own reads of the list counted mates by the same loop; the latter every 50 ms at each VM, before it looked whether the list is old. No change of behaviour.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -31,11 +31,10 @@
 // together they read about as often as one relay does.
 bool readsListItself(const GatewayNode &node, Instant now)
 {
-    const auto mates = std::count_if(node.peers.begin(), node.peers.end(),
-                                     [&](const auto &entry) { return isMate(node, entry.second); });
+    if (!isListOld(node.book, now))
+        return false;
     const Instant lastOwn = std::max(node.book.ownRead, node.bootedAt);
-    const Duration spacing = listStaysNew * std::max<int>(static_cast<int>(mates), 1);
-    return isListOld(node.book, now) && now - lastOwn > spacing;
+    return now - lastOwn > listStaysNew * std::max(countMates(node), 1);
 }
 
 void takeConfig(GatewayNode &node, ServingConfig config, PackedDocument packed,
--- a/libs/gateway/src/RelayLoops.cpp
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -57,9 +57,7 @@
 
 Duration reportSpacing(const GatewayNode &node)
 {
-    const auto mates = std::count_if(node.peers.begin(), node.peers.end(),
-                                     [&](const auto &entry) { return isMate(node, entry.second); });
-    return std::max(leastReportSpacing, reportSpacingPerMate * static_cast<int>(mates));
+    return std::max(leastReportSpacing, reportSpacingPerMate * countMates(node));
 }
 
 Duration zoneSpacing(const GatewayNode &node)
--- a/libs/gateway/src/ZoneView.cpp
+++ b/libs/gateway/src/ZoneView.cpp
@@ -1,5 +1,7 @@
 #include "ZoneView.h"
 
+#include <algorithm>
+
 namespace monsoonbay {
 
 bool isMate(const GatewayNode &node, const PeerState &peer)
@@ -7,6 +9,13 @@
     return peer.zone == node.settings.zone && !peer.name.empty();
 }
 
+int countMates(const GatewayNode &node)
+{
+    return static_cast<int>(
+        std::count_if(node.peers.begin(), node.peers.end(),
+                      [&](const auto &entry) { return isMate(node, entry.second); }));
+}
+
 bool isReachable(const PeerState &peer, Instant now)
 {
     return !peer.stopping && (peer.failures == 0 || now - peer.reportedAt < reporterSilence);
--- a/libs/gateway/src/ZoneView.h
+++ b/libs/gateway/src/ZoneView.h
@@ -23,6 +23,9 @@
 /** True for a VM of the own zone that is known by name. */
 bool isMate(const GatewayNode &node, const PeerState &peer);
 
+/** Other VMs of the own zone that are known. */
+int countMates(const GatewayNode &node);
+
 /** True if it has not failed to answer lately and is not stopping. */
 bool isReachable(const PeerState &peer, Instant now);
 
