Loads of engines that nobody orders, or that are gone, are not under way

Cause: a VM counts loads under way by what the holders last told. Holders that were cut off right after the start surge had told of some 70 loads, and these stayed in the count.

Records of engines without a live holder, and of engines that are no longer listed, no longer count. The two new tests fail on the code before and pass with this.

--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -183,11 +183,17 @@
     return std::max(1, static_cast<int>(holders.size()));
 }
 
+// What was last told of an engine whose holder is not heard, or that is gone, never ends: counted
+// on, it would make the store seem crowded, and every load longer than it is.
 int loadsUnderWay(const GatewayNode &node)
 {
     int loads = 0;
-    for (const auto &[target, entry] : node.facts.engines.all())
+    for (const auto &[target, entry] : node.facts.engines.all()) {
+        const auto listed = node.book.records.find(target);
+        if (!entry.value.holderLive || listed == node.book.records.end() || listed->second.gone)
+            continue;
         loads += entry.value.loading;
+    }
     return loads;
 }
 
--- /dev/null
+++ b/libs/gateway/tests/LoadCounts.cpp
@@ -0,0 +1,45 @@
+#include "GatewayNode.h"
+#include "SharedEngines.h"
+
+#include <criterion/criterion.h>
+
+using namespace monsoonbay;
+
+namespace {
+
+void listEngine(GatewayNode &node, const std::string &id, int loading, bool holderLive)
+{
+    TargetEntry entry;
+    entry.id = id;
+    entry.service = "engines";
+    noteListed(node.book, entry);
+    EngineRecord record;
+    record.holderLive = holderLive;
+    record.loading = loading;
+    node.facts.engines.set(id, record, node.facts.counter);
+}
+
+} // namespace
+
+// Guards against loads that are long over and still counted: the VM that told of them is cut off or
+// gone, the store seems crowded, every load is expected to take several times as long as it does,
+// and as calls wait for that time, more loads seem to be under way.
+Test(load_counts, loads_of_engines_that_nobody_orders_are_not_under_way)
+{
+    GatewayNode node{GatewaySettings()};
+    listEngine(node, "e1", 3, true);
+    listEngine(node, "e2", 4, false);
+    cr_assert_eq(loadsUnderWay(node), 3);
+}
+
+// Guards against the same for an engine that ended while it loaded.
+Test(load_counts, loads_of_engines_that_are_gone_are_not_under_way)
+{
+    GatewayNode node{GatewaySettings()};
+    listEngine(node, "e1", 3, true);
+    listEngine(node, "e2", 4, true);
+    noteRemoved(node.book, "e2", BootClock::now());
+    cr_assert_eq(loadsUnderWay(node), 3);
+    dropGone(node.book, BootClock::now());
+    cr_assert_eq(loadsUnderWay(node), 3);
+}
