A load that is expected to take long is looked at before its time

After the surge at the start of traffic calls waited 1.2 to 1.4 s for each load for ten seconds more, although fewer were ordered (70 to 95 a second) than the weight store carries at full speed (139 a second).

Cause: a load is taken as done when its expected time is over, and nothing shows that it was done before. The longer loads are expected to take, the more seem to be under way, and the expected time goes by that number; it came down by a thousandth a load.

While an engine has a load from the weight store that has taken as long as one takes alone and is expected to take longer still, its holder reads the engine's report every 250 ms. What is there is used at once, and the expected time of loads among so many is at most what was seen. Reports of before the order, or of another start, show nothing.

--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -441,6 +441,23 @@
     return static_cast<double>(node.modelLoads.size()) < share;
 }
 
+/** Looks whether loads that are expected to go on for long are done already. */
+asio::awaitable<void> lookAtLoads(GatewayNode &node, std::string target)
+{
+    HeldDesk &held = deskOf(node, target);
+    const TargetEntry *entry = entryOf(node, target);
+    if (entry == nullptr || held.looking)
+        co_return;
+    held.looking = true;
+    const EngineAddress address{target, entry->endpoint};
+    const auto report = co_await node.platform->report(node.http, address, reportTimeout);
+    held.looking = false;
+    if (!report || !takeLoadsDone(held.desk, *report, node.loadBeliefs, BootClock::now()))
+        co_return;
+    publishDesk(node, target);
+    held.changed.notifyAll();
+}
+
 /** One step towards an engine that holds its base model. */
 asio::awaitable<void> tendEngine(GatewayNode &node, std::string target)
 {
@@ -454,6 +471,8 @@
     // Before anybody asks for a load: peers are told how many slots are idle.
     held.desk.adapterSlots = adapterCapacity(*spec, *model);
     judgeLoads(held.desk, node.loadBeliefs, now);
+    if (isLookDue(held.desk, node.loadBeliefs.pace, now))
+        spawn(node, "look at loads", lookAtLoads(node, target));
     if (held.ordering || now < held.retryAt)
         co_return;
     if (now < held.desk.modelReadyAt)
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -140,6 +140,7 @@
     OrderDesk desk;
     bool ordering = false; ///< an order or report is under way
     Instant orderingSince{}; ///< of the last one
+    bool looking = false; ///< a report is read to see whether loads are done
     Instant retryAt{}; ///< no order or report before this
     int refusals = 0; ///< in a row
     LoadQueue queue;
--- a/libs/serving/include/serving/LoadPace.h
+++ b/libs/serving/include/serving/LoadPace.h
@@ -42,6 +42,9 @@
 /** A load was done `waited` after it was ordered. */
 void noteLoadOnTime(LoadPace &pace, int underWay, Duration waited) noexcept;
 
+/** A load with `underWay` loads under way was seen to be done after `elapsed`, or before. */
+void noteLoadSeenDone(LoadPace &pace, int underWay, Duration elapsed) noexcept;
+
 /** True if calls came too early lately, or nothing was seen yet. */
 bool isInDoubt(const LoadPace &pace) noexcept;
 
--- a/libs/serving/include/serving/OrderDesk.h
+++ b/libs/serving/include/serving/OrderDesk.h
@@ -27,6 +27,7 @@
     Instant triedAt{}; ///< a first call was let through to see whether it is there
     int underWay = 1; ///< loads from the weight store then, over all engines, this one counted
     double loadsSince = -1; ///< at this engine, when it was last there; below 0: it never was
+    std::int64_t sequence = 0; ///< the engine's count of orders with its load
     bool judged = true; ///< what became of its load has taught
     int earlyCalls = 0; ///< refused since it was ordered
     int runs = 0; ///< calls that use it now, as far as the VMs have told
@@ -138,6 +139,18 @@
 Duration waitForTrial(OrderDesk &desk, const std::string &adapter, const LoadPace &pace,
                       Instant now);
 
+/**
+ * True if a load is expected to go on for long after the time that it would take alone: a report
+ * may show that it is done already.
+ */
+bool isLookDue(const OrderDesk &desk, const LoadPace &pace, Instant now);
+
+/**
+ * Takes loads that a report shows as done, also one that is too old to be taken as a whole; true if
+ * there was any. It teaches that such loads take no longer.
+ */
+bool takeLoadsDone(OrderDesk &desk, const EngineReport &report, LoadBeliefs &beliefs, Instant now);
+
 /** Takes what has become of loads whose calls would have been refused by now. */
 void judgeLoads(OrderDesk &desk, LoadBeliefs &beliefs, Instant now);
 
--- a/libs/serving/src/LoadPace.cpp
+++ b/libs/serving/src/LoadPace.cpp
@@ -109,6 +109,18 @@
     }
 }
 
+// Seen later than it was done, so nothing is taken off beside what was seen.
+void noteLoadSeenDone(LoadPace &pace, int underWay, Duration elapsed) noexcept
+{
+    if (elapsed >= fetchTime(pace, underWay))
+        return;
+    for (std::size_t crowd = 0; crowd <= crowdClassOf(underWay); ++crowd) {
+        Duration &expected = pace.expected[crowd];
+        if (expected > Duration::zero())
+            expected = std::min(expected, elapsed);
+    }
+}
+
 bool isInDoubt(const LoadPace &pace) noexcept
 {
     return pace.onTime < onTimeAgain;
--- a/libs/serving/src/OrderDesk.cpp
+++ b/libs/serving/src/OrderDesk.cpp
@@ -20,6 +20,9 @@
     return slot.loading || slot.leaving || slot.runs > 0 || now - slot.usedAt < settleAfterUse;
 }
 
+/** A load that is expected to be done within this is not looked at: reports lag as much. */
+constexpr Duration lookBefore = std::chrono::milliseconds(150);
+
 /** A call that is refused this soon after a load was due came too early. */
 constexpr Duration freshlyLoaded = std::chrono::milliseconds(150);
 
@@ -162,6 +165,7 @@
     slot.loading = true;
     slot.fetched = estimate.fetched;
     slot.orderedAt = now;
+    slot.sequence = desk.sequence + 1;
     slot.readyAt = now + estimate.time;
     slot.usedAt = slot.readyAt;
     slot.underWay = estimate.underWay;
@@ -333,6 +337,42 @@
     }
 }
 
+// Calls wait until a load is expected to be done, so a time that is believed too long is never seen
+// to be so: loads seem to be under way for longer, the store seems more crowded, and the next ones
+// are expected to take as long. A look at the engine in between ends that.
+bool isLookDue(const OrderDesk &desk, const LoadPace &pace, Instant now)
+{
+    const Duration alone = fetchTime(pace, 1);
+    return std::any_of(desk.slots.begin(), desk.slots.end(), [&](const auto &entry) {
+        const SlotUse &slot = entry.second;
+        return slot.loading && slot.fetched && now - slot.orderedAt >= alone
+            && slot.readyAt - now >= lookBefore;
+    });
+}
+
+bool takeLoadsDone(OrderDesk &desk, const EngineReport &report, LoadBeliefs &beliefs, Instant now)
+{
+    if (ageOfWord(desk.born, report.born) != WordAge::Same)
+        return false;
+    bool any = false;
+    for (auto &[adapter, slot] : desk.slots) {
+        // A report of before the order may show the adapter as it was there at another time.
+        const auto held = report.resident.find(adapter);
+        const bool done = slot.loading && report.sequence >= slot.sequence
+            && held != report.resident.end() && held->second >= slot.version;
+        if (!done)
+            continue;
+        any = true;
+        slot.loading = false;
+        slot.readyAt = std::min(slot.readyAt, now);
+        slot.usedAt = std::max(slot.usedAt, now);
+        slot.judged = true;
+        if (slot.fetched)
+            noteLoadSeenDone(beliefs.pace, slot.underWay, now - slot.orderedAt);
+    }
+    return any;
+}
+
 bool settleLoads(OrderDesk &desk, Instant now)
 {
     bool any = false;
