A workspace's limit is spent on small calls first, then by the rank of the route

Calls of a workspace at its limit were all admitted with the same probability: a booking of 200 tokens was refused beside a prompt of 9,190. Calls are now of four classes (small: at most an eighth of the mean of the workspace's calls; then by rank), and what the limit leaves goes to the classes in that order. Each keeps at least half of the even share, and 0.28 of the share of all calls counted by calls: an even share of units alone would leave large calls below a quarter, as many small calls raise the share of all. Together the classes get what the even share gives. A workspace whose calls are of one class is decided as before. Each class has its own carry, so small calls do not wait for the spacing of large ones.

The mean is of all VMs, over the whole window: with 10 calls a second at 83 VMs, a VM has about one call in a window and would take its own small calls for usual ones. Growth is told from chance by the mean where there are several classes; by its own units, a small call took each large one for growth.

WorkspaceUse carries the demand and the calls by class and the units asked in the window (fields 4 to 6). Demand told without them, or with invalid numbers (one event, use-malformed), is of the last class. Numbers of use beyond 10^15 are cut to that: they wrapped to negative use, which is room.

--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "ClassFields.h"
+#include "observe/Events.h"
+
 namespace monsoonbay {
 
 namespace v1 = gateway::v1;
@@ -110,16 +113,45 @@
     told.set_units(static_cast<std::uint64_t>(std::max<std::int64_t>(use.whole, 0)));
     told.set_asked_per_second(
         static_cast<std::uint64_t>(std::max<std::int64_t>(use.askedPerSecond, 0)));
+    encodeClasses(use, told);
+}
+
+namespace {
+
+/** False if what `told` says of classes is invalid. */
+bool decodeInto(const v1::WorkspaceUse &told, WorkspaceUse &use)
+{
+    use.whole = static_cast<std::int64_t>(std::min<std::uint64_t>(told.units(), mostTold));
+    use.askedPerSecond =
+        static_cast<std::int64_t>(std::min<std::uint64_t>(told.asked_per_second(), mostTold));
+    return decodeClasses(told, use);
 }
 
+} // namespace
+
 WorkspaceUse decodeWorkspaceUse(const v1::WorkspaceUse &told)
 {
     WorkspaceUse use;
-    use.whole = static_cast<std::int64_t>(told.units());
-    use.askedPerSecond = static_cast<std::int64_t>(told.asked_per_second());
+    decodeInto(told, use);
     return use;
 }
 
+WorkspaceUses decodeWorkspaceUses(const google::protobuf::RepeatedPtrField<v1::WorkspaceUse> &all,
+                                  const v1::Vm &from)
+{
+    WorkspaceUses uses;
+    std::string invalid;
+    for (const v1::WorkspaceUse &told : all) {
+        WorkspaceUse use;
+        if (!decodeInto(told, use))
+            invalid = told.workspace();
+        uses[told.workspace()] = use;
+    }
+    if (!invalid.empty())
+        logEvent(EventId::UseMalformed, {{"peer", from.name()}, {"workspace", invalid}});
+    return uses;
+}
+
 TargetUse decodeUse(const v1::EngineUse &told)
 {
     TargetUse use;
--- a/libs/gateway/src/NewsCodec.h
+++ b/libs/gateway/src/NewsCodec.h
@@ -26,6 +26,10 @@
 void encodeWorkspaceUse(const std::string &workspace, const WorkspaceUse &use,
                         gateway::v1::WorkspaceUse &told);
 WorkspaceUse decodeWorkspaceUse(const gateway::v1::WorkspaceUse &told);
+/** All that one message tells; one event if part of it is invalid. */
+WorkspaceUses
+decodeWorkspaceUses(const google::protobuf::RepeatedPtrField<gateway::v1::WorkspaceUse> &all,
+                    const gateway::v1::Vm &from);
 
 TargetUse decodeUse(const gateway::v1::EngineUse &told);
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -301,8 +301,7 @@
         uses.vms = static_cast<int>(report.vms());
         for (const v1::EngineUse &told : report.uses())
             uses.uses[told.target()] = decodeUse(told);
-        for (const v1::WorkspaceUse &told : report.workspaces())
-            uses.workspaces[told.workspace()] = decodeWorkspaceUse(told);
+        uses.workspaces = decodeWorkspaceUses(report.workspaces(), report.from());
         // A VM that does not relay hears of the other zones from its relay; twice would count
         // twice.
         if (mate || node.relaying)
@@ -375,9 +374,7 @@
     for (const v1::EngineUse &told : digest.others())
         node.upstream.others[told.target()] = decodeUse(told);
     node.upstream.vmsInTouch = static_cast<int>(digest.vms_in_touch());
-    node.upstream.otherWorkspaces.clear();
-    for (const v1::WorkspaceUse &told : digest.other_workspaces())
-        node.upstream.otherWorkspaces[told.workspace()] = decodeWorkspaceUse(told);
+    node.upstream.otherWorkspaces = decodeWorkspaceUses(digest.other_workspaces(), digest.from());
 }
 
 asio::awaitable<bool> exchangeWith(GatewayNode &node, Endpoint endpoint, bool withUse,
--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -44,12 +44,12 @@
         addUse(sum, found->second);
 }
 
-FleetUse fleetUseOf(GatewayNode &node, const Workspace &workspace, Instant now)
+/** What is known of all VMs, but without the use of this one. */
+FleetUse othersUseOf(GatewayNode &node, const Workspace &workspace, Instant now)
 {
     // A VM that was suspended must not take what it heard before for what there is now.
     dropSilent(node.reported, reporterSilence, now);
     FleetUse fleet;
-    fleet.use = ownUseOf(node, workspace, now);
     addUseOf(fleet.use, node.reported.workspaceTotal, workspace.name);
     if (hearsRelay(node, now))
         addUseOf(fleet.use, node.upstream.otherWorkspaces, workspace.name);
@@ -59,13 +59,27 @@
     return fleet;
 }
 
+/** The workspace's own priority is the same for all of its calls. */
+int rankOf(const CallRun &run)
+{
+    return run.route == nullptr ? 0 : run.route->priority;
+}
+
+Counter refusedOf(CallClass callClass)
+{
+    const auto first = static_cast<std::size_t>(Counter::OverLimitSmall);
+    return static_cast<Counter>(first + indexOf(callClass));
+}
+
 void logOverLimit(const CallRun &run, const Workspace &workspace, const FleetUse &fleet,
-                  std::int64_t units)
+                  std::int64_t units, CallClass callClass, double share)
 {
     logEvent(EventId::CallOverLimit,
              {{"call", run.facts.attemptId},
               {"workspace", workspace.name},
               {"units", std::to_string(units)},
+              {"class", std::string(textOf(callClass))},
+              {"share", std::to_string(share)},
               {"ratePerSecond",
                std::to_string(static_cast<std::int64_t>(workspace.limit.ratePerSecond))},
               {"window", std::to_string(fleet.use.whole)},
@@ -91,13 +105,21 @@
     const QuotaPolicy &policy = node.settings.quota;
     const std::int64_t units = costOf(workspace->limit, run.facts.tokens);
     SpendRecord &record = recordOf(node, workspace->name);
-    noteAsked(record, policy, units, now);
-    const FleetUse fleet = fleetUseOf(node, *workspace, now);
-    const QuotaVerdict verdict = admitCall(record, workspace->limit, policy, fleet, units, now);
+    FleetUse fleet = othersUseOf(node, *workspace, now);
+    WorkspaceUse before = ownUseOf(node, *workspace, now);
+    addUse(before, fleet.use);
+    const CallClass callClass = classOf(before, units, rankOf(run));
+    noteAsked(record, policy, units, now, callClass);
+    addUse(fleet.use, ownUseOf(node, *workspace, now));
+    const QuotaVerdict verdict =
+        admitCall(record, workspace->limit, policy, fleet, units, now, callClass);
     if (!verdict.admitted) {
-        logOverLimit(run, *workspace, fleet, units);
+        logOverLimit(run, *workspace, fleet, units, callClass, verdict.share);
         node.metrics.add(Counter::OverLimit);
-        return ownAnswer(429, "the workspace has used up its limit", verdict.retryAfter);
+        node.metrics.add(refusedOf(callClass));
+        const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
+        return ownAnswer(429, "the workspace has used up its limit",
+                         spreadRetry(verdict.retryAfter, draw));
     }
     noteSpent(record, policy, units, now);
     run.units = units;
--- a/libs/gateway/tests/Workspaces.cpp
+++ b/libs/gateway/tests/Workspaces.cpp
@@ -1,5 +1,6 @@
 #include "CallerAccess.h"
 #include "GatewayNode.h"
+#include "NewsCodec.h"
 #include "PeerExchange.h"
 #include "WorkspaceQuota.h"
 
@@ -171,6 +172,98 @@
     cr_assert_eq(digest.other_workspaces(0).units(), 600);
 }
 
+namespace {
+
+WorkspaceUse useWithClasses()
+{
+    WorkspaceUse use;
+    use.whole = 7000;
+    use.askedPerSecond = 1000;
+    use.askedByClass = {10, 200, 0, 790};
+    use.callsByClass = {4, 3, 0, 1};
+    use.askedInWindow = 8000;
+    return use;
+}
+
+gateway::v1::WorkspaceUse toldOf(const WorkspaceUse &use)
+{
+    gateway::v1::WorkspaceUse told;
+    encodeWorkspaceUse("ferry", use, told);
+    gateway::v1::WorkspaceUse arrived;
+    arrived.ParseFromString(told.SerializeAsString());
+    return arrived;
+}
+
+/** `told` with one more number in a field. */
+WorkspaceUse decodedWith(gateway::v1::WorkspaceUse told, int field, std::uint64_t number)
+{
+    google::protobuf::UnknownFieldSet added;
+    added.AddVarint(field, number);
+    std::string wire;
+    added.SerializeToString(&wire);
+    told.MergeFromString(wire);
+    return decodeWorkspaceUse(told);
+}
+
+} // namespace
+
+// Guards against numbers that are lost under way, and against the demand of VMs of a former
+// version, which tell none by class, that is not counted at all.
+Test(workspaces, demand_arrives_as_it_was_told)
+{
+    cr_assert(decodeWorkspaceUse(toldOf(useWithClasses())) == useWithClasses());
+    gateway::v1::WorkspaceUse former;
+    former.set_units(7000);
+    former.set_asked_per_second(1000);
+    cr_assert(decodeWorkspaceUse(former) == WorkspaceUse({7000, 1000}));
+    cr_assert_eq(toldOf({7000, 1000}).ByteSizeLong(), former.ByteSizeLong() + 7);
+}
+
+// Guards against invalid numbers that reach the sums: all of the entry is then of the last class.
+Test(workspaces, invalid_demand_by_class_is_not_taken)
+{
+    const WorkspaceUse plain{7000, 1000};
+    const gateway::v1::WorkspaceUse told = toldOf(useWithClasses());
+    for (const int field : {4, 5, 6})
+        cr_expect(decodedWith(told, field, 1) == plain, "one number of field %d too many", field);
+    cr_expect(decodedWith(toldOf(plain), 4, 1) == plain, "one number only");
+    cr_expect(decodedWith(toldOf(plain), 6, ~0ULL) == plain, "no sensible number");
+    WorkspaceUse more = useWithClasses();
+    more.askedByClass[3] = 791;
+    cr_expect(decodeWorkspaceUse(toldOf(more)) == plain, "classes are more than the whole");
+    gateway::v1::WorkspaceUse huge;
+    huge.set_units(~0ULL);
+    cr_expect_gt(decodeWorkspaceUse(huge).whole, 0, "use does not turn into room");
+}
+
+// Guards against a booking that is refused beside long prompts, which use the limit up.
+Test(workspaces, small_calls_run_beside_long_prompts_that_are_refused)
+{
+    Served served(900);
+    served.node.random.seed(1);
+    served.node.bootedAt = BootClock::now() - 10s;
+    GatewayNode other(settingsOf("vm-2", "10.0.0.2"));
+    gateway::v1::Report report = reportOf(other, 1);
+    WorkspaceUse used;
+    used.whole = 8000;
+    used.askedPerSecond = 2000;
+    used.askedByClass = {0, 2000, 0, 0};
+    used.callsByClass = {0, 40, 0, 0};
+    used.askedInWindow = 16000;
+    encodeWorkspaceUse("ferry", used, *report.add_workspaces());
+    answerReport(served.node, report);
+    int refusedLong = 0;
+    for (int round = 0; round < 6; ++round) {
+        served.run.facts.tokens = 400;
+        refusedLong += takeUnits(served.run) ? 1 : 0;
+        served.run.facts.tokens = 5;
+        cr_assert(!takeUnits(served.run));
+    }
+    cr_assert_geq(refusedLong, 4);
+    cr_assert_eq(served.node.metrics.value(Counter::OverLimitRank0), refusedLong);
+    cr_assert_eq(served.node.metrics.value(Counter::OverLimitSmall), 0);
+}
+
 // Guards against a key that is still honoured by a send that waited while it was taken.
 Test(workspaces, a_key_is_looked_at_again_before_each_send)
 {
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -21,6 +21,7 @@
     MemberGone = 2002,
     MemberSilent = 2004,
     RelayChanged = 2005,
+    UseMalformed = 2006,
     VmListUnreadable = 2003,
     TargetClaimed = 3001,
     TargetLost = 3002,
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -28,6 +28,10 @@
     TokensStreamed,
     KeysRefused, ///< calls without a key that is known to be valid
     OverLimit, ///< calls beyond their workspace's limit
+    OverLimitSmall, ///< of these, by class; see quota/CallClass.h
+    OverLimitRank0,
+    OverLimitRank1,
+    OverLimitRank2,
     Count, ///< number of counters, not one of them
 };
 
--- a/libs/quota/benchmark/Admitting.cpp
+++ b/libs/quota/benchmark/Admitting.cpp
@@ -1,5 +1,7 @@
 // A decision is on the way of every call of a VM with a tenth of a core.
 
+#include <array>
+
 #include <benchmark/benchmark.h>
 
 #include "quota/Admission.h"
@@ -31,4 +33,33 @@
 
 BENCHMARK(admit);
 
+/** With all that a call of a workspace with several classes takes. */
+void admitByClass(benchmark::State &state)
+{
+    WorkspaceLimit limit;
+    limit.unit = QuotaUnit::Tokens;
+    limit.ratePerSecond = 20000;
+    limit.burst = 20000;
+    const QuotaPolicy policy;
+    constexpr std::array<std::int64_t, 4> sizes{9190, 200, 826, 200};
+    SpendRecord record;
+    Instant now = Instant{} + std::chrono::seconds(1000);
+    std::size_t call = 0;
+    for (auto _ : state) {
+        now += std::chrono::milliseconds(10);
+        const std::int64_t units = sizes[++call % sizes.size()];
+        const int rank = units == 826 ? 0 : 1;
+        const CallClass callClass = classOf(useOf(record, policy, now), units, rank);
+        noteAsked(record, policy, units, now, callClass);
+        FleetUse fleet;
+        fleet.use = useOf(record, policy, now);
+        const QuotaVerdict verdict = admitCall(record, limit, policy, fleet, units, now, callClass);
+        if (verdict.admitted)
+            noteSpent(record, policy, units, now);
+        benchmark::DoNotOptimize(verdict);
+    }
+}
+
+BENCHMARK(admitByClass);
+
 } // namespace
--- a/libs/quota/include/quota/Admission.h
+++ b/libs/quota/include/quota/Admission.h
@@ -23,17 +23,22 @@
 struct QuotaVerdict
 {
     bool admitted = false;
-    Duration retryAfter{}; ///< if not: when it is likely to fit
+    Duration retryAfter{}; ///< if not: when a call of its class is likely to fit
+    double share = 1; ///< of the calls of its class that run at present
 
     auto operator<=>(const QuotaVerdict &) const = default;
 };
 
 /**
- * Whether a call that asks for `units` may run. What it asks for must have been noted before; what
- * it uses is noted by the caller if it is admitted.
+ * Whether a call that asks for `units` may run. What it asks for must have been noted before, with
+ * its class; what it uses is noted by the caller if it is admitted.
  */
 QuotaVerdict admitCall(SpendRecord &own, const WorkspaceLimit &limit, const QuotaPolicy &policy,
-                       const FleetUse &fleet, std::int64_t units, Instant now);
+                       const FleetUse &fleet, std::int64_t units, Instant now,
+                       CallClass callClass = CallClass::Rank2);
+
+/** `wait` and up to a quarter, by `draw` in [0, 1): callers refused together come back apart. */
+Duration spreadRetry(Duration wait, double draw) noexcept;
 
 /**
  * What a VM may have let run before its start, as far as the window still holds it: nobody else
--- /dev/null
+++ b/libs/quota/include/quota/CallClass.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace monsoonbay {
+
+/** Classes of a workspace's calls, in the order in which its limit is spent on them. */
+enum class CallClass : std::uint8_t {
+    Small, ///< units at most an eighth of the mean of the workspace's calls
+    Rank0, ///< by the rank of its route
+    Rank1,
+    Rank2, ///< and above
+};
+
+constexpr std::size_t callClasses = 4;
+
+using ByClass = std::array<std::int64_t, callClasses>;
+
+constexpr std::size_t indexOf(CallClass callClass) noexcept
+{
+    return static_cast<std::size_t>(callClass);
+}
+
+std::string_view textOf(CallClass callClass) noexcept;
+
+} // namespace monsoonbay
--- a/libs/quota/include/quota/SpendRecord.h
+++ b/libs/quota/include/quota/SpendRecord.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 
 #include "core/Time.h"
 #include "core/WindowCounts.h"
+#include "quota/CallClass.h"
 #include "quota/WorkspaceLimit.h"
 #include "quota/WorkspaceUse.h"
 
@@ -17,11 +19,15 @@
     WindowCounts<std::int64_t, parts> spent;
     WindowCounts<std::int64_t, parts> asked;
     Instant since{}; ///< the VM's start: there were no asks before
+    std::array<WindowCounts<std::int64_t, parts>, callClasses> askedByClass;
+    std::array<WindowCounts<std::int64_t, parts>, callClasses> callsByClass;
     double carry = 0; ///< see admitCall(); in [0, 1)
+    std::array<double, callClasses> carried{}; ///< by class, what was added to `carry` since
 };
 
 /** A call asks for `units`, whether it gets them or not. */
-void noteAsked(SpendRecord &record, const QuotaPolicy &policy, std::int64_t units, Instant now);
+void noteAsked(SpendRecord &record, const QuotaPolicy &policy, std::int64_t units, Instant now,
+               CallClass callClass = CallClass::Rank2);
 
 void noteSpent(SpendRecord &record, const QuotaPolicy &policy, std::int64_t units, Instant now);
 
--- a/libs/quota/include/quota/WorkspaceUse.h
+++ b/libs/quota/include/quota/WorkspaceUse.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "core/KeyedSums.h"
+#include "quota/CallClass.h"
 
 namespace monsoonbay {
 
@@ -14,12 +15,20 @@
 {
     std::int64_t whole = 0; ///< units in the window
     std::int64_t askedPerSecond = 0; ///< units, whether they were let run or not
+    ByClass askedByClass{}; ///< of askedPerSecond; the rest is of the last class
+    ByClass callsByClass{}; ///< calls that asked in the window
+    std::int64_t askedInWindow = 0; ///< units of these calls
 
     bool operator==(const WorkspaceUse &) const = default;
 };
 
 using WorkspaceUses = KeyedSums<WorkspaceUse>; ///< by workspace
 
+/**
+ * Class of a call of `units` on a route of `rank`; `use` is of all calls of its workspace before.
+ */
+CallClass classOf(const WorkspaceUse &use, std::int64_t units, int rank) noexcept;
+
 bool isUnused(const WorkspaceUse &use) noexcept;
 
 void addUse(WorkspaceUse &sum, const WorkspaceUse &use) noexcept;
--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -1,6 +1,9 @@
 #include "quota/Admission.h"
 
 #include <algorithm>
+#include <numeric>
+
+#include "quota/ClassShares.h"
 
 namespace monsoonbay {
 
@@ -27,6 +30,7 @@
 constexpr double mostGrowth = 8;
 
 constexpr Duration soonest = std::chrono::milliseconds(500);
+constexpr double retryJitter = 0.25; ///< of the wait
 
 /** The part of the limits that the VMs in touch may use. */
 double shareInTouch(const FleetUse &fleet)
@@ -54,6 +58,21 @@
     return std::max(room / fill, 0.0);
 }
 
+/**
+ * Units of a call by which growth is told from chance. Beside large calls, a small one's own units
+ * would make every large call look like growth.
+ */
+double typicalUnits(const WorkspaceUse &use, std::int64_t units)
+{
+    const auto classes = std::count_if(use.callsByClass.begin(), use.callsByClass.end(),
+                                       [](std::int64_t calls) { return calls > 0; });
+    if (classes < 2)
+        return static_cast<double>(units);
+    const std::int64_t calls =
+        std::accumulate(use.callsByClass.begin(), use.callsByClass.end(), std::int64_t{0});
+    return static_cast<double>(use.askedInWindow) / static_cast<double>(calls);
+}
+
 // Units a second that all VMs in touch are asked for now; what they told of it is older. Where
 // calls are many, the asks at this VM grow as those at all others do: they are a sample. A few
 // calls say nothing, so as many are counted on both sides as make the ratio change little.
@@ -63,22 +82,40 @@
     const double here = askedBefore(own, policy, Duration::zero(), now);
     const double before = askedBefore(own, policy, fleet.newsAge, now);
     const double others = std::max(static_cast<double>(fleet.use.askedPerSecond) - here, 0.0);
-    const double few = fewCalls * static_cast<double>(units) / toSeconds(policy.window);
+    const double few = fewCalls * typicalUnits(fleet.use, units) / toSeconds(policy.window);
     const double growth = (here + few) / (before + few);
     return here + others * std::clamp(growth, 1 / mostGrowth, mostGrowth);
 }
 
+/** `asked` is divided as the VMs told; what they told without classes is of the last one. */
+ClassDemand classDemandOf(const WorkspaceUse &use, double asked)
+{
+    const std::int64_t told =
+        std::accumulate(use.askedByClass.begin(), use.askedByClass.end(), std::int64_t{0});
+    const std::int64_t whole = std::max<std::int64_t>({use.askedPerSecond, told, 1});
+    ByClass parts = use.askedByClass;
+    parts.back() += whole - told;
+    ClassDemand demand;
+    for (std::size_t index = 0; index < callClasses; ++index) {
+        demand.units[index] =
+            asked * static_cast<double>(parts[index]) / static_cast<double>(whole);
+        demand.calls[index] = static_cast<double>(use.callsByClass[index]);
+    }
+    return demand;
+}
+
 } // namespace
 
-// Every VM lets the same share of calls run, the share that keeps all of them together within the
-// limit: so none has to know what its part is, and news that are some tenths of a second old only
-// shift that share a little. The carry spreads what is let run evenly, whatever the calls' sizes;
-// it is drawn for each VM, or all would let their first call run at the same time.
+// Every VM lets the same share of calls of a class run, the shares that keep all of them together
+// within the limit: so none has to know what its part is, and news that are some tenths of a second
+// old only shift a share a little. The carry spreads what is let run evenly, whatever the calls'
+// sizes; it is drawn for each VM, or all would let their first call run at the same time. Each
+// class has its own, so that small calls do not wait for the spacing of large ones.
 QuotaVerdict admitCall(SpendRecord &own, const WorkspaceLimit &limit, const QuotaPolicy &policy,
-                       const FleetUse &fleet, std::int64_t units, Instant now)
+                       const FleetUse &fleet, std::int64_t units, Instant now, CallClass callClass)
 {
     if (!isLimited(limit))
-        return {true, {}};
+        return {true, {}, 1};
     const double asked = std::max(askedNow(own, policy, fleet, units, now), 1.0);
     // What was let run since the others told of it counts as used already.
     FleetUse ahead = fleet;
@@ -93,14 +130,22 @@
     // as many of such calls, over all parts, as fit together.
     const bool fits = static_cast<double>(ahead.use.whole) + cost <= most
         || (cost > most && cost <= mostInWindow(limit, policy));
-    own.carry += fits ? std::min(rate / asked, 1.0) : 0;
-    if (own.carry >= 1) {
-        own.carry -= 1;
-        return {true, {}};
+    const ClassDemand demand = classDemandOf(fleet.use, asked);
+    const double share = sharesOf(demand, std::min(rate / asked, 1.0))[indexOf(callClass)];
+    double &carried = own.carried[indexOf(callClass)];
+    carried += fits ? share : 0;
+    if (own.carry + carried >= 1) {
+        carried -= 1;
+        return {true, {}, share};
     }
-    const double surplus = rate > 0 ? asked / rate - 1 : toSeconds(policy.window);
+    const double surplus = share > 0 ? 1 / share - 1 : toSeconds(policy.window);
     const Duration wait = fromSeconds(surplus * toSeconds(soonest));
-    return {false, std::clamp<Duration>(wait, soonest, policy.window / 2)};
+    return {false, std::clamp<Duration>(wait, soonest, policy.window / 2), share};
+}
+
+Duration spreadRetry(Duration wait, double draw) noexcept
+{
+    return fromSeconds(toSeconds(wait) * (1 + retryJitter * draw));
 }
 
 // As much as may have been used, but for what lets the rate go on from the first moment.
--- a/libs/quota/src/SpendRecord.cpp
+++ b/libs/quota/src/SpendRecord.cpp
@@ -22,9 +22,12 @@
 
 } // namespace
 
-void noteAsked(SpendRecord &record, const QuotaPolicy &policy, std::int64_t units, Instant now)
+void noteAsked(SpendRecord &record, const QuotaPolicy &policy, std::int64_t units, Instant now,
+               CallClass callClass)
 {
     advance(record.asked, policy.window, now) += units;
+    advance(record.askedByClass[indexOf(callClass)], policy.window, now) += units;
+    advance(record.callsByClass[indexOf(callClass)], policy.window, now) += 1;
 }
 
 void noteSpent(SpendRecord &record, const QuotaPolicy &policy, std::int64_t units, Instant now)
@@ -45,9 +48,19 @@
 WorkspaceUse useOf(SpendRecord &record, const QuotaPolicy &policy, Instant now)
 {
     advance(record.spent, policy.window, now);
+    advance(record.asked, policy.window, now);
     WorkspaceUse use;
     use.whole = sumOf(record.spent);
-    use.askedPerSecond = std::llround(askedBefore(record, policy, Duration::zero(), now));
+    use.askedInWindow = sumOf(record.asked);
+    for (std::size_t index = 0; index < callClasses; ++index) {
+        advance(record.askedByClass[index], policy.window, now);
+        advance(record.callsByClass[index], policy.window, now);
+        const std::int64_t asked = sumOf(record.askedByClass[index], 0, partsAveraged);
+        use.askedByClass[index] = std::llround(perSecond(record, policy, asked, now));
+        // Classes and whole have to agree exactly, whatever is rounded.
+        use.askedPerSecond += use.askedByClass[index];
+        use.callsByClass[index] = sumOf(record.callsByClass[index]);
+    }
     return use;
 }
 
--- a/libs/quota/src/WorkspaceUse.cpp
+++ b/libs/quota/src/WorkspaceUse.cpp
@@ -1,7 +1,34 @@
 #include "quota/WorkspaceUse.h"
 
+#include <algorithm>
+#include <numeric>
+
 namespace monsoonbay {
 
+namespace {
+
+/** Small calls count at most the mean divided by this. */
+constexpr double smallDivisor = 8;
+
+constexpr int lastRank = 2;
+
+} // namespace
+
+// The mean is of the calls at all VMs: many a VM has one call of a workspace in a window, or none,
+// and would take its own small calls for the usual ones.
+CallClass classOf(const WorkspaceUse &use, std::int64_t units, int rank) noexcept
+{
+    const std::int64_t calls =
+        std::accumulate(use.callsByClass.begin(), use.callsByClass.end(), std::int64_t{1});
+    const auto cost = static_cast<double>(units);
+    const double mean =
+        (static_cast<double>(use.askedInWindow) + cost) / static_cast<double>(calls);
+    if (cost * smallDivisor <= mean)
+        return CallClass::Small;
+    const int counted = std::clamp(rank, 0, lastRank);
+    return static_cast<CallClass>(static_cast<int>(CallClass::Rank0) + counted);
+}
+
 bool isUnused(const WorkspaceUse &use) noexcept
 {
     return use == WorkspaceUse();
@@ -11,12 +38,22 @@
 {
     sum.whole += use.whole;
     sum.askedPerSecond += use.askedPerSecond;
+    sum.askedInWindow += use.askedInWindow;
+    for (std::size_t index = 0; index < callClasses; ++index) {
+        sum.askedByClass[index] += use.askedByClass[index];
+        sum.callsByClass[index] += use.callsByClass[index];
+    }
 }
 
 void subtractUse(WorkspaceUse &sum, const WorkspaceUse &use) noexcept
 {
     sum.whole -= use.whole;
     sum.askedPerSecond -= use.askedPerSecond;
+    sum.askedInWindow -= use.askedInWindow;
+    for (std::size_t index = 0; index < callClasses; ++index) {
+        sum.askedByClass[index] -= use.askedByClass[index];
+        sum.callsByClass[index] -= use.callsByClass[index];
+    }
 }
 
 } // namespace monsoonbay
--- /dev/null
+++ b/libs/quota/tests/Classes.cpp
@@ -0,0 +1,182 @@
+#include <numeric>
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include "FleetModel.h"
+#include "quota/ClassShares.h"
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start = Instant{} + 1000s;
+
+/** Long prompts of two ranks, urgent short ones and bookings. */
+std::vector<CallsOfKind> kindsOfArchive()
+{
+    return {{115, 9190, 1}, {27.7, 9190, 2}, {134, 826, 0}, {141.6, 200, 2}};
+}
+
+/** Days on which a workspace asks for `times` its limit from 12 s to 24 s. */
+std::vector<FleetDay> daysOf(double times)
+{
+    std::vector<FleetDay> days;
+    for (const int vms : {7, 70, 300}) {
+        for (const double rate : {200000.0, 887000.0}) {
+            FleetDay day;
+            day.vms = vms;
+            day.callersAt = vms;
+            day.newsAge = vms == 7 ? 100ms : 450ms;
+            day.limit.unit = QuotaUnit::Tokens;
+            day.limit.ratePerSecond = rate;
+            day.limit.burst = rate;
+            day.policy.slack = 110000;
+            day.hot = times / day.usual;
+            day.kinds = kindsOfArchive();
+            days.push_back(day);
+        }
+    }
+    return days;
+}
+
+FleetOutcome playBounded(const FleetDay &day)
+{
+    FleetOutcome outcome = playDay(day, Division::BySum);
+    for (const double served : outcome.servedByClass)
+        cr_expect_geq(served, 0.25 * outcome.servedCalls, "%d VMs, rate %g: %g of %g", day.vms,
+                      day.limit.ratePerSecond, served, outcome.servedCalls);
+    cr_expect_leq(outcome.mostOfBound, 1.0, "%d VMs, rate %g: %g of the bound", day.vms,
+                  day.limit.ratePerSecond, outcome.mostOfBound);
+    return outcome;
+}
+
+/** The day with a restart of all, with a zone that is cut off, and with single VMs that are. */
+std::vector<FleetDay> withFaults(const FleetDay &day)
+{
+    std::vector<FleetDay> days(3, day);
+    days[0].restart = true;
+    days[1].cutTogether = 0.25;
+    days[2].cutAlone = day.vms / 3;
+    return days;
+}
+
+/** Sum over the classes of `amounts`, by their shares. */
+double sumBy(const std::array<double, callClasses> &amounts, const ClassShares &shares)
+{
+    return std::inner_product(amounts.begin(), amounts.end(), shares.begin(), 0.0);
+}
+
+} // namespace
+
+// Guards against classes that together get more than the limit leaves, or less although they ask
+// for it, and against one that is served less than a quarter as often as all calls.
+Test(classes, all_together_get_what_they_would_get_evenly)
+{
+    cr_assert(rc::check("sum", [] {
+        ClassDemand demand;
+        for (std::size_t index = 0; index < callClasses; ++index) {
+            demand.units[index] = *rc::gen::inRange(0, 100000);
+            demand.calls[index] = *rc::gen::inRange(0, 1000);
+        }
+        const double even = *rc::gen::inRange(0, 1001) / 1000.0;
+        const ClassShares shares = sharesOf(demand, even);
+        const double units = sumBy(demand.units, {even, even, even, even});
+        RC_ASSERT(std::abs(sumBy(demand.units, shares) - units) <= 1e-9 * units);
+        const double quarter = sumBy(demand.calls, shares) / 4;
+        for (std::size_t index = 0; index < callClasses; ++index) {
+            RC_ASSERT(shares[index] >= even / 2 && shares[index] <= 1);
+            RC_ASSERT(demand.units[index] == 0
+                      || shares[index] * sumBy(demand.calls, {1, 1, 1, 1}) >= quarter);
+        }
+    }));
+}
+
+Test(classes, the_first_go_first)
+{
+    const ClassDemand demand{{100, 100, 400, 400}, {10, 10, 40, 40}};
+    const ClassShares shares = sharesOf(demand, 0.5);
+    cr_assert_float_eq(shares[0], 1, 1e-9);
+    cr_assert_float_eq(shares[1], 1, 1e-9);
+    cr_assert_float_eq(shares[2], 0.25 + 0.25, 1e-9,
+                       "500 units less 250 kept for all and 150, of 400");
+}
+
+Test(classes, small_is_said_by_the_mean_of_all_vms)
+{
+    WorkspaceUse use;
+    cr_assert(classOf(use, 200, 1) == CallClass::Rank1, "it is the mean itself");
+    use.askedInWindow = 100 * 3200;
+    use.callsByClass = {40, 0, 30, 30};
+    cr_assert(classOf(use, 200, 1) == CallClass::Small);
+    cr_assert(classOf(use, 826, 0) == CallClass::Rank0);
+    cr_assert(classOf(use, 9190, 7) == CallClass::Rank2);
+    cr_assert(classOf(use, 9190, -1) == CallClass::Rank0);
+}
+
+// Guards against a booking of 200 tokens that is refused beside a prompt of 9,190, and against
+// kinds that are starved by those which go before them, or classes that lift the bound: former VMs
+// tell none, and bursts, cuts and restarts change the demand before all have heard of it.
+Test(classes, at_twice_the_limit_small_and_urgent_calls_run)
+{
+    for (const FleetDay &day : daysOf(2)) {
+        const FleetOutcome outcome = playBounded(day);
+        cr_expect_geq(outcome.servedByClass[indexOf(CallClass::Small)], 0.95);
+        cr_expect_geq(outcome.servedByClass[indexOf(CallClass::Rank0)], 0.9);
+        std::vector<FleetDay> others = withFaults(day);
+        others.resize(5, day);
+        others[3].silentOnClasses = day.vms / 2;
+        others[4].burstOf = 2;
+        others[4].burst = 2.5;
+        for (const FleetDay &other : others)
+            playBounded(other);
+    }
+}
+
+// At six times the limit there is too little for all calls of the first classes.
+Test(classes, at_six_times_the_limit_no_class_starves)
+{
+    for (FleetDay day : daysOf(6)) {
+        const FleetOutcome outcome = playBounded(day);
+        cr_expect_gt(outcome.servedByClass[indexOf(CallClass::Small)], 0.7);
+        cr_expect_gt(outcome.servedByClass[indexOf(CallClass::Rank0)],
+                     1.5 * outcome.servedByClass[indexOf(CallClass::Rank1)]);
+        for (const FleetDay &other : withFaults(day))
+            playBounded(other);
+        day.oneClass = true;
+        const double blind = playDay(day, Division::BySum).mostOfBound;
+        cr_expect_leq(outcome.mostOfBound, std::max(blind, 0.95), "no more than without classes");
+    }
+}
+
+// Guards against carries of several classes that let more run than one does.
+Test(classes, calls_of_one_class_are_decided_alike_whichever_it_is)
+{
+    cr_assert(rc::check("alike", [] {
+        WorkspaceLimit limit;
+        limit.ratePerSecond = 1000;
+        limit.burst = 1000;
+        const QuotaPolicy policy;
+        SpendRecord one;
+        SpendRecord other;
+        one.carry = other.carry = *rc::gen::inRange(0, 1000) / 1000.0;
+        const auto callClass = static_cast<CallClass>(*rc::gen::inRange(0, 4));
+        Instant now = start;
+        for (int call = 0; call < 100; ++call) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 60));
+            const auto units = static_cast<std::int64_t>(*rc::gen::inRange(1, 300));
+            const auto admits = [&](SpendRecord &record, CallClass taken) {
+                noteAsked(record, policy, units, now, taken);
+                FleetUse fleet;
+                fleet.use = useOf(record, policy, now);
+                const bool admitted =
+                    admitCall(record, limit, policy, fleet, units, now, taken).admitted;
+                if (admitted)
+                    noteSpent(record, policy, units, now);
+                return admitted;
+            };
+            RC_ASSERT(admits(one, CallClass::Rank2) == admits(other, callClass));
+        }
+    }));
+}
--- a/libs/quota/tests/FleetModel.cpp
+++ b/libs/quota/tests/FleetModel.cpp
@@ -19,6 +19,18 @@
     std::lognormal_distribution<double> units{8.6, 1.0};
 };
 
+/** What came of the calls of one class or kind. */
+struct Came
+{
+    int calls = 0;
+    int ran = 0;
+
+    double share() const
+    {
+        return static_cast<double>(this->ran) / std::max(this->calls, 1);
+    }
+};
+
 struct Vm
 {
     SpendRecord record;
@@ -76,6 +88,9 @@
         outcome.mostOfBound = this->mostOfBound;
         outcome.served = this->ran / std::max(this->idealRan, 1.0);
         outcome.servedInCalm = this->calmRan / std::max(this->calmIdeal, 1.0);
+        outcome.servedCalls = this->allHot.share();
+        for (std::size_t index = 0; index < callClasses; ++index)
+            outcome.servedByClass[index] = this->hotByClass[index].share();
         return outcome;
     }
 
@@ -104,12 +119,27 @@
         const bool hot = this->within(at, this->day.hotFrom, 24);
         const double rate =
             this->day.usual * this->day.limit.ratePerSecond * (hot ? this->day.hot : 1);
-        const double mean = std::exp(8.6 + 0.5);
-        std::poisson_distribution<int> count(rate * seconds / mean);
+        this->hot = hot;
+        if (this->day.kinds.empty())
+            this->playMany(rate * seconds / std::exp(8.6 + 0.5), {});
+        double mean = 0;
+        for (const CallsOfKind &kind : this->day.kinds)
+            mean += kind.callsPerSecond * static_cast<double>(kind.units);
+        for (std::size_t index = 0; index < this->day.kinds.size(); ++index) {
+            const CallsOfKind &kind = this->day.kinds[index];
+            const double times = hot && index == this->day.burstOf ? this->day.burst : 1;
+            this->playMany(times * rate * seconds * kind.callsPerSecond / mean, kind);
+        }
+        this->checkWindow(at);
+    }
+
+    /** `expected`: calls in this step, in the mean. */
+    void playMany(double expected, const CallsOfKind &kind)
+    {
+        std::poisson_distribution<int> count(expected);
         const int calls = count(this->random);
         for (int call = 0; call < calls; ++call)
-            this->playCall(!hot);
-        this->checkWindow(at);
+            this->playCall(kind);
     }
 
     void setGroups(Duration at)
@@ -151,6 +181,11 @@
     WorkspaceUse ownUse(Vm &vm)
     {
         WorkspaceUse use = useOf(vm.record, this->day.policy, this->now);
+        if (&vm - this->vms.data() < this->day.silentOnClasses) {
+            use.askedByClass = {};
+            use.callsByClass = {};
+            use.askedInWindow = 0;
+        }
         if (vm.started != Instant{})
             addUse(use,
                    useBeforeStart(this->limit, this->day.policy, this->day.vms,
@@ -199,34 +234,55 @@
         vm.level = std::min(vm.level, std::max(part, 1.0 / this->day.vms) * this->limit.burst);
     }
 
-    void playCall(bool calm)
+    CallClass classAt(std::size_t self, const CallsOfKind &kind)
+    {
+        if (this->day.kinds.empty() || this->day.oneClass)
+            return CallClass::Rank2;
+        return classOf(this->seenBy(self).use, kind.units, kind.rank);
+    }
+
+    void playCall(const CallsOfKind &kind)
     {
         std::uniform_int_distribution<std::size_t> where(
             0, static_cast<std::size_t>(this->day.callersAt) - 1);
         const std::size_t self = where(this->random);
-        const auto units = static_cast<std::int64_t>(this->calls.units(this->random)) + 1;
+        const std::int64_t units = this->day.kinds.empty()
+            ? static_cast<std::int64_t>(this->calls.units(this->random)) + 1
+            : kind.units;
         Vm &vm = this->vms[self];
-        noteAsked(vm.record, this->day.policy, units, this->now);
+        const CallClass callClass = this->classAt(self, kind);
+        noteAsked(vm.record, this->day.policy, units, this->now, callClass);
         const auto cost = static_cast<double>(units);
         if (this->ideal.take(cost)) {
             this->idealRan += cost;
-            this->calmIdeal += calm ? cost : 0;
+            this->calmIdeal += this->hot ? 0 : cost;
         }
-        if (!this->isAdmitted(self, units))
+        const bool admitted = this->isAdmitted(self, units, callClass);
+        if (this->hot)
+            this->noteHot(callClass, admitted);
+        if (!admitted)
             return;
         noteSpent(vm.record, this->day.policy, units, this->now);
         this->ran += cost;
-        this->calmRan += calm ? cost : 0;
+        this->calmRan += this->hot ? 0 : cost;
         this->recent.push_back({this->now, cost});
         this->inWindow += cost;
     }
 
-    bool isAdmitted(std::size_t self, std::int64_t units)
+    void noteHot(CallClass callClass, bool admitted)
+    {
+        for (Came *came : {&this->allHot, &this->hotByClass[indexOf(callClass)]}) {
+            ++came->calls;
+            came->ran += admitted ? 1 : 0;
+        }
+    }
+
+    bool isAdmitted(std::size_t self, std::int64_t units, CallClass callClass)
     {
         Vm &vm = this->vms[self];
         if (this->division == Division::BySum)
             return admitCall(vm.record, this->limit, this->day.policy, this->seenBy(self), units,
-                             this->now)
+                             this->now, callClass)
                 .admitted;
         if (vm.level <= 0)
             return false;
@@ -270,6 +326,9 @@
     double idealRan = 0;
     double calmRan = 0;
     double calmIdeal = 0;
+    bool hot = false;
+    Came allHot;
+    std::array<Came, callClasses> hotByClass{};
 };
 
 } // namespace
--- a/libs/quota/tests/FleetModel.h
+++ b/libs/quota/tests/FleetModel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -16,6 +17,14 @@
     BySum, ///< the share that the sum of all calls for; see admitCall()
 };
 
+/** Calls of one kind, as a part of a workspace's calls. */
+struct CallsOfKind
+{
+    double callsPerSecond = 0; ///< against those of the other kinds
+    std::int64_t units = 0; ///< of each
+    int rank = 0; ///< of their route
+};
+
 /** A day of one workspace in virtual time. */
 struct FleetDay
 {
@@ -31,6 +40,11 @@
     double cutTogether = 0; ///< share of the VMs that hear only each other in that time
     bool restart = false; ///< all lose what they know at 16 s, and are back at 17 s
     double lowered = 1; ///< times the rate, from 18 s on
+    std::vector<CallsOfKind> kinds; ///< none: calls of one class and of many sizes
+    std::size_t burstOf = 0; ///< kind of which `burst` times as many calls come from 12 s to 24 s
+    double burst = 1;
+    int silentOnClasses = 0; ///< VMs that tell nothing of classes
+    bool oneClass = false; ///< all calls are taken for one class
     std::uint64_t seed = 1;
 };
 
@@ -39,6 +53,8 @@
     double mostOfBound = 0; ///< the fullest window, as a part of what the rule allows
     double served = 0; ///< units let run, as a part of what one bucket for all lets run
     double servedInCalm = 0; ///< the same outside the hot hours
+    double servedCalls = 0; ///< part of the calls that were let run in the hot hours
+    std::array<double, callClasses> servedByClass{}; ///< the same by class; 0: none came
 };
 
 FleetOutcome playDay(const FleetDay &day, Division division);
