Book of prompt prefixes that engines have read, and a log to tell of them

Cause: a VM knows only which prompts its own calls have had read. With 83 VMs that is one in 83, and a fifth of all prompt tokens were shared prefixes that some engine had already read.

Change, decisions only, nothing uses them yet: promptPrefixes() hashes a call's prefixes once; PrefixBook keeps which engine has read which, bounded by the engine's memory, by 256 entries an engine and 40,960 in all; showsMissing() tells a prompt that was read whole from a queue; PrefixLog tells what is new to mates and other zones, 300 entries a message, 3 s.

An engine is named by a hash of its id and start, so that nothing of a former start is found. The low bits of a prefix are its adapter's, so that all of an adapter can be dropped without naming it on the wire.

Run: serving-tests pass (the book against a naive one, the log with messages lost as drawn, bounds).

--- /dev/null
+++ b/libs/serving/src/PrefixBook.cpp
@@ -0,0 +1,224 @@
+#include "serving/PrefixBook.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <tuple>
+
+namespace monsoonbay {
+
+namespace {
+
+/**
+ * Less than this share of a prompt does not show in the time to its first event, which varies with
+ * the steps of the running calls.
+ */
+constexpr double leastShareJudged = 0.25;
+/** With more than this share of the kept tokens waiting ahead, the wait may be due to those. */
+constexpr double mostShareAhead = 0.25;
+/** What took longer than this many readings of the prompt was held up by something else. */
+constexpr double mostReadings = 2;
+
+/** Part of an engine's memory that counts as free for prefixes however much its calls hold. */
+constexpr double leastMemoryShare = 0.25;
+
+using Kept = std::unordered_map<std::uint64_t, KeptPrefix>;
+
+Kept::iterator eraseKept(EnginePrefixes &of, Kept::iterator at)
+{
+    of.tokens -= at->second.tokens;
+    return of.kept.erase(at);
+}
+
+// The hash breaks ties, so that the order of the table does not matter.
+void dropLeastRecent(EnginePrefixes &of)
+{
+    const auto least =
+        std::min_element(of.kept.begin(), of.kept.end(), [](const auto &a, const auto &b) {
+            return std::tie(a.second.readAt, a.first) < std::tie(b.second.readAt, b.first);
+        });
+    eraseKept(of, least);
+}
+
+void trimTo(EnginePrefixes &of, std::size_t limit)
+{
+    while (of.kept.size() > limit)
+        dropLeastRecent(of);
+}
+
+void divideAmong(PrefixBook &book, std::size_t engines)
+{
+    const std::size_t share = mostPrefixesInBook / std::max<std::size_t>(engines, 1);
+    const std::size_t limit = std::min(share, mostPrefixesOfEngine);
+    const bool fewer = limit < book.limit;
+    book.limit = limit;
+    if (!fewer)
+        return;
+    for (auto &[engine, of] : book.engines)
+        trimTo(of, limit);
+}
+
+/** Null if the book has no room for another engine. */
+EnginePrefixes *engineIn(PrefixBook &book, std::uint64_t engine)
+{
+    const auto found = book.engines.find(engine);
+    if (found != book.engines.end())
+        return &found->second;
+    if (book.engines.size() >= mostEnginesInBook)
+        return nullptr;
+    divideAmong(book, book.engines.size() + 1);
+    return &book.engines[engine];
+}
+
+KeptPrefix &prefixIn(const PrefixBook &book, EnginePrefixes &of, std::uint64_t hash)
+{
+    const auto found = of.kept.find(hash);
+    if (found != of.kept.end())
+        return found->second;
+    trimTo(of, book.limit - 1);
+    return of.kept[hash];
+}
+
+void believe(EnginePrefixes &of, KeptPrefix &kept, int tokens, Instant now)
+{
+    of.tokens += tokens - kept.tokens;
+    kept.tokens = tokens;
+    kept.readAt = now;
+    of.readAt = now;
+}
+
+/** True if others are to hear of it now; it counts as told then. */
+bool isNews(KeptPrefix &kept, Instant now)
+{
+    if (kept.newsAt != Instant{} && now - kept.newsAt < toldAgainAfter)
+        return false;
+    kept.newsAt = now;
+    return true;
+}
+
+} // namespace
+
+std::vector<PromptPrefix> noteRead(PrefixBook &book, std::uint64_t engine,
+                                   const std::vector<PromptPrefix> &prefixes, Instant now)
+{
+    std::vector<PromptPrefix> news;
+    if (prefixes.empty())
+        return news;
+    EnginePrefixes *of = engineIn(book, engine);
+    if (of == nullptr)
+        return news;
+    for (const PromptPrefix &prefix : prefixes) {
+        KeptPrefix &kept = prefixIn(book, *of, prefix.hash);
+        if (now < kept.doubtedUntil)
+            continue;
+        believe(*of, kept, prefix.tokens, now);
+        const bool worthIt = prefix.tokens >= leastToldTokens && prefix.tokens <= mostToldTokens;
+        if (worthIt && isNews(kept, now))
+            news.push_back(prefix);
+    }
+    return news;
+}
+
+// A doubted prefix is told on all the same: the call that showed it ran at another VM, and the
+// doubt here may be of before it.
+bool noteHeard(PrefixBook &book, std::uint64_t engine, const PromptPrefix &prefix, Instant now)
+{
+    EnginePrefixes *of = engineIn(book, engine);
+    if (of == nullptr)
+        return false;
+    KeptPrefix &kept = prefixIn(book, *of, prefix.hash);
+    const bool news = isNews(kept, now);
+    if (now >= kept.doubtedUntil)
+        believe(*of, kept, prefix.tokens, now);
+    return news;
+}
+
+void noteMissing(PrefixBook &book, std::uint64_t engine, const std::vector<PromptPrefix> &prefixes,
+                 Instant now)
+{
+    const auto found = book.engines.find(engine);
+    if (found == book.engines.end())
+        return;
+    EnginePrefixes &of = found->second;
+    for (const PromptPrefix &prefix : prefixes) {
+        const auto kept = of.kept.find(prefix.hash);
+        if (kept == of.kept.end())
+            continue;
+        of.tokens -= kept->second.tokens;
+        kept->second.tokens = 0;
+        kept->second.doubtedUntil = now + doubtHolds;
+    }
+}
+
+double keptTokens(const PrefixBook &book, std::uint64_t engine,
+                  const std::vector<PromptPrefix> &prefixes)
+{
+    if (prefixes.empty())
+        return 0;
+    const auto found = book.engines.find(engine);
+    if (found == book.engines.end())
+        return 0;
+    // An engine that keeps a prefix keeps the beginning of it, too.
+    for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
+        const auto kept = found->second.kept.find(prefix->hash);
+        if (kept != found->second.kept.end() && kept->second.tokens > 0)
+            return prefix->tokens;
+    }
+    return 0;
+}
+
+// Running calls hold prefixes that they share only once, but each is counted with all its tokens.
+double memoryForPrefixes(double kvTokens, double heldTokens) noexcept
+{
+    if (kvTokens <= 0)
+        return std::numeric_limits<double>::infinity();
+    return std::max(kvTokens - heldTokens, leastMemoryShare * kvTokens);
+}
+
+void holdTo(PrefixBook &book, std::uint64_t engine, double tokens)
+{
+    const auto found = book.engines.find(engine);
+    if (found == book.engines.end())
+        return;
+    EnginePrefixes &of = found->second;
+    while (of.tokens > tokens && !of.kept.empty())
+        dropLeastRecent(of);
+}
+
+void forgetAdapter(PrefixBook &book, std::uint64_t engine, std::uint64_t tag)
+{
+    const auto found = book.engines.find(engine);
+    if (found == book.engines.end())
+        return;
+    EnginePrefixes &of = found->second;
+    for (auto kept = of.kept.begin(); kept != of.kept.end();)
+        kept = prefixTag(kept->first) == tag ? eraseKept(of, kept) : std::next(kept);
+}
+
+void forgetEngine(PrefixBook &book, std::uint64_t engine)
+{
+    if (book.engines.erase(engine) > 0)
+        divideAmong(book, book.engines.size());
+}
+
+void forgetUnused(PrefixBook &book, Instant now)
+{
+    const auto dropped = std::erase_if(
+        book.engines, [now](const auto &entry) { return now - entry.second.readAt > bookHolds; });
+    if (dropped > 0)
+        divideAmong(book, book.engines.size());
+}
+
+bool showsMissing(const PrefixTrial &trial, double promptTokensPerMs) noexcept
+{
+    if (trial.keptTokens < leastToldTokens
+        || trial.keptTokens < leastShareJudged * trial.promptTokens)
+        return false;
+    if (trial.aheadTokens > mostShareAhead * trial.keptTokens)
+        return false;
+    const double waitedMs = 1000 * toSeconds(trial.untilFirst);
+    const double wholeMs = (trial.aheadTokens + trial.promptTokens) / promptTokensPerMs;
+    return waitedMs >= wholeMs && waitedMs <= mostReadings * wholeMs;
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/serving/tests/Prefixes.cpp
@@ -0,0 +1,252 @@
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include "serving/PrefixBook.h"
+#include "serving/PrefixLog.h"
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant{} + 1000s;
+
+/** What is believed, in one table that every question walks through. */
+struct NaiveBook
+{
+    std::map<std::pair<std::uint64_t, std::uint64_t>, KeptPrefix> rows; ///< by engine and prefix
+
+    /** True if it is news. */
+    bool note(std::uint64_t engine, const PromptPrefix &prefix, bool own, Instant now)
+    {
+        KeptPrefix &kept = this->rows[{engine, prefix.hash}];
+        const bool doubted = now < kept.doubtedUntil;
+        if (!doubted) {
+            kept.tokens = prefix.tokens;
+            kept.readAt = now;
+        }
+        const bool recent = kept.newsAt != Instant{} && now - kept.newsAt < toldAgainAfter;
+        if (recent || (own && (doubted || prefix.tokens < leastToldTokens)))
+            return false;
+        kept.newsAt = now;
+        return true;
+    }
+
+    double tokensAt(std::uint64_t engine) const
+    {
+        double sum = 0;
+        for (const auto &[key, kept] : this->rows)
+            sum += key.first == engine ? kept.tokens : 0;
+        return sum;
+    }
+
+    void holdTo(std::uint64_t engine, double tokens)
+    {
+        const auto order = [engine](const auto &row) {
+            return std::tuple(row.first.first != engine, row.second.readAt, row.first.second);
+        };
+        const auto before = [&](const auto &a, const auto &b) {
+            return order(a) < order(b);
+        };
+        while (this->tokensAt(engine) > tokens)
+            this->rows.erase(std::min_element(this->rows.begin(), this->rows.end(), before));
+    }
+
+    double keptTokens(std::uint64_t engine, const std::vector<PromptPrefix> &prompt)
+    {
+        double most = 0;
+        for (const PromptPrefix &prefix : prompt) {
+            const auto row = this->rows.find({engine, prefix.hash});
+            most = std::max<double>(most, row == this->rows.end() ? 0 : row->second.tokens);
+        }
+        return most;
+    }
+};
+
+/** Prefixes of the prompts that are drawn: two adapters, three parts each, of different sizes. */
+std::vector<PromptPrefix> promptOf(int adapter, int parts)
+{
+    std::vector<PromptPart> named;
+    for (int part = 0; part < parts; ++part)
+        named.push_back({"p" + std::to_string(part), 400 + 900 * part});
+    return promptPrefixes("m/a" + std::to_string(adapter), named, 1e6);
+}
+
+} // namespace
+
+// Guards against a table whose sums, order of eviction or hold-back times drift from the plain
+// rules in whatever order its calls come.
+Test(prefixes, the_book_does_as_a_naive_one)
+{
+    cr_assert(rc::check("book", [] {
+        PrefixBook book;
+        NaiveBook naive;
+        Instant now = start;
+        const auto steps = *rc::gen::inRange(1, 80);
+        for (int step = 0; step < steps; ++step) {
+            const std::uint64_t engine = *rc::gen::inRange(1, 4);
+            const int adapter = *rc::gen::inRange(0, 2);
+            const auto prompt = promptOf(adapter, *rc::gen::inRange(1, 4));
+            now += *rc::gen::inRange(0, 1500) * 1ms;
+            const int kind = *rc::gen::inRange(0, 7);
+            if (kind <= 1) {
+                std::vector<PromptPrefix> news;
+                for (const PromptPrefix &prefix : prompt) {
+                    if (naive.note(engine, prefix, true, now))
+                        news.push_back(prefix);
+                }
+                RC_ASSERT(noteRead(book, engine, prompt, now) == news);
+            } else if (kind == 2) {
+                RC_ASSERT(noteHeard(book, engine, prompt.back(), now)
+                          == naive.note(engine, prompt.back(), false, now));
+            } else if (kind == 3) {
+                noteMissing(book, engine, prompt, now);
+                for (const PromptPrefix &prefix : prompt) {
+                    const auto row = naive.rows.find({engine, prefix.hash});
+                    if (row == naive.rows.end())
+                        continue;
+                    row->second.tokens = 0;
+                    row->second.doubtedUntil = now + doubtHolds;
+                }
+            } else if (kind == 4) {
+                const double tokens = *rc::gen::inRange(0, 8000);
+                holdTo(book, engine, tokens);
+                naive.holdTo(engine, tokens);
+            } else {
+                const bool whole = kind == 5;
+                const auto tag = prefixTag(prompt[0].hash);
+                whole ? forgetEngine(book, engine) : forgetAdapter(book, engine, tag);
+                std::erase_if(naive.rows, [&](const auto &row) {
+                    return row.first.first == engine
+                        && (whole || prefixTag(row.first.second) == tag);
+                });
+            }
+            for (std::uint64_t asked = 1; asked < 4; ++asked) {
+                const auto any = promptOf(adapter, 3);
+                const auto of = book.engines.find(asked);
+                RC_ASSERT(keptTokens(book, asked, any) == naive.keptTokens(asked, any));
+                RC_ASSERT((of == book.engines.end() ? 0 : of->second.tokens)
+                          == naive.tokensAt(asked));
+            }
+        }
+    }));
+}
+
+// Guards against memory that grows with the calls or with engines that are named on the wire.
+Test(prefixes, the_book_is_bounded)
+{
+    PrefixBook book;
+    std::uint64_t hash = 0;
+    const auto total = [&book] {
+        std::size_t sum = 0;
+        for (const auto &[engine, of] : book.engines)
+            sum += of.kept.size();
+        return sum;
+    };
+    for (std::uint64_t read = 0; read < 2 * mostPrefixesOfEngine; ++read)
+        noteHeard(book, 1, {++hash, 1000}, start + read * 1ms);
+    cr_assert_eq(book.engines.at(1).kept.size(), mostPrefixesOfEngine);
+    cr_assert_eq(keptTokens(book, 1, {{hash, 1000}}), 1000);
+    cr_assert_eq(keptTokens(book, 1, {{1, 1000}}), 0, "what was read first goes first");
+    std::size_t most = 0;
+    for (std::uint64_t engine = 2; engine < 600; ++engine) {
+        for (int read = 0; read < 300; ++read)
+            noteHeard(book, engine, {++hash, 1000}, start + 1s);
+        most = std::max(most, total());
+    }
+    cr_assert_leq(most, mostPrefixesInBook);
+    for (std::uint64_t engine = 600; engine < 2 * mostEnginesInBook; ++engine)
+        noteHeard(book, engine, {++hash, 1000}, start + 2s);
+    cr_assert_eq(book.engines.size(), mostEnginesInBook);
+    cr_assert_leq(total(), mostPrefixesInBook);
+    forgetUnused(book, start + 2s + bookHolds + 1ms);
+    cr_assert(book.engines.empty());
+    cr_assert_eq(book.limit, mostPrefixesOfEngine);
+}
+
+// Guards against estimates for a prompt of another adapter, or one that only ends alike.
+Test(prefixes, a_prefix_is_of_an_adapter_and_all_parts_so_far)
+{
+    const std::vector<PromptPart> parts{{"a", 2000}, {"b", 4300}, {"own", 2890}};
+    const auto prefixes = promptPrefixes("m/x", parts, 9190);
+    cr_assert_eq(prefixes.size(), 2, "the last part is the call's own");
+    cr_assert_eq(prefixes[1].tokens, 6300);
+    const auto other = promptPrefixes("m/y", parts, 9190);
+    const auto swapped = promptPrefixes("m/x", {{"b", 4300}, {"a", 2000}}, 9190);
+    cr_assert_neq(prefixes[1].hash, other[1].hash);
+    cr_assert_neq(prefixes[1].hash, swapped[1].hash);
+    cr_assert_eq(prefixTag(prefixes[0].hash), prefixTagOf("m/x"));
+    cr_assert_eq(promptPrefixes("m/x", {{"all", 9190}}, 9190).size(), 1);
+    cr_assert(promptPrefixes("m/x", {{"bad", -5}, {"a", 2000}}, 9190).empty());
+    cr_assert(promptPrefixes("m/x", {{"bad", 20'000}}, 9190).empty(), "more than the prompt");
+    cr_assert(promptPrefixes("m/x", {}, 9190).empty());
+    const std::vector<PromptPart> many(100, PromptPart{"p", 10});
+    cr_assert_eq(promptPrefixes("m/x", many, 9190).size(), mostPrefixes);
+}
+
+// Guards against a belief that is never given up, and against one that is given up because the
+// engine was busy with other prompts.
+Test(prefixes, only_a_whole_reading_at_a_calm_engine_shows_that_a_prefix_is_missing)
+{
+    const auto missing = [](Duration untilFirst, double kept, double ahead) {
+        return showsMissing({untilFirst, 8000, kept, ahead}, 40);
+    };
+    cr_assert(missing(210ms, 6000, 0));
+    cr_assert(!missing(60ms, 6000, 0), "it was read from the cache");
+    cr_assert(!missing(210ms, 6000, 4000), "others' prompts may have been read first");
+    cr_assert(!missing(500ms, 6000, 0), "something else held it up");
+    cr_assert(!missing(210ms, 1500, 0), "too small a part to show");
+    cr_assert(!missing(210ms, 0, 0));
+    cr_assert_eq(memoryForPrefixes(200'000, 80'000), 120'000);
+    cr_assert_eq(memoryForPrefixes(200'000, 190'000), 50'000);
+    cr_assert_gt(memoryForPrefixes(0, 10), 1e12, "an engine that names no memory");
+}
+
+// Guards against entries that are lost with one message, and against logs and messages that grow
+// with the calls. Messages are lost and time passes as drawn.
+Test(prefixes, a_reader_gets_what_is_new_whatever_messages_are_lost)
+{
+    cr_assert(rc::check("log", [] {
+        PrefixLog log;
+        std::vector<LoggedPrefix> all;
+        PrefixReader reader;
+        reader.mate = true;
+        reader.teller = 1;
+        std::set<PrefixRead> had;
+        std::uint64_t number = 0;
+        Instant now = start;
+        const auto rounds = *rc::gen::inRange(1, 12);
+        for (int round = 0; round < rounds; ++round) {
+            now += *rc::gen::inRange(0, 2500) * 1ms;
+            const auto added = *rc::gen::inRange(0, 500);
+            for (int entry = 0; entry < added; ++entry) {
+                const auto source = static_cast<PrefixSource>(entry % 3);
+                const std::uint64_t teller = static_cast<std::uint64_t>(entry) % 4;
+                ++number;
+                logPrefix(log, {number % 7, {number, 2000}}, source, teller, now);
+                all.push_back(log.entries.back());
+            }
+            RC_ASSERT(log.entries.size() <= mostPrefixesLogged);
+            std::vector<PrefixRead> wanted;
+            for (auto entry = all.rbegin(); entry != all.rend(); ++entry) {
+                const bool logged = all.size() - (entry->number - 1) <= mostPrefixesLogged;
+                const bool due = entry->number > reader.seen && entry->teller != reader.teller;
+                if (logged && due && now - entry->at <= prefixToldFor
+                    && wanted.size() < mostPrefixesTold)
+                    wanted.push_back(entry->read);
+            }
+            std::sort(wanted.begin(), wanted.end());
+            const auto told = prefixesFor(log, reader, now);
+            RC_ASSERT(told == wanted);
+            if (*rc::gen::arbitrary<bool>())
+                continue; // the answer is lost
+            for (const PrefixRead &read : told)
+                RC_ASSERT(had.insert(read).second);
+            reader.seen = log.last;
+        }
+    }));
+}
