Prompt prefixes that engines have read are known to all VMs

Change: cachedTokens of the choice of an engine and the waiting tokens of a call come from PrefixBook in place of each target's own cachedParts. Own reads go to the relay with the regular report and come back with the others' in its answer; relays of other zones hear of this zone's. An engine's restart, and an adapter that it unloads or replaces, drop what was read. Calls of plain services and calls that name no parts keep and tell nothing.

call-answered has cachedTokens; metrics cached_tokens and prefixes_missing.

--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -8,6 +8,7 @@
 
 #include "GatewayNode.h"
 #include "serving/CallFacts.h"
+#include "serving/PromptPrefixes.h"
 #include "serving/ServingConfig.h"
 #include "transport/HttpServer.h"
 
@@ -40,6 +41,8 @@
     std::vector<std::string> tried; ///< targets that were sent to, or could not be reached
     std::vector<std::string> unloadable; ///< engines that will not load the adapter now
     std::string missedAt; ///< engine that lacked the adapter which it was taken to hold
+    std::vector<PromptPrefix> prefixes; ///< of its prompt, if it goes to engines
+    double cachedTokens = 0; ///< of its prompt, believed to be at the engine it was sent to last
     int sends = 0;
     Duration placing{}; ///< time spent on finding targets, loads included
     int loads = 0; ///< adapter loads that were waited for
--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -62,7 +62,7 @@
         if (!slot.loading)
             resident[adapter] = slot.version;
     }
-    noteResident(runtime, std::move(resident));
+    noteResident(node, target, std::move(resident));
     node.engineChanged.notifyAll();
     publishEngine(node, target);
 }
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -80,7 +80,7 @@
         ResidentVersions resident;
         for (const HeldAdapter &held : entry.adapters)
             resident[held.adapter] = held.version;
-        noteResident(runtime, std::move(resident));
+        noteResident(node, id, std::move(resident));
         runtime.models = std::set<std::string>(entry.models.begin(), entry.models.end());
     }
     const bool wasLapsed = !isNew && known->second.lapsedAt != Instant{};
@@ -247,6 +247,7 @@
     while (!node.stopped) {
         sweep(node);
         forgetEvidence(node, BootClock::now());
+        forgetUnused(node.prefixes.book, BootClock::now());
         co_await pauseFor(node, sweepEvery);
     }
 }
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -7,6 +7,7 @@
 #include "HarmfulWatch.h"
 #include "PassedHeaders.h"
 #include "Placing.h"
+#include "PrefixSharing.h"
 #include "StreamRelay.h"
 #include "TargetEnds.h"
 #include "TargetExchange.h"
@@ -116,6 +117,7 @@
               {"loads", std::to_string(run.loads)},
               {"sends", std::to_string(run.sends)},
               {"promptTokens", std::to_string(static_cast<int>(run.facts.promptTokens))},
+              {"cachedTokens", std::to_string(static_cast<int>(run.cachedTokens))},
               {"late",
                first - run.arrivedAt > run.route->latencyObjective
                        || run.longestGap > run.route->gapObjective
@@ -323,6 +325,7 @@
         }
         if (facts.misdirected) {
             runtimeOf(this->node, target.id).resident.erase(this->run.facts.adapter);
+            forgetPrefixesOf(this->node, target.id, this->run.facts.adapter);
             this->run.missedAt = target.id;
             this->run.tried.pop_back();
             co_return;
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 
+#include "PrefixSharing.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -73,15 +74,19 @@
     return found == node.book.records.end() ? nullptr : &found->second.entry;
 }
 
-void noteResident(TargetRuntime &runtime, ResidentVersions resident)
+void noteResident(GatewayNode &node, const std::string &target, ResidentVersions resident)
 {
+    TargetRuntime &runtime = runtimeOf(node, target);
     for (const auto &[adapter, version] : resident) {
         if (runtime.resident.count(adapter) == 0)
             noteTouched(runtime.copies, adapter);
     }
     for (const auto &[adapter, version] : runtime.resident) {
-        if (resident.count(adapter) == 0)
+        const auto kept = resident.find(adapter);
+        if (kept == resident.end())
             noteTouched(runtime.copies, adapter);
+        if (kept == resident.end() || kept->second != version)
+            forgetPrefixesOf(node, target, adapter);
     }
     runtime.resident = std::move(resident);
 }
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -9,7 +9,6 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -33,6 +32,8 @@
 #include "serving/LoadQueue.h"
 #include "serving/NamedLimit.h"
 #include "serving/OrderDesk.h"
+#include "serving/PrefixBook.h"
+#include "serving/PrefixLog.h"
 #include "serving/ServiceRetryBudget.h"
 #include "serving/ServingConfig.h"
 #include "serving/TargetBook.h"
@@ -78,7 +79,6 @@
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
     HostCopies copies; ///< adapters that load fast again there
     std::set<std::string> models; ///< base models that are there
-    std::unordered_set<std::string> cachedParts; ///< of prompts, by adapter and part
 };
 
 /** The last word of a VM on whether it may order engines of its zone. */
@@ -122,6 +122,8 @@
     std::set<std::string> toldInWhole; ///< targets that it has told so far in that
     std::uint64_t toldBoot = 0; ///< its boot that was told of engines up to `toldChange`
     std::uint64_t toldChange = 0; ///< of this VM's own changes
+    std::uint64_t seenPrefix = 0; ///< last of its log of prefixes, in the boot `seenBoot`
+    std::uint64_t toldPrefix = 0; ///< last of the own log that its boot `toldBoot` was told
 
     int configFailures = 0; ///< reads of its configuration that failed, in a row
     Instant configRetryAt{}; ///< no further one before this
@@ -197,6 +199,13 @@
     ChangeLog<std::uint64_t, KnownEvidence> evidence; ///< by an id that its VM drew
 };
 
+/** Prefixes of prompts that engines have read, and what other VMs are told of them. */
+struct SharedPrefixes
+{
+    PrefixBook book;
+    PrefixLog log;
+};
+
 /** Beginning of the name under which another zone as a whole reports; see UseLedger. */
 constexpr std::string_view zoneReporter = "zone ";
 
@@ -259,6 +268,7 @@
     FleetSize fleet;
     Signal configOffered; ///< a peer has a newer one
     SharedFacts facts;
+    SharedPrefixes prefixes;
     TargetBook book;
     std::unordered_map<std::string, std::unique_ptr<TargetRuntime>> targets;
     std::unordered_map<std::string, ServiceRetryBudget> retryBudgets; ///< by service
@@ -321,7 +331,7 @@
 const TargetEntry *entryOf(const GatewayNode &node, const std::string &target);
 
 /** Sets what an engine holds, and remembers what it held. */
-void noteResident(TargetRuntime &runtime, ResidentVersions resident);
+void noteResident(GatewayNode &node, const std::string &target, ResidentVersions resident);
 
 /** Gateways heard of lately, this one among them; counts those that fell silent for a while on. */
 int liveGateways(const GatewayNode &node);
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -8,6 +8,7 @@
 #include "LeaseKeeping.h"
 #include "NewsCodec.h"
 #include "NewsTelling.h"
+#include "PrefixSharing.h"
 #include "SharedEngines.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
@@ -126,6 +127,7 @@
         return report;
     const bool mate = peer.zone == node.settings.zone;
     report->set_carries_use(true);
+    reportPrefixes(node, peer, mate, BootClock::now(), *report);
     report->set_vms(static_cast<std::uint32_t>(zoneVms(node)));
     for (const auto &[target, use] : zoneUses(node))
         encodeUse(target, use, *report->add_uses());
@@ -317,10 +319,13 @@
     for (const v1::Target &leaving : report.leaving())
         noteLeavingByPeer(node, leaving.id(), leaving.born());
     takeEvidenceTold(node, report.evidence());
-    if (mate)
+    if (mate) {
+        takePrefixesReported(node, report);
         takeReleases(node, report.released());
+    }
 
     tellNews(node, report, mate, digest);
+    tellPrefixes(node, report, mate, digest);
     if (mate)
         fillReleases(node, now, *digest.mutable_released());
     if (mate && report.carries_use()) {
@@ -360,6 +365,7 @@
     if (peer.zone != node.settings.zone)
         noteZoneRelay(node, peer, digest);
     noteConfigOffer(node, peer, digest.config_version());
+    takePrefixesTold(node, peer, digest);
     takeNews(node, peer, digest, upstream);
     if (peer.zone == node.settings.zone)
         takeReleases(node, digest.released());
@@ -386,6 +392,7 @@
     PeerState &peer = node.peers.at(endpoint);
     peer.asking = true;
     const std::uint64_t told = node.facts.counter.last;
+    const std::uint64_t prefixTold = node.prefixes.log.last;
     const std::shared_ptr<const v1::Report> report = reportTo(node, peer, withUse);
     const Instant asked = BootClock::now();
     const auto digest = co_await node.links.exchange(endpoint, report, reportTimeout);
@@ -412,6 +419,7 @@
     if (withUse && bootBefore == digest->from().boot()) {
         answered.toldBoot = bootBefore;
         answered.toldChange = told;
+        answered.toldPrefix = prefixTold;
     }
     co_return true;
 }
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -35,35 +35,6 @@
 /** Without any target: entries are listed again within seconds. */
 constexpr Duration comeBackLater = std::chrono::milliseconds(800);
 
-/** Parts of prompts that are remembered for an engine; about twice what its memory can hold. */
-constexpr std::size_t mostCachedParts = 256;
-
-std::string partKey(const CallRun &run, const PromptPart &part)
-{
-    return run.facts.adapter + "|" + part.id;
-}
-
-/** Tokens at the beginning of the call's prompt that own calls have had read there before. */
-double cachedTokens(const CallRun &run, const TargetRuntime &runtime)
-{
-    double tokens = 0;
-    for (const PromptPart &part : run.facts.prompt) {
-        if (runtime.cachedParts.count(partKey(run, part)) == 0)
-            return tokens;
-        tokens += part.tokens;
-    }
-    return tokens;
-}
-
-void rememberParts(const CallRun &run, TargetRuntime &runtime)
-{
-    // What an engine keeps is not known exactly; starting anew now and then only costs estimates.
-    if (runtime.cachedParts.size() > mostCachedParts)
-        runtime.cachedParts.clear();
-    for (const PromptPart &part : run.facts.prompt)
-        runtime.cachedParts.insert(partKey(run, part));
-}
-
 bool isUsable(GatewayNode &node, const std::string &target, const TargetUse &all, Instant now)
 {
     return !isEjected(runtimeOf(node, target).health, now) && !isFailing(all);
@@ -135,7 +106,7 @@
         view.waitingTokens = use.waitingTokens;
         view.heldTokens = use.heldTokens;
         view.runs = use.runs;
-        view.cachedTokens = cachedTokens(run, runtime);
+        view.cachedTokens = cachedInEngine(run, entry, use, spec.engine->kvTokens);
         view.usable = isUsable(node, entry.id, use, now);
         view.hasModel = runtime.models.count(run.facts.model) > 0;
         const EngineRecord *record = node.facts.engines.find(entry.id);
@@ -179,6 +150,8 @@
 asio::awaitable<Placement> placeOnEngine(CallRun &run, const ServiceSpec &spec)
 {
     GatewayNode &node = run.node;
+    if (run.prefixes.empty())
+        run.prefixes = promptPrefixes(run.facts.adapter, run.facts.prompt, run.facts.promptTokens);
     EngineNeed need;
     need.adapter = run.facts.adapter;
     need.version = versionInForce(node, need.adapter);
@@ -285,7 +258,8 @@
     , target(target)
     , runtime(runtimeOf(run.node, target))
     , adapter(run.facts.adapter)
-    , waiting(run.facts.promptTokens - cachedTokens(run, this->runtime))
+    , prompt(run, target, BootClock::now())
+    , waiting(run.facts.promptTokens - run.cachedTokens)
     , held(run.facts.promptTokens + run.facts.maxOutputTokens)
 {
     this->runtime.own.runs += 1;
@@ -313,11 +287,9 @@
 
 void UseGuard::noteFirstEvent()
 {
-    if (this->waiting == 0)
-        return;
     this->runtime.own.waitingTokens -= this->waiting;
     this->waiting = 0;
-    rememberParts(this->run, this->runtime);
+    this->prompt.noteFirstEvent(BootClock::now());
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/Placing.h
+++ b/libs/gateway/src/Placing.h
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "CallRun.h"
+#include "PrefixSharing.h"
 
 namespace monsoonbay {
 
@@ -34,6 +35,7 @@
     std::string target;
     TargetRuntime &runtime;
     std::string adapter;
+    PromptReading prompt;
     double waiting;
     double held;
 };
--- /dev/null
+++ b/libs/gateway/src/PrefixSharing.cpp
@@ -0,0 +1,145 @@
+#include "PrefixSharing.h"
+
+#include "NewsCodec.h"
+#include "PrefixCodec.h"
+
+namespace monsoonbay {
+
+namespace {
+
+namespace v1 = gateway::v1;
+
+std::uint64_t keyOf(const GatewayNode &node, const std::string &target)
+{
+    const TargetEntry *entry = entryOf(node, target);
+    return engineKey(target, entry == nullptr ? 0 : entry->born);
+}
+
+std::uint64_t tellerOf(const Endpoint &endpoint)
+{
+    return stableHash(endpoint.text());
+}
+
+} // namespace
+
+double cachedInEngine(const CallRun &run, const TargetEntry &engine, const TargetUse &use,
+                      double kvTokens)
+{
+    if (run.prefixes.empty())
+        return 0;
+    PrefixBook &book = run.node.prefixes.book;
+    const std::uint64_t key = engineKey(engine.id, engine.born);
+    holdTo(book, key, memoryForPrefixes(kvTokens, use.heldTokens));
+    return keptTokens(book, key, run.prefixes);
+}
+
+void forgetPrefixesOf(GatewayNode &node, const std::string &target, const std::string &adapter)
+{
+    if (!node.prefixes.book.engines.empty())
+        forgetAdapter(node.prefixes.book, keyOf(node, target), prefixTagOf(adapter));
+}
+
+PromptReading::PromptReading(CallRun &run, const std::string &target, Instant now)
+    : run(run)
+{
+    run.cachedTokens = 0;
+    if (run.prefixes.empty())
+        return;
+    this->engine = keyOf(run.node, target);
+    run.cachedTokens = keptTokens(run.node.prefixes.book, this->engine, run.prefixes);
+    this->aheadTokens = totalLoad(run.node, target).waitingTokens;
+    this->begunAt = now;
+    this->waiting = true;
+}
+
+// What was believed when the call was sent is no evidence; only its first event is.
+void PromptReading::noteFirstEvent(Instant now)
+{
+    if (!this->waiting)
+        return;
+    this->waiting = false;
+    GatewayNode &node = this->run.node;
+    PrefixTrial trial;
+    trial.untilFirst = now - this->begunAt;
+    trial.promptTokens = this->run.facts.promptTokens;
+    trial.keptTokens = this->run.cachedTokens;
+    trial.aheadTokens = this->aheadTokens;
+    if (showsMissing(trial, node.settings.weights.promptTokensPerMs)) {
+        noteMissing(node.prefixes.book, this->engine, this->run.prefixes, now);
+        node.metrics.add(Counter::PrefixesMissing);
+        return;
+    }
+    node.metrics.add(Counter::CachedTokens, static_cast<std::uint64_t>(trial.keptTokens));
+    for (const PromptPrefix &prefix :
+         noteRead(node.prefixes.book, this->engine, this->run.prefixes, now))
+        logPrefix(node.prefixes.log, {this->engine, prefix}, PrefixSource::Own, 0, now);
+}
+
+void reportPrefixes(const GatewayNode &node, const PeerState &peer, bool mate, Instant now,
+                    v1::Report &report)
+{
+    PrefixNews news;
+    news.seen = peer.seenPrefix;
+    if (mate) {
+        PrefixReader reader;
+        reader.relay = true;
+        reader.seen = peer.toldBoot == peer.boot ? peer.toldPrefix : 0;
+        news.reads = prefixesFor(node.prefixes.log, reader, now);
+    }
+    encodePrefixNews(news, report);
+}
+
+void tellPrefixes(const GatewayNode &node, const v1::Report &report, bool mate, v1::Digest &digest)
+{
+    const PrefixLog &log = node.prefixes.log;
+    if (!report.carries_use() || log.entries.empty())
+        return;
+    PrefixReader reader;
+    reader.mate = mate;
+    reader.teller = tellerOf(decodeEndpoint(report.from()));
+    const std::uint64_t seen = decodePrefixNews(report).seen;
+    // A number that was never given is not of this log.
+    if (report.known_boot() == node.boot && seen <= log.last)
+        reader.seen = seen;
+    PrefixNews news;
+    news.reads = prefixesFor(log, reader, BootClock::now());
+    if (news.reads.empty())
+        return;
+    news.change = log.last;
+    encodePrefixNews(news, digest);
+}
+
+namespace {
+
+void takeReads(GatewayNode &node, const Endpoint &teller, PrefixSource source,
+               const std::vector<PrefixRead> &reads)
+{
+    if (reads.empty())
+        return;
+    const Instant now = BootClock::now();
+    const std::uint64_t from = tellerOf(teller);
+    for (const PrefixRead &read : reads) {
+        if (noteHeard(node.prefixes.book, read.engine, read.prefix, now))
+            logPrefix(node.prefixes.log, read, source, from, now);
+    }
+}
+
+} // namespace
+
+void takePrefixesReported(GatewayNode &node, const v1::Report &report)
+{
+    takeReads(node, decodeEndpoint(report.from()), PrefixSource::Zone,
+              decodePrefixNews(report).reads);
+}
+
+void takePrefixesTold(GatewayNode &node, PeerState &peer, const v1::Digest &digest)
+{
+    if (peer.seenBoot != digest.from().boot())
+        peer.seenPrefix = 0;
+    const PrefixNews news = decodePrefixNews(digest);
+    if (news.change > 0)
+        peer.seenPrefix = news.change;
+    takeReads(node, peer.endpoint, PrefixSource::Elsewhere, news.reads);
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/src/PrefixSharing.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "CallRun.h"
+#include "Gateway.pb.h"
+#include "GatewayNode.h"
+
+namespace monsoonbay {
+
+/** Tokens of the call's prompt that an engine with so much memory is believed to keep. */
+double cachedInEngine(const CallRun &run, const TargetEntry &engine, const TargetUse &use,
+                      double kvTokens);
+
+/** An engine has unloaded an adapter, or replaced it: it has read no prompt with it. */
+void forgetPrefixesOf(GatewayNode &node, const std::string &target, const std::string &adapter);
+
+/** The reading of a call's prompt by the target that the call is sent to. */
+class PromptReading
+{
+public:
+    /** Sets the call's `cachedTokens`. */
+    PromptReading(CallRun &run, const std::string &target, Instant now);
+
+    /** The first event has come: the prompt is read. Does nothing after the first time. */
+    void noteFirstEvent(Instant now);
+
+private:
+    CallRun &run;
+    std::uint64_t engine = 0;
+    double aheadTokens = 0;
+    Instant begunAt{};
+    bool waiting = false;
+};
+
+/**
+ * Adds to a report how much of the peer's log of prefixes this VM has, and to a mate what own calls
+ * have shown since it was told last.
+ */
+void reportPrefixes(const GatewayNode &node, const PeerState &peer, bool mate, Instant now,
+                    gateway::v1::Report &report);
+
+/** Adds to the answer of a report what its sender has not seen. `mate`: it is of this zone. */
+void tellPrefixes(const GatewayNode &node, const gateway::v1::Report &report, bool mate,
+                  gateway::v1::Digest &digest);
+
+/** Takes what a mate's calls have shown, and logs what is new for those that ask this VM. */
+void takePrefixesReported(GatewayNode &node, const gateway::v1::Report &report);
+
+/** The same of the answer to a report; before the peer's boot is noted from it. */
+void takePrefixesTold(GatewayNode &node, PeerState &peer, const gateway::v1::Digest &digest);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -41,7 +41,7 @@
     if (otherHolder && !runtime.ownAdapterRuns.empty())
         noteRunsChanged(node, target);
     runtime.models = record.models;
-    noteResident(runtime, record.resident);
+    noteResident(node, target, record.resident);
     node.facts.engines.set(target, std::move(record), node.facts.counter);
     node.engineChanged.notifyAll();
 }
--- a/libs/gateway/src/TargetStarts.cpp
+++ b/libs/gateway/src/TargetStarts.cpp
@@ -20,7 +20,6 @@
     runtime.resident.clear();
     runtime.copies = HostCopies();
     runtime.models.clear();
-    runtime.cachedParts.clear();
 }
 
 void forgetEngine(GatewayNode &node, const std::string &target, std::int64_t born)
@@ -66,6 +65,7 @@
               {"bornBefore", std::to_string(record.entry.born)},
               {"born", std::to_string(born)}});
     noteEndByList(node, target, born);
+    forgetEngine(node.prefixes.book, engineKey(target, record.entry.born));
     record.entry.born = born;
     record.entry.leaving = false;
     record.entry.models.clear();
--- /dev/null
+++ b/libs/gateway/tests/Prefixes.cpp
@@ -0,0 +1,285 @@
+#include "CallRun.h"
+#include "Feeds.h"
+#include "GatewayNode.h"
+#include "NewsCodec.h"
+#include "PeerExchange.h"
+#include "PrefixCodec.h"
+#include "PrefixSharing.h"
+#include "TargetStarts.h"
+
+#include <random>
+
+#include <criterion/criterion.h>
+#include <google/protobuf/unknown_field_set.h>
+
+using namespace monsoonbay;
+
+namespace {
+
+namespace v1 = gateway::v1;
+
+GatewaySettings settingsOf(const std::string &zone, std::uint16_t port)
+{
+    GatewaySettings settings;
+    settings.vm = "vm-" + std::to_string(port);
+    settings.zone = zone;
+    settings.peers = {"10.0.0.1", port};
+    return settings;
+}
+
+/** Time to a first event when most of the prompt is cached, and when none of it is. */
+constexpr Duration soon = std::chrono::milliseconds(80);
+constexpr Duration wholeReading = std::chrono::milliseconds(300);
+
+/** A VM that knows one engine. */
+struct Vm
+{
+    Vm(const std::string &zone, std::uint16_t port)
+        : node(settingsOf(zone, port))
+        , caller(this->node.context)
+    {
+        TargetEntry engine;
+        engine.id = "engine-1";
+        engine.born = 1;
+        takeTargetsByPeer(this->node, {engine});
+    }
+
+    /** A call with a shared prefix; returns what is believed cached when it is sent. */
+    double call(std::optional<Duration> untilFirst)
+    {
+        CallRun run(this->node, this->caller, HttpRequest());
+        run.facts.promptTokens = 9190;
+        run.facts.prompt = {{"shared", 6300}, {"own", 2890}};
+        run.prefixes = promptPrefixes("m/a", run.facts.prompt, run.facts.promptTokens);
+        const TargetEntry &engine = *entryOf(this->node, "engine-1");
+        const double chosenBy = cachedInEngine(run, engine, TargetUse(), 232'000);
+        const Instant now = BootClock::now();
+        PromptReading reading(run, "engine-1", now);
+        if (untilFirst)
+            reading.noteFirstEvent(now + *untilFirst);
+        cr_assert_eq(run.cachedTokens, chosenBy, "the choice and the count of what waits");
+        return run.cachedTokens;
+    }
+
+    double believed()
+    {
+        return this->call(std::nullopt);
+    }
+
+    GatewayNode node;
+    boost::beast::tcp_stream caller;
+    std::uint64_t sequence = 0;
+};
+
+/** The report that `from` sends in a regular exchange with `to`. */
+v1::Report reportOf(Vm &from, Vm &to)
+{
+    v1::Report report;
+    encodeSelf(from.node, *report.mutable_from());
+    report.set_sequence(++from.sequence);
+    report.set_carries_use(true);
+    const PeerState &peer = from.node.peers[to.node.settings.peers];
+    report.set_known_boot(peer.seenBoot);
+    report.set_known_change(peer.seenChange);
+    const bool mate = from.node.settings.zone == to.node.settings.zone;
+    reportPrefixes(from.node, peer, mate, BootClock::now(), report);
+    return report;
+}
+
+v1::Digest exchange(Vm &from, Vm &to)
+{
+    const bool mate = from.node.settings.zone == to.node.settings.zone;
+    const v1::Digest digest = answerReport(to.node, reportOf(from, to));
+    takeDigest(from.node, to.node.settings.peers, digest, mate);
+    return digest;
+}
+
+} // namespace
+
+// Guards against prompts that are read again at an engine which has read them for another VM's
+// call: each VM saw only its own, one in 83.
+Test(prefixes, what_one_vm_learns_is_used_in_its_zone_and_in_others)
+{
+    Vm first("zone-a", 1);
+    Vm relay("zone-a", 2);
+    Vm mate("zone-a", 3);
+    Vm farRelay("zone-b", 4);
+    Vm far("zone-b", 5);
+    cr_assert_eq(first.believed(), 0);
+    cr_assert_eq(first.believed(), 0, "a call that was sent shows nothing");
+    exchange(first, relay);
+    cr_assert_eq(relay.believed(), 0);
+    first.call(soon);
+    const v1::Digest echo = exchange(first, relay);
+    cr_assert(decodePrefixNews(echo).reads.empty(), "not told back");
+    cr_assert_eq(relay.believed(), 6300);
+    exchange(mate, relay);
+    cr_assert_eq(mate.believed(), 6300);
+    exchange(farRelay, relay);
+    exchange(far, farRelay);
+    cr_assert_eq(far.believed(), 6300);
+    cr_assert(decodePrefixNews(exchange(mate, relay)).reads.empty(), "told once");
+    cr_assert(decodePrefixNews(exchange(relay, farRelay)).reads.empty(), "not told round");
+}
+
+// Guards against estimates from before a restart of the engine, also by words that come late, and
+// from before its adapter was unloaded or replaced.
+Test(prefixes, a_restart_or_an_unloaded_adapter_leaves_none)
+{
+    Vm vm("zone-a", 1);
+    Vm late("zone-a", 2);
+    noteResident(vm.node, "engine-1", {{"m/a", 1}, {"m/b", 1}});
+    vm.call(soon);
+    noteResident(vm.node, "engine-1", {{"m/a", 1}});
+    cr_assert_eq(vm.believed(), 6300, "another adapter was unloaded");
+    noteResident(vm.node, "engine-1", {{"m/a", 2}});
+    cr_assert_eq(vm.believed(), 0, "it was replaced");
+    vm.call(soon);
+    noteResident(vm.node, "engine-1", {});
+    cr_assert_eq(vm.believed(), 0, "it was unloaded");
+    late.call(soon);
+    noteStartOf(vm.node, "engine-1", 2);
+    exchange(late, vm);
+    cr_assert_eq(vm.believed(), 0, "told of the former start");
+}
+
+// Guards against a belief that feeds itself: calls follow it, and each that was sent renews it.
+// Told on at once, it would come back from the others.
+Test(prefixes, a_prefix_that_was_found_missing_is_neither_believed_nor_told)
+{
+    Vm first("zone-a", 1);
+    Vm relay("zone-a", 2);
+    first.call(soon);
+    exchange(first, relay);
+    const std::uint64_t logged = first.node.prefixes.log.last;
+    cr_assert_eq(first.call(wholeReading), 6300);
+    cr_assert_eq(first.node.metrics.value(Counter::PrefixesMissing), 1);
+    cr_assert_eq(first.believed(), 0);
+    first.call(soon);
+    cr_assert_eq(first.believed(), 0, "not for a while");
+    cr_assert_eq(first.node.prefixes.log.last, logged);
+    logPrefix(relay.node.prefixes.log, relay.node.prefixes.log.entries.back().read,
+              PrefixSource::Zone, 9, BootClock::now());
+    exchange(first, relay);
+    cr_assert_eq(first.believed(), 0, "nor when another VM tells");
+}
+
+// Guards against a VM that hears nothing more after messages were lost, came in another order, or
+// came from a relay that has started anew.
+Test(prefixes, lost_and_late_messages_cost_only_what_they_told)
+{
+    Vm first("zone-a", 1);
+    Vm relay("zone-a", 2);
+    Vm mate("zone-a", 3);
+    first.call(soon);
+    reportOf(first, relay); // lost
+    answerReport(relay.node, reportOf(first, relay)); // its answer is lost
+    const v1::Report early = reportOf(mate, relay);
+    exchange(mate, relay);
+    cr_assert_eq(mate.believed(), 6300);
+    answerReport(relay.node, early); // an older one comes late
+    PeerState &known = mate.node.peers[relay.node.settings.peers];
+    known.seenPrefix = 1'000'000; // of a log that the relay never had
+    noteRead(relay.node.prefixes.book, 7, {{42, 5000}}, BootClock::now());
+    logPrefix(relay.node.prefixes.log, {7, {42, 5000}}, PrefixSource::Own, 0, BootClock::now());
+    exchange(mate, relay);
+    cr_assert_eq(keptTokens(mate.node.prefixes.book, 7, {{42, 5000}}), 5000);
+    Vm reborn("zone-a", 2);
+    exchange(mate, reborn);
+    cr_assert_eq(known.seenPrefix, 0, "the numbers of the former boot say nothing");
+    reborn.call(soon);
+    exchange(mate, reborn);
+    cr_assert_eq(known.seenPrefix, reborn.node.prefixes.log.last);
+}
+
+// Guards against bad values on the wire that are believed, or that end the VM.
+Test(prefixes, bad_values_are_left_out)
+{
+    v1::Report report;
+    PrefixNews news;
+    news.reads = {{1, {10, 999}}, {1, {11, 1000}}, {1, {12, 2'000'000'000}}, {2, {13, 5000}}};
+    encodePrefixNews(news, report);
+    const PrefixNews taken = decodePrefixNews(report);
+    cr_assert_eq(taken.reads.size(), 2);
+    cr_assert_eq(taken.reads[0].prefix.hash, 11);
+    cr_assert_eq(taken.reads[1].engine, 2);
+    news.reads.assign(1000, {3, {14, 5000}});
+    v1::Report many;
+    encodePrefixNews(news, many);
+    cr_assert_eq(decodePrefixNews(many).reads.size(), mostPrefixesTold);
+    // Every way of cutting or changing a message can be read.
+    const std::string sound =
+        report.GetReflection()->GetUnknownFields(report).field(0).length_delimited();
+    std::mt19937 random(7);
+    for (int round = 0; round < 5000; ++round) {
+        std::string bytes = sound.substr(0, random() % (sound.size() + 1));
+        if (!bytes.empty())
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        v1::Report spoiled;
+        auto *fields = spoiled.GetReflection()->MutableUnknownFields(&spoiled);
+        fields->AddLengthDelimited(30, bytes);
+        for (const PrefixRead &read : decodePrefixNews(spoiled).reads)
+            cr_assert(read.prefix.tokens >= leastToldTokens);
+    }
+}
+
+namespace {
+
+/** A second of answers to one VM: each tells what was logged since the last one. */
+double bytesPerSecond(double readsPerSecond, int engines, Duration spacing)
+{
+    std::mt19937_64 random(11);
+    PrefixLog log;
+    PrefixReader reader;
+    reader.mate = true;
+    constexpr int messages = 50;
+    Instant now = Instant{} + std::chrono::seconds(1000);
+    std::size_t bytes = 0;
+    for (int message = 0; message < messages; ++message) {
+        now += spacing;
+        const int reads = static_cast<int>(readsPerSecond * toSeconds(spacing));
+        for (int read = 0; read < reads; ++read) {
+            const auto engine = stableHash(std::to_string(random() % engines));
+            logPrefix(log, {engine, {random(), 6300}}, PrefixSource::Elsewhere, 9, now);
+        }
+        v1::Digest digest;
+        PrefixNews news;
+        news.reads = prefixesFor(log, reader, now);
+        news.change = log.last;
+        encodePrefixNews(news, digest);
+        bytes += digest.ByteSizeLong();
+        reader.seen = log.last;
+    }
+    return static_cast<double>(bytes) / (messages * toSeconds(spacing));
+}
+
+} // namespace
+
+// Guards against news that take a weak link's bytes. Spacings are those of RelayLoops.cpp for the
+// VMs of one of four zones; each prefix is told once, as if no two calls shared any.
+Test(prefixes, the_bytes_to_each_vm_are_bounded)
+{
+    using namespace std::chrono_literals;
+    for (const int prefixes : {1, 2}) {
+        const double today = bytesPerSecond(143 * prefixes, 90, 168ms);
+        const double large = bytesPerSecond(500 * prefixes, 90, 600ms);
+        cr_log_info("%d a call: %.0f and %.0f bytes a second", prefixes, today, large);
+        cr_assert(today < 10'000 && large < 10'000);
+    }
+}
+
+// Guards against bytes and work where no call names shared parts.
+Test(prefixes, without_shared_parts_nothing_is_told)
+{
+    Vm first("zone-a", 1);
+    Vm relay("zone-a", 2);
+    CallRun run(first.node, first.caller, HttpRequest());
+    run.facts.promptTokens = 9190;
+    PromptReading reading(run, "engine-1", BootClock::now());
+    reading.noteFirstEvent(BootClock::now());
+    const v1::Report report = reportOf(first, relay);
+    const v1::Digest digest = answerReport(relay.node, report);
+    cr_assert(report.GetReflection()->GetUnknownFields(report).empty());
+    cr_assert(digest.GetReflection()->GetUnknownFields(digest).empty());
+    cr_assert(first.node.prefixes.book.engines.empty());
+}
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -28,6 +28,8 @@
     TokensStreamed,
     KeysRefused, ///< calls without a key that is known to be valid
     OverLimit, ///< calls beyond their workspace's limit
+    CachedTokens, ///< of prompts, that engines were believed to keep from former calls
+    PrefixesMissing, ///< times that they read the whole prompt all the same
     Count, ///< number of counters, not one of them
 };
 
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -32,7 +32,7 @@
     "wrong_answers",     "key_replays",       "loads_done",
     "loads_failed",      "peer_sent_bytes",   "peer_messages_sent",
     "engine_calls",      "tokens_streamed",   "keys_refused",
-    "over_limit"};
+    "over_limit",        "cached_tokens",     "prefixes_missing"};
 
 constexpr std::array<std::string_view, timingCount> timingNames{
     "load_stall_seconds", "first_piece_seconds", "between_pieces_seconds", "refusal_seconds"};
