--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -32,6 +32,8 @@
     OverLimitRank0,
     OverLimitRank1,
     OverLimitRank2,
+    CachedTokens, ///< of prompts, that engines were believed to keep from former calls
+    PrefixesMissing, ///< times that they read the whole prompt all the same
     Count, ///< number of counters, not one of them
 };
 
