The random part of the choice follows the real age of what a VM knows

Cause: the random part that keeps VMs from following old news was drawn up to the regular age of news, 0.3 s, also at a VM that hears no other VM. It went on sending to the engine that had looked least busy before the cut.

Change: NewsAge gives the age from the time since another VM told anything and the share of the known VMs that are heard, up to 3 s. It is used where the routes to a service have different objectives.

Run: serving-tests, gateway-tests.

--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -120,7 +120,9 @@
     const int capacity = model != nullptr ? adapterCapacity(*spec.engine, *model) : 0;
     // See calls_do_not_follow_old_news_all_to_the_same_engine: with 195 VMs it takes late calls
     // from 20 to 18 in 100 on a heavy day (one play each).
-    std::uniform_real_distribution<double> doubt(0, 1000 * toSeconds(loadNewsAge(node)));
+    const Duration age =
+        run.routes->quickestObjective(run.service) ? knownLoadAge(node, now) : loadNewsAge(node);
+    std::uniform_real_distribution<double> doubt(0, 1000 * toSeconds(age));
     std::vector<EngineView> views;
     for (const TargetRecord *listed : takingTargets(run, now)) {
         const TargetEntry &entry = listed->entry;
--- a/libs/gateway/src/RelayLoops.cpp
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -7,6 +7,7 @@
 #include "SharedEngines.h"
 #include "ZoneView.h"
 #include "observe/Events.h"
+#include "serving/NewsAge.h"
 
 namespace monsoonbay {
 
@@ -92,6 +93,21 @@
     return reportSpacing(node) + zoneSpacing(node) / 2;
 }
 
+Duration knownLoadAge(const GatewayNode &node, Instant now)
+{
+    Instant word = node.upstream.at;
+    for (const auto &[reporter, report] : node.reported.reports)
+        word = std::max(word, report.at);
+    const Instant all = node.fleet.heardAt == Instant{} ? node.bootedAt : node.fleet.heardAt;
+    NewsFacts facts;
+    facts.regular = loadNewsAge(node);
+    facts.sinceWord = word == Instant{} ? Duration::zero() : now - word;
+    facts.sinceAll = now - all;
+    facts.vmsHeard = vmsInTouch(node, now);
+    facts.vmsKnown = vmsKnown(node, now);
+    return newsAge(facts);
+}
+
 namespace {
 
 /** The relay has not told all that it knows yet. */
--- a/libs/gateway/src/RelayLoops.h
+++ b/libs/gateway/src/RelayLoops.h
@@ -10,6 +10,9 @@
 /** How old what this VM knows of the load of engines is, about: it grows with the VMs. */
 Duration loadNewsAge(const GatewayNode &node);
 
+/** How old it really is, if some or all other VMs are not heard; see NewsAge.h. */
+Duration knownLoadAge(const GatewayNode &node, Instant now);
+
 /** Reports to the relay of the zone and learns from it; finds another when it falls silent. */
 asio::awaitable<void> upstreamLoop(GatewayNode &node);
 
--- a/libs/serving/tests/Forecasts.cpp
+++ b/libs/serving/tests/Forecasts.cpp
@@ -1,10 +1,12 @@
 #include <algorithm>
+#include <random>
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
 #include "EngineDay.h"
 #include "serving/EngineForecast.h"
+#include "serving/NewsAge.h"
 #include "serving/ServingConfig.h"
 
 using namespace monsoonbay;
@@ -179,6 +181,45 @@
     cr_assert(routes.quickestObjective("mixed") == Duration(std::chrono::milliseconds(500)));
 }
 
+// Symptom: a third of the VMs heard no other VM for 12 s and went on sending to the engine that had
+// looked least busy before. Cause: the random part was drawn up to the regular age of news.
+Test(forecasts, a_vm_that_hears_nobody_spreads_its_calls)
+{
+    using namespace std::chrono_literals;
+    NewsFacts facts{300ms, 100ms, 1900ms, 83, 83};
+    cr_assert(newsAge(facts) == Duration(300ms), "all are heard");
+    facts.sinceWord = 1200ms;
+    cr_assert(newsAge(facts) == Duration(1200ms), "the relay is silent");
+    facts.vmsHeard = 1;
+    facts.sinceAll = 4s;
+    const double deaf = toSeconds(newsAge(facts));
+    cr_assert_gt(deaf, 2.9);
+    cr_assert_leq(deaf, 3.0);
+    facts.vmsKnown = 1;
+    facts.sinceWord = 0s;
+    cr_assert(newsAge(facts) == Duration(300ms), "there is no other VM");
+
+    std::vector<EngineView> views;
+    for (int index = 0; index < 10; ++index) {
+        views.push_back(engine("e" + std::to_string(index), &holds));
+        views.back().waitingTokens = 1500 * index;
+    }
+    const auto mostAtOne = [&views](double age) {
+        std::mt19937 random(7);
+        std::uniform_real_distribution<double> doubt(0, age);
+        std::vector<int> calls(views.size(), 0);
+        for (int call = 0; call < 1000; ++call) {
+            for (EngineView &view : views)
+                view.doubtMs = doubt(random);
+            ++calls[chooseEngine(views, quickNeed(), {}, weights).engine];
+        }
+        return *std::max_element(calls.begin(), calls.end());
+    };
+    // Twice an even share, as even 350 ms of difference shift a draw of up to 3 s a little.
+    cr_assert_gt(mostAtOne(300), 270, "%d", mostAtOne(300));
+    cr_assert_lt(mostAtOne(1000 * deaf), 200, "%d", mostAtOne(1000 * deaf));
+}
+
 namespace {
 
 /** Mean of a few played days. */
