A second copy is weighed before the queue can make calls late

Cause: an adapter with a tenth of all calls had too few copies. A copy was ordered when the wait had reached 0.85 of the objective by news 0.3 s old, and took 0.3 s more to load.

Change: a copy is weighed once the forecast and the age of the news, up to half of the objective, pass the objective, and ordered if the call meets its objective there with the load. The rule of two idle slots is kept.

Run: serving-tests, gateway-tests.

--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -112,6 +112,13 @@
     return first == Instant{} ? comeBackLater : first - now;
 }
 
+/** Age of what this VM knows of the load of engines, for the choice. */
+Duration loadAge(const CallRun &run, Instant now)
+{
+    const bool real = run.routes->quickestObjective(run.service).has_value();
+    return real ? knownLoadAge(run.node, now) : loadNewsAge(run.node);
+}
+
 std::vector<EngineView> engineViews(CallRun &run, const ServiceSpec &spec)
 {
     GatewayNode &node = run.node;
@@ -194,6 +201,7 @@
     Placement placement;
     while (!run.cancelled()) {
         const std::vector<EngineView> views = engineViews(run, spec);
+        need.newsAgeMs = 1000 * toSeconds(loadAge(run, BootClock::now()));
         const EngineChoice choice = nextEngine(run, views, need);
         if (choice.step == EngineStep::None) {
             placement.refusal = ownAnswer(503, "no engine can be reached", comeBackWhenTaken(run));
--- a/libs/serving/include/serving/EngineBoard.h
+++ b/libs/serving/include/serving/EngineBoard.h
@@ -55,6 +55,7 @@
     EngineObjectives objectives;
     /** Least objective for the first event among the service's routes; 0: all have the same. */
     double quickestMs = 0;
+    double newsAgeMs = 0; ///< age of what is known of the engines' load
 };
 
 enum class EngineStep : std::uint8_t {
--- a/libs/serving/src/ForecastChoice.cpp
+++ b/libs/serving/src/ForecastChoice.cpp
@@ -121,13 +121,30 @@
     return best;
 }
 
+/**
+ * Part of the objective up to which the age of the news counts. With news that are older than the
+ * objective, each call would otherwise order a copy, also beside an engine that looks idle.
+ */
+constexpr double newsShare = 0.5;
+
+// A queue can grow by the age of the news before this VM hears of it. Once it is known to make
+// calls late, those on their way there are late as well, for a load lasts as long as the objective
+// of a short call.
+bool mayBeLate(const EngineFigures &stay, const EngineNeed &need)
+{
+    const double objective = need.objectives.firstEventMs;
+    return stay.forecast + std::min(need.newsAgeMs, newsShare * objective) > objective;
+}
+
 /** True if the adapter is to be loaded at `home` although `stay` has it. */
 bool copyPays(const EngineFigures &stay, const EngineFigures &home, const EngineView &homeView,
-              const EngineWeights &weights)
+              const EngineNeed &need, const EngineWeights &weights)
 {
-    if (homeView.idleSlots < idleSlotsForCopy || stay.meets)
+    if (homeView.idleSlots < idleSlotsForCopy)
         return false;
-    return home.meets || stay.cost > home.cost + weights.copyLoads * homeView.fetchMs;
+    if (home.meets)
+        return !stay.meets || mayBeLate(stay, need);
+    return !stay.meets && stay.cost > home.cost + weights.copyLoads * homeView.fetchMs;
 }
 
 } // namespace
@@ -145,12 +162,12 @@
     }
     const auto resident =
         leastCost(engines, figures, EngineUse::Send, [](const EngineView &) { return true; });
-    if (resident && figures[*resident].meets)
+    if (resident && figures[*resident].meets && !mayBeLate(figures[*resident], need))
         return {EngineStep::Send, *resident};
     const auto home = firstHome(engines, figures, need, weights);
     if (resident) {
         const bool copy =
-            home && copyPays(figures[*resident], figures[*home], engines[*home], weights);
+            home && copyPays(figures[*resident], figures[*home], engines[*home], need, weights);
         return copy ? EngineChoice{EngineStep::Load, *home}
                     : EngineChoice{EngineStep::Send, *resident};
     }
--- a/libs/serving/tests/EngineDay.h
+++ b/libs/serving/tests/EngineDay.h
@@ -27,6 +27,7 @@
     double load = 1; ///< factor on all kinds
     bool byForecast = true;
     bool realAge = true; ///< VMs know how old their news is
+    bool earlyCopies = true; ///< the age of the news counts when a copy is weighed
     bool deafThird = false; ///< a third of the VMs hear no other VM from 8 to 20 s
     EngineWeights weights;
     unsigned seed = 1;
