The choice uses the pace of prompt reading that own calls have shown

Cause: the forecast read prompts at a constant, 38.4 tokens per ms, whatever the engines of a service do.

Change: PrefillPace keeps the last 32 calls of a service that found nothing waiting and had 2,000 tokens or more to read; the median of those of the last 30 s takes the place of the constant, within a factor of four. Used where the routes to a service have different objectives. call-answered tells the forecast and the time that it took; the metric forecast_error_seconds tells how far it was off.

--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -43,6 +43,8 @@
     int sends = 0;
     Duration placing{}; ///< time spent on finding targets, loads included
     int loads = 0; ///< adapter loads that were waited for
+    Duration forecast{}; ///< expected from the choice of the engine to the first event; zero: none
+    Instant forecastAt{}; ///< when that engine was chosen
     Instant firstPieceAt{}; ///< of the answer, towards the caller; zero: none yet
     Instant lastPieceAt{};
     Duration longestGap{}; ///< between two pieces
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -103,6 +103,7 @@
 {
     const Instant now = BootClock::now();
     const Instant first = run.firstPieceAt == Instant{} ? now : run.firstPieceAt;
+    const bool forecast = run.forecast > Duration::zero() && first > run.forecastAt;
     run.node.metrics.add(Counter::RequestsAnswered);
     logEvent(EventId::CallAnswered,
              {{"call", run.facts.attemptId},
@@ -112,6 +113,8 @@
               {"firstMs", millisText(first - run.arrivedAt)},
               {"wholeMs", millisText(now - run.arrivedAt)},
               {"placingMs", millisText(run.placing)},
+              {"forecastMs", millisText(run.forecast)},
+              {"forecastTookMs", millisText(forecast ? first - run.forecastAt : Duration::zero())},
               {"longestGapMs", millisText(run.longestGap)},
               {"loads", std::to_string(run.loads)},
               {"sends", std::to_string(run.sends)},
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -33,6 +33,7 @@
 #include "serving/LoadQueue.h"
 #include "serving/NamedLimit.h"
 #include "serving/OrderDesk.h"
+#include "serving/PrefillPace.h"
 #include "serving/ServiceRetryBudget.h"
 #include "serving/ServingConfig.h"
 #include "serving/TargetBook.h"
@@ -295,6 +296,7 @@
     std::unordered_map<std::string, std::unique_ptr<HeldDesk>> desks;
     std::map<std::pair<std::string, std::string>, std::shared_ptr<Signal>> loadsAsked;
     LoadBeliefs loadBeliefs;
+    std::unordered_map<std::string, PrefillPace> prefillPaces; ///< by service
     HarmfulCalls harmful; ///< follows from the evidence
     bool evidenceChanged = false; ///< since it was judged last
     std::size_t evidenceCalls = 0; ///< named in all evidence
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -1,12 +1,14 @@
 #include "Placing.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "EngineOrders.h"
 #include "LeaseKeeping.h"
 #include "RelayLoops.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
+#include "serving/EngineForecast.h"
 #include "serving/PlainChoice.h"
 
 namespace monsoonbay {
@@ -119,6 +121,16 @@
     return real ? knownLoadAge(run.node, now) : loadNewsAge(run.node);
 }
 
+/** The weights of the choice, by the pace that own calls have shown. */
+EngineWeights weightsNow(const CallRun &run)
+{
+    EngineWeights weights = run.node.settings.weights;
+    const auto pace = run.node.prefillPaces.find(run.service);
+    if (pace != run.node.prefillPaces.end() && run.routes->quickestObjective(run.service))
+        weights.promptTokensPerMs = prefillPace(pace->second, weights.promptTokensPerMs);
+    return weights;
+}
+
 std::vector<EngineView> engineViews(CallRun &run, const ServiceSpec &spec)
 {
     GatewayNode &node = run.node;
@@ -175,14 +187,14 @@
  * have the adapter; anywhere else it would be loaded anew, and the holder would not learn of it.
  */
 EngineChoice nextEngine(const CallRun &run, const std::vector<EngineView> &views,
-                        const EngineNeed &need)
+                        const EngineNeed &need, const EngineWeights &weights)
 {
     for (std::size_t index = 0; index < views.size(); ++index) {
         const EngineView &view = views[index];
         if (view.id == run.missedAt && view.usable && view.hasHolder && !hasAdapter(view, need))
             return {EngineStep::Load, index};
     }
-    return chooseEngine(views, need, run.tried, run.node.settings.weights);
+    return chooseEngine(views, need, run.tried, weights);
 }
 
 asio::awaitable<Placement> placeOnEngine(CallRun &run, const ServiceSpec &spec)
@@ -202,7 +214,8 @@
     while (!run.cancelled()) {
         const std::vector<EngineView> views = engineViews(run, spec);
         need.newsAgeMs = 1000 * toSeconds(loadAge(run, BootClock::now()));
-        const EngineChoice choice = nextEngine(run, views, need);
+        const EngineWeights weights = weightsNow(run);
+        const EngineChoice choice = nextEngine(run, views, need, weights);
         if (choice.step == EngineStep::None) {
             placement.refusal = ownAnswer(503, "no engine can be reached", comeBackWhenTaken(run));
             co_return placement;
@@ -225,6 +238,10 @@
             continue;
         }
         const std::string id = views[choice.engine].id;
+        run.forecastAt = BootClock::now();
+        run.forecast = fromSeconds(
+            forecastMs(views[choice.engine], need, weights, choice.step == EngineStep::Send)
+            / 1000);
         if (choice.step == EngineStep::Load) {
             ++run.loads;
             const bool missed = run.missedAt == id;
@@ -299,6 +316,8 @@
     , adapter(run.facts.adapter)
     , waiting(run.facts.promptTokens - cachedTokens(run, this->runtime))
     , held(run.facts.promptTokens + run.facts.maxOutputTokens)
+    , waitingBefore(totalLoad(run.node, target).waitingTokens)
+    , sentAt(BootClock::now())
 {
     this->runtime.own.runs += 1;
     this->runtime.own.waitingTokens += this->waiting;
@@ -327,6 +346,14 @@
 {
     if (this->waiting == 0)
         return;
+    const Instant now = BootClock::now();
+    GatewayNode &node = this->run.node;
+    notePrefill(node.prefillPaces[this->run.service],
+                {this->waiting, this->waitingBefore, now - this->sentAt}, now);
+    if (this->run.forecast > Duration::zero()) {
+        const double missed = toSeconds(now - this->run.forecastAt - this->run.forecast);
+        node.metrics.record(Timing::ForecastError, std::abs(missed));
+    }
     this->runtime.own.waitingTokens -= this->waiting;
     this->waiting = 0;
     rememberParts(this->run, this->runtime);
--- a/libs/gateway/src/Placing.h
+++ b/libs/gateway/src/Placing.h
@@ -36,6 +36,8 @@
     std::string adapter;
     double waiting;
     double held;
+    double waitingBefore; ///< tokens of other calls, as far as known
+    Instant sentAt;
 };
 
 } // namespace monsoonbay
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -36,6 +36,7 @@
     FirstPiece, ///< seconds from arrival to the first piece of the answer
     BetweenPieces,
     Refusal, ///< seconds from arrival to a refusal
+    ForecastError, ///< seconds by which a first event came earlier or later than expected
     Count, ///< number of timings, not one of them
 };
 
