A call whose early copy was declined goes where its adapter is

Cause: after six declined loads a call waits 40 ms and asks again, also if an engine that has its adapter would answer it in time.

Change: a copy that is only ordered because of the age of the news is asked for once. A call that would be late where its adapter is asks on as before.

--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -214,6 +214,7 @@
     while (!run.cancelled()) {
         const std::vector<EngineView> views = engineViews(run, spec);
         need.newsAgeMs = 1000 * toSeconds(loadAge(run, BootClock::now()));
+        need.mayCopyEarly = run.unloadable.empty();
         const EngineWeights weights = weightsNow(run);
         const EngineChoice choice = nextEngine(run, views, need, weights);
         if (choice.step == EngineStep::None) {
--- a/libs/serving/include/serving/EngineBoard.h
+++ b/libs/serving/include/serving/EngineBoard.h
@@ -56,6 +56,7 @@
     /** Least objective for the first event among the service's routes; 0: all have the same. */
     double quickestMs = 0;
     double newsAgeMs = 0; ///< age of what is known of the engines' load
+    bool mayCopyEarly = true; ///< false once an engine has declined a load for this call
 };
 
 enum class EngineStep : std::uint8_t {
--- a/libs/serving/src/ForecastChoice.cpp
+++ b/libs/serving/src/ForecastChoice.cpp
@@ -132,6 +132,8 @@
 // of a short call.
 bool mayBeLate(const EngineFigures &stay, const EngineNeed &need)
 {
+    if (!need.mayCopyEarly)
+        return false;
     const double objective = need.objectives.firstEventMs;
     return stay.forecast + std::min(need.newsAgeMs, newsShare * objective) > objective;
 }
--- a/libs/serving/tests/EngineDay.cpp
+++ b/libs/serving/tests/EngineDay.cpp
@@ -232,6 +232,7 @@
         need.newsAgeMs = this->day.earlyCopies ? this->ageOf(call->vm) : 0;
         while (true) {
             this->look(*call);
+            need.mayCopyEarly = call->declined.empty();
             const EngineChoice choice = chooseEngine(this->views, need, {}, this->day.weights);
             const bool over = this->now - call->at > 0.7 * kind.objectiveMs;
             if (choice.step != EngineStep::Send && over)
--- a/libs/serving/tests/Forecasts.cpp
+++ b/libs/serving/tests/Forecasts.cpp
@@ -234,6 +234,10 @@
     cr_assert(chooseEngine(views, need, {}, weights).step == EngineStep::Send, "fresh news");
     need.newsAgeMs = 300;
     cr_assert(chooseEngine(views, need, {}, weights).step == EngineStep::Load);
+    // Guards against holding a call after declined loads although its adapter is there.
+    need.mayCopyEarly = false;
+    cr_assert(chooseEngine(views, need, {}, weights).step == EngineStep::Send, "declined before");
+    need.mayCopyEarly = true;
     views[1].idleSlots = 1;
     cr_assert(chooseEngine(views, need, {}, weights).step == EngineStep::Send, "no slot to spare");
     views[1].idleSlots = 4;
