Long prompts may leave engines to quick calls, by a value of the weights

Cause: a long prompt, 240 ms of reading, makes a short call with an objective of 500 ms late that comes just after it.

Change: EngineWeights::longPrompts chooses between the forecast alone (the default), engines that meet the objective with the fewest quick calls first, and one engine in four that long prompts keep off while others meet their objective. The decision also hashes the adapter once for all engines instead of once for each.

Run: serving-tests, gateway-tests, monsoonbayd.

--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -101,6 +101,7 @@
     told.set_busy_slots(use.busySlots);
     told.set_faults(static_cast<std::uint32_t>(std::max(use.faults, 0)));
     told.set_goods(static_cast<std::uint32_t>(std::max(use.goods, 0)));
+    told.set_quick_runs(use.quickRuns);
 }
 
 void encodeWorkspaceUse(const std::string &workspace, const WorkspaceUse &use,
@@ -129,6 +130,7 @@
     use.busySlots = told.busy_slots();
     use.faults = static_cast<int>(told.faults());
     use.goods = static_cast<int>(told.goods());
+    use.quickRuns = told.quick_runs();
     return use;
 }
 
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -156,6 +156,7 @@
         view.waitingTokens = use.waitingTokens;
         view.heldTokens = use.heldTokens;
         view.runs = use.runs;
+        view.quickRuns = use.quickRuns;
         view.cachedTokens = cachedTokens(run, runtime);
         view.usable = isUsable(node, entry.id, use, now);
         view.hasModel = runtime.models.count(run.facts.model) > 0;
@@ -317,12 +318,14 @@
     , adapter(run.facts.adapter)
     , waiting(run.facts.promptTokens - cachedTokens(run, this->runtime))
     , held(run.facts.promptTokens + run.facts.maxOutputTokens)
+    , quick(run.routes->quickestObjective(run.service) == run.route->latencyObjective ? 1 : 0)
     , waitingBefore(totalLoad(run.node, target).waitingTokens)
     , sentAt(BootClock::now())
 {
     this->runtime.own.runs += 1;
     this->runtime.own.waitingTokens += this->waiting;
     this->runtime.own.heldTokens += this->held;
+    this->runtime.own.quickRuns += this->quick;
     if (this->adapter.empty())
         return;
     if (++this->runtime.ownAdapterRuns[this->adapter] == 1)
@@ -334,6 +337,7 @@
     this->runtime.own.waitingTokens -= this->waiting;
     this->runtime.own.runs -= 1;
     this->runtime.own.heldTokens -= this->held;
+    this->runtime.own.quickRuns -= this->quick;
     if (this->adapter.empty())
         return;
     const auto runs = this->runtime.ownAdapterRuns.find(this->adapter);
--- a/libs/gateway/src/Placing.h
+++ b/libs/gateway/src/Placing.h
@@ -36,6 +36,7 @@
     std::string adapter;
     double waiting;
     double held;
+    int quick; ///< 1 for a call of a route with the least objective
     double waitingBefore; ///< tokens of other calls, as far as known
     Instant sentAt;
 };
--- a/libs/serving/include/serving/EngineBoard.h
+++ b/libs/serving/include/serving/EngineBoard.h
@@ -25,6 +25,7 @@
     double waitingTokens = 0; ///< prompt tokens sent by all VMs that have no first event yet
     double heldTokens = 0; ///< tokens in memory for all running calls
     int runs = 0; ///< calls under way, of all VMs
+    int quickRuns = 0; ///< those of the route with the least objective among them
     double cachedTokens = 0; ///< of this call's prompt that the engine need not read again
     bool usable = true; ///< neither leaving nor ejected
     bool hasModel = true; ///< the base model is there; without it nothing runs
@@ -74,6 +75,13 @@
     auto operator<=>(const EngineChoice &) const = default;
 };
 
+/** What long prompts leave to calls with a shorter objective; see ForecastChoice.h. */
+enum class LongPrompts : std::uint8_t {
+    Alone, ///< nothing: their own forecast decides
+    FewerQuick, ///< among engines that meet their objective, those where fewer such calls run
+    Apart, ///< one engine in four, while others meet their objective
+};
+
 /**
  * Figures that the choice weighs by. What a place away from an adapter's home costs is a load from
  * the weight store, now or later, so these waits are measured by the expected time of one. As
@@ -110,6 +118,7 @@
     double spillLoads = 1.7;
     /** Part of the engine's memory that may be filled by running calls. */
     double memoryShare = 0.9;
+    LongPrompts longPrompts = LongPrompts::Alone;
 
     auto operator<=>(const EngineWeights &) const = default;
 };
--- a/libs/serving/src/ForecastChoice.cpp
+++ b/libs/serving/src/ForecastChoice.cpp
@@ -27,6 +27,7 @@
     bool meets = false; ///< the call's objective
     double forecast = 0; ///< of the first event, ms
     double cost = 0; ///< see expectedCostMs()
+    int yielding = 0; ///< of a long prompt to quick calls; engines with less go first
 };
 
 using Figures = boost::container::small_vector<EngineFigures, engineRoom>;
@@ -37,19 +38,75 @@
         && std::find(tried.begin(), tried.end(), engine.id) == tried.end();
 }
 
+/** A prompt whose reading takes more than this share of the least objective is a long one. */
+constexpr double longShare = 0.25;
+/** Long prompts keep off one engine in so many. */
+constexpr std::uint64_t apartOneIn = 4;
+
+bool isLong(const EngineNeed &need, const EngineWeights &weights)
+{
+    return need.objectives.firstEventMs > need.quickestMs
+        && need.promptTokens / weights.promptTokensPerMs > longShare * need.quickestMs;
+}
+
+int yieldingOf(const EngineView &engine, const EngineNeed &need, const EngineWeights &weights)
+{
+    if (weights.longPrompts == LongPrompts::Alone || !isLong(need, weights))
+        return 0;
+    if (weights.longPrompts == LongPrompts::FewerQuick)
+        return engine.quickRuns;
+    return engine.hash % apartOneIn == 0 ? 1 : 0;
+}
+
+/**
+ * hasAdapter() for one need at many engines. Maps of the same size keep a key in the same bucket,
+ * so it is hashed only once for all of them.
+ */
+class AdapterSearch
+{
+public:
+    explicit AdapterSearch(const EngineNeed &need)
+        : need(need)
+    { }
+
+    bool isAt(const EngineView &engine)
+    {
+        if (this->need.adapter.empty())
+            return true;
+        if (engine.resident == nullptr)
+            return false;
+        const ResidentVersions &resident = *engine.resident;
+        if (resident.bucket_count() != this->buckets) {
+            this->buckets = resident.bucket_count();
+            this->bucket = resident.bucket(this->need.adapter);
+        }
+        return std::any_of(
+            resident.begin(this->bucket), resident.end(this->bucket), [this](const auto &held) {
+                return held.first == this->need.adapter && held.second >= this->need.version;
+            });
+    }
+
+private:
+    const EngineNeed &need;
+    std::size_t buckets = 0;
+    std::size_t bucket = 0;
+};
+
 EngineFigures figuresOf(const EngineView &engine, const EngineNeed &need,
-                        const EngineWeights &weights)
+                        const EngineWeights &weights, AdapterSearch &search)
 {
     EngineFigures figures;
     if (!hasRoom(engine, need, weights))
         return figures;
-    const bool there = hasAdapter(engine, need);
+    const bool there = search.isAt(engine);
     if (!there && (!engine.hasHolder || engine.idleSlots <= 0))
         return figures;
     figures.use = there ? EngineUse::Send : EngineUse::Load;
     figures.forecast = forecastMs(engine, need, weights, there);
     figures.meets = meetsObjective(figures.forecast, need, weights);
-    figures.cost = figures.forecast + expectedPausesMs(engine, need, weights, there);
+    figures.yielding = yieldingOf(engine, need, weights);
+    const bool pauses = need.objectives.pauseMs > 0;
+    figures.cost = figures.forecast + (pauses ? expectedPausesMs(engine, need, weights, there) : 0);
     return figures;
 }
 
@@ -57,7 +114,11 @@
 bool goesBefore(const EngineFigures &one, double oneCost, const EngineFigures &other,
                 double otherCost) noexcept
 {
-    return one.meets != other.meets ? one.meets : oneCost < otherCost;
+    if (one.meets != other.meets)
+        return one.meets;
+    if (one.meets && one.yielding != other.yielding)
+        return one.yielding < other.yielding;
+    return oneCost < otherCost;
 }
 
 /**
@@ -91,8 +152,13 @@
     bool anyMeets = false;
     for (const EngineFigures &engine : figures)
         anyMeets = anyMeets || (engine.use == EngineUse::Load && engine.meets);
-    const auto isCandidate = [anyMeets](const EngineFigures &engine) {
-        return engine.use == EngineUse::Load && (engine.meets || !anyMeets);
+    bool anyOpen = false;
+    for (const EngineFigures &engine : figures)
+        anyOpen =
+            anyOpen || (engine.use == EngineUse::Load && engine.meets && engine.yielding == 0);
+    const auto isCandidate = [&](const EngineFigures &engine) {
+        return engine.use == EngineUse::Load && (engine.meets || !anyMeets)
+            && (weights.longPrompts != LongPrompts::Apart || !anyOpen || engine.yielding == 0);
     };
     double least = std::numeric_limits<double>::infinity();
     for (const EngineFigures &engine : figures) {
@@ -155,12 +221,13 @@
                               const std::vector<std::string> &tried, const EngineWeights &weights)
 {
     Figures figures(engines.size());
+    AdapterSearch search(need);
     bool anyUsable = false;
     for (std::size_t index = 0; index < engines.size(); ++index) {
         if (!isUsable(engines[index], tried))
             continue;
         anyUsable = true;
-        figures[index] = figuresOf(engines[index], need, weights);
+        figures[index] = figuresOf(engines[index], need, weights, search);
     }
     const auto resident =
         leastCost(engines, figures, EngineUse::Send, [](const EngineView &) { return true; });
--- a/libs/serving/src/TargetUse.cpp
+++ b/libs/serving/src/TargetUse.cpp
@@ -15,6 +15,7 @@
     sum.busySlots += use.busySlots;
     sum.faults += use.faults;
     sum.goods += use.goods;
+    sum.quickRuns += use.quickRuns;
 }
 
 void subtractUse(TargetUse &sum, const TargetUse &use)
@@ -25,6 +26,7 @@
     sum.busySlots -= use.busySlots;
     sum.faults -= use.faults;
     sum.goods -= use.goods;
+    sum.quickRuns -= use.quickRuns;
 }
 
 } // namespace monsoonbay
--- a/libs/serving/tests/EngineDay.cpp
+++ b/libs/serving/tests/EngineDay.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t mostDeclines = 6;
 constexpr double roomLookMs = 40;
 constexpr double stepMs = 5.5;
+constexpr std::size_t quickKind = 2;
 
 struct Engine
 {
@@ -39,6 +40,7 @@
     double waiting = 0;
     double held = 0;
     int runs = 0;
+    int quickRuns = 0;
     std::map<std::string, int> inUse;
     std::map<std::string, double> loading; ///< when they are done
     std::map<std::string, double> usedAt; ///< of adapters that are there
@@ -51,6 +53,7 @@
     double waiting = 0;
     double held = 0;
     int runs = 0;
+    int quickRuns = 0;
     int idle = 0;
     std::shared_ptr<const ResidentVersions> resident;
 };
@@ -167,7 +170,7 @@
         Snapshot snapshot;
         for (const Engine &engine : this->engines)
             snapshot.engines.push_back(
-                {engine.waiting, engine.held, engine.runs,
+                {engine.waiting, engine.held, engine.runs, engine.quickRuns,
                  this->day.adapterSlots - static_cast<int>(engine.inUse.size()), engine.resident});
         snapshot.own = this->own;
         snapshot.fetchMs = this->fetchTime();
@@ -204,6 +207,7 @@
             view.waitingTokens = others + this->own[vm][number];
             view.heldTokens = dropped ? 0 : seen.held;
             view.runs = dropped ? 0 : seen.runs;
+            view.quickRuns = dropped ? 0 : seen.quickRuns;
             view.idleSlots = dropped ? this->day.adapterSlots : seen.idle;
             view.resident = contains(call.missed, number) ? nullptr : seen.resident.get();
             view.hasHolder = !deaf && !contains(call.declined, number);
@@ -363,8 +367,10 @@
             engine.waiting -= kind.promptTokens;
             this->own[static_cast<std::size_t>(call->vm)][call->engine] -= kind.promptTokens;
             this->finish(*call, this->now - call->at <= kind.objectiveMs);
+            engine.quickRuns += call->kind == quickKind ? 1 : 0;
             return this->add(this->now + kind.runMs, Step::End, call);
         case Step::End:
+            engine.quickRuns -= call->kind == quickKind ? 1 : 0;
             --engine.runs;
             engine.held -= kind.promptTokens + 200;
             if (--engine.inUse[call->adapter] == 0)
--- a/libs/serving/tests/Forecasts.cpp
+++ b/libs/serving/tests/Forecasts.cpp
@@ -15,6 +15,11 @@
 
 const std::string adapter = "m/a1";
 const ResidentVersions holds{{adapter, 1}};
+/** Other adapters as well, so that the map has another size. */
+const ResidentVersions holdsMany{{"m/a3", 1}, {"m/a4", 1}, {"m/a5", 1}, {"m/a6", 1}, {"m/a7", 1},
+                                 {"m/a8", 1}, {"m/a9", 1}, {"m/b1", 1}, {"m/b2", 1}, {"m/b3", 1},
+                                 {"m/b4", 1}, {"m/b5", 1}, {"m/b6", 1}, {adapter, 1}};
+const ResidentVersions holdsOther{{"m/a2", 1}};
 const EngineWeights weights;
 
 EngineView engine(const std::string &id, const ResidentVersions *resident = nullptr)
@@ -48,8 +53,9 @@
     std::vector<EngineView> views;
     const auto count = *rc::gen::inRange(1, 8);
     for (int index = 0; index < count; ++index) {
-        const bool resident = *rc::gen::arbitrary<bool>();
-        EngineView view = engine("e" + std::to_string(index), resident ? &holds : nullptr);
+        const ResidentVersions *resident =
+            *rc::gen::element<const ResidentVersions *>(nullptr, &holdsOther, &holds, &holdsMany);
+        EngineView view = engine("e" + std::to_string(index), resident);
         view.usable = *rc::gen::inRange(0, 8) > 0;
         view.hasHolder = *rc::gen::inRange(0, 8) > 0;
         view.warm = *rc::gen::inRange(0, 4) == 0;
@@ -250,6 +256,30 @@
     cr_assert(chooseEngine(views, need, {}, weights).step == EngineStep::Send, "an idle engine");
 }
 
+// Guards that a long prompt yields only where another engine meets its objective, and a short call
+// never does.
+Test(forecasts, long_prompts_leave_engines_to_quick_calls_while_others_have_room)
+{
+    std::vector<EngineView> views{engine("e1", &holds), engine("e2", &holds)};
+    views[0].quickRuns = 3;
+    views[0].hash = 4;
+    views[1].hash = 5;
+    views[1].waitingTokens = 5000;
+    EngineNeed need = quickNeed();
+    need.promptTokens = 9190;
+    need.objectives.firstEventMs = 1000;
+    EngineWeights by;
+    cr_assert_eq(chooseEngine(views, need, {}, by).engine, 0);
+    for (const LongPrompts way : {LongPrompts::FewerQuick, LongPrompts::Apart}) {
+        by.longPrompts = way;
+        cr_assert_eq(chooseEngine(views, need, {}, by).engine, 1);
+        cr_assert_eq(chooseEngine(views, quickNeed(), {}, by).engine, 0, "a short call");
+        std::vector<EngineView> busy = views;
+        busy[1].waitingTokens = 30000;
+        cr_assert_eq(chooseEngine(busy, need, {}, by).engine, 0, "it would be late there");
+    }
+}
+
 namespace {
 
 /** Mean of a few played days. */
@@ -288,5 +318,10 @@
     cr_assert_gt(after.onTime[2], before.onTime[2] + 0.01, "%f before, %f after", before.onTime[2],
                  after.onTime[2]);
     cr_assert_gt(after.onTime[0], before.onTime[0]);
+    day.earlyCopies = true;
+    day.weights.longPrompts = LongPrompts::FewerQuick;
+    const DayResult yielding = playDays(day);
+    cr_assert_gt(yielding.onTime[2], after.onTime[2] + 0.02, "%f with long prompts yielding",
+                 yielding.onTime[2]);
     cr_assert_lt(after.lateThere[2], before.lateThere[2]);
 }
