Calls wait for a load that is under way instead of starting another

Change: the holder of an engine tells which adapters are being loaded there (EngineState.incoming). A call that would have its adapter loaded waits at the engine that is loading it already, or that a call of the same VM has asked for it, if that engine has room and the load and the prompts that wait there fit its patience. It asks the holder there, who keeps the slot for it. What is named longer than a load was expected to take is not waited for, nor one whose holder is gone. Metrics: loads_shared, loads_joined.

--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -59,8 +59,11 @@
     TargetRuntime &runtime = runtimeOf(node, target);
     ResidentVersions resident;
     runtime.models = deskOf(node, target).desk.models;
+    runtime.incoming = IncomingLoads();
     for (const auto &[adapter, slot] : deskOf(node, target).desk.slots) {
-        if (!slot.loading)
+        if (slot.loading)
+            runtime.incoming.doneAt[adapter] = slot.readyAt;
+        else
             resident[adapter] = slot.version;
     }
     noteResident(runtime, std::move(resident));
@@ -207,6 +210,12 @@
     return found == desk.slots.end() ? 0 : found->second.version;
 }
 
+bool isLoading(const OrderDesk &desk, const std::string &adapter)
+{
+    const auto found = desk.slots.find(adapter);
+    return found != desk.slots.end() && found->second.loading;
+}
+
 EngineOrder unloadOrder(const std::string &key)
 {
     EngineOrder order;
@@ -283,6 +292,19 @@
         && isOrderable(node, target);
 }
 
+std::optional<Duration> loadUnderWay(GatewayNode &node, const std::string &target,
+                                     const std::string &adapter, Duration loadTime)
+{
+    const auto incoming = incomingIn(runtimeOf(node, target).incoming, adapter, BootClock::now());
+    const bool asked =
+        std::any_of(node.loadsAsked.begin(), node.loadsAsked.end(), [&](const auto &ask) {
+            return ask.first.first == target && ask.first.second == adapter;
+        });
+    if ((!incoming && !asked) || !isOrderable(node, target))
+        return std::nullopt;
+    return incoming ? incoming : loadTime;
+}
+
 asio::awaitable<v1::LoadReply> loadHere(GatewayNode &node, v1::LoadRequest request)
 {
     const Instant begun = BootClock::now();
@@ -293,6 +315,8 @@
     const Duration beginWithin = request.begin_within_ms() > 0
         ? Duration(std::chrono::milliseconds(request.begin_within_ms()))
         : loadPatience;
+    if (isLoading(deskOf(node, target).desk, key))
+        node.metrics.add(Counter::LoadsJoined);
     const QueuePlace place(deskOf(node, target).queue, key);
     while (BootClock::now() - begun < loadPatience) {
         const TargetEntry *entry = entryOf(node, target);
@@ -429,14 +453,15 @@
     const auto key = std::make_pair(target, adapter);
     const auto underWay = node.loadsAsked.find(key);
     if (underWay != node.loadsAsked.end()) {
-        const std::shared_ptr<Signal> signal = underWay->second;
-        co_await signal->wait(most);
+        const std::shared_ptr<LoadAsk> other = underWay->second;
+        ++other->callers;
+        co_await other->done.wait(most);
         const ResidentVersions &resident = runtimeOf(node, target).resident;
         const auto found = resident.find(adapter);
         co_return found != resident.end() && found->second >= version;
     }
-    const auto signal = std::make_shared<Signal>(node.context);
-    node.loadsAsked[key] = signal;
+    const auto ask = std::make_shared<LoadAsk>(node.context);
+    node.loadsAsked[key] = ask;
     v1::LoadRequest request;
     request.set_target(target);
     request.set_model(model);
@@ -465,9 +490,11 @@
         std::int64_t &known = runtimeOf(node, target).resident[adapter];
         known = std::max(known, reply->version());
         node.metrics.record(Timing::LoadStall, toSeconds(BootClock::now() - begun));
+        if (ask->callers > 1)
+            node.metrics.add(Counter::LoadsShared);
     }
     node.loadsAsked.erase(key);
-    signal->notifyAll();
+    ask->done.notifyAll();
     node.engineChanged.notifyAll();
     if (ready)
         co_return true;
--- a/libs/gateway/src/EngineOrders.h
+++ b/libs/gateway/src/EngineOrders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <optional>
 #include <string>
 
 #include "GatewayNode.h"
@@ -16,6 +17,13 @@
  */
 bool mayAskLoad(GatewayNode &node, const std::string &target, Duration begin);
 
+/**
+ * Time until an adapter that is being loaded at an engine is expected there; nothing if none is, or
+ * no call can wait for it. One that a call of this VM has only asked for yet takes `loadTime`.
+ */
+std::optional<Duration> loadUnderWay(GatewayNode &node, const std::string &target,
+                                     const std::string &adapter, Duration loadTime);
+
 /** How long a call waits for the load of its adapter at one engine. */
 struct LoadPatience
 {
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -30,6 +30,7 @@
 #include "serving/EngineRecord.h"
 #include "serving/HarmfulCalls.h"
 #include "serving/HolderLease.h"
+#include "serving/IncomingLoads.h"
 #include "serving/LoadDecline.h"
 #include "serving/LoadQueue.h"
 #include "serving/NamedLimit.h"
@@ -79,6 +80,7 @@
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
     HostCopies copies; ///< adapters that load fast again there
     std::set<std::string> models; ///< base models that are there
+    IncomingLoads incoming;
     LoadMark loadMark; ///< after a declined load, for all calls of this VM
     std::unordered_set<std::string> cachedParts; ///< of prompts, by adapter and part
 };
@@ -132,6 +134,17 @@
     Instant loadFailedAt{}; ///< it did not answer when asked for a load
 };
 
+/** A load that a call of this VM has asked for. */
+struct LoadAsk
+{
+    explicit LoadAsk(asio::io_context &context)
+        : done(context)
+    { }
+
+    Signal done;
+    int callers = 1; ///< that wait for it
+};
+
 /** An engine that this VM orders. */
 struct HeldDesk
 {
@@ -295,7 +308,8 @@
     bool notingOrders = false; ///< notes in the store are being read or added
     Instant noteRetryAt{}; ///< no further attempt before this
     std::unordered_map<std::string, std::unique_ptr<HeldDesk>> desks;
-    std::map<std::pair<std::string, std::string>, std::shared_ptr<Signal>> loadsAsked;
+    /** By engine and adapter. */
+    std::map<std::pair<std::string, std::string>, std::shared_ptr<LoadAsk>> loadsAsked;
     LoadBeliefs loadBeliefs;
     HarmfulCalls harmful; ///< follows from the evidence
     bool evidenceChanged = false; ///< since it was judged last
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/** Field of EngineState, see Gateway.proto. */
+constexpr int incomingField = 15;
+
 /** Fields of LoadReply, see Gateway.proto. */
 constexpr int retryInMsField = 3;
 constexpr int reasonField = 4;
@@ -77,6 +80,8 @@
     }
     for (const std::string &model : record.models)
         state.add_models(model);
+    for (const std::string &adapter : record.incoming)
+        addTextField(state, incomingField, adapter);
     state.set_loading(record.loading);
     state.set_born(record.born);
     state.set_fetch_ms(static_cast<std::uint32_t>(record.fetchMs));
@@ -93,6 +98,8 @@
     for (const v1::Slot &slot : state.slots())
         record.resident[slot.adapter()] = slot.version();
     record.models = std::set<std::string>(state.models().begin(), state.models().end());
+    for (const std::string &adapter : textFields(state, incomingField))
+        record.incoming.insert(adapter);
     record.loading = state.loading();
     record.born = state.born();
     record.fetchMs = state.fetch_ms();
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -95,18 +95,31 @@
     return std::max(run.placeBy - BootClock::now(), leastBeginWait);
 }
 
+bool wasDeclined(const CallRun &run, const std::string &target)
+{
+    return std::find(run.unloadable.begin(), run.unloadable.end(), target) != run.unloadable.end();
+}
+
 /** True if a load for the call may be asked for there. */
 bool mayAskLoadFor(const CallRun &run, const std::string &target)
 {
-    const bool declined =
-        std::find(run.unloadable.begin(), run.unloadable.end(), target) != run.unloadable.end();
-    if (declined)
+    if (wasDeclined(run, target))
         return false;
     // Its holder has to hear that the adapter is not there, whatever it said before.
     return run.missedAt == target ? isOrderable(run.node, target)
                                   : mayAskLoad(run.node, target, beginPatience(run));
 }
 
+/** Time until the call's adapter is there by a load under way; below 0: none is waited for. */
+double incomingMs(const CallRun &run, const std::string &target, double loadMs)
+{
+    if (run.facts.adapter.empty() || wasDeclined(run, target))
+        return -1;
+    const auto incoming =
+        loadUnderWay(run.node, target, run.facts.adapter, fromSeconds(loadMs / 1000));
+    return incoming ? 1000 * toSeconds(*incoming) : -1;
+}
+
 /** Targets of the call's service that take calls of this VM now. */
 std::vector<const TargetRecord *> takingTargets(const CallRun &run, Instant now)
 {
@@ -161,6 +174,7 @@
             && hasHostCopy(runtime.copies, run.facts.adapter, HostMemory{record->copiesKept});
         view.loadMs = record == nullptr ? 0 : view.warm ? record->copyMs : record->fetchMs;
         view.fetchMs = record == nullptr ? 0 : record->fetchMs;
+        view.incomingMs = incomingMs(run, entry.id, view.loadMs);
         view.idleSlots = idleSlotsAt(node, entry, use, capacity);
         view.hasHolder = mayAskLoadFor(run, entry.id);
         view.doubtMs = doubt(node.random);
@@ -179,7 +193,8 @@
 
 /**
  * Where the call goes next. An engine that refused it because its load was not done yet is about to
- * have the adapter; anywhere else it would be loaded anew, and the holder would not learn of it.
+ * have the adapter; anywhere else it would be loaded anew, and the holder would not learn of it. A
+ * load that is under way serves all who want the adapter, if they can wait for it.
  */
 EngineChoice nextEngine(const CallRun &run, const std::vector<EngineView> &views,
                         const EngineNeed &need)
@@ -189,7 +204,13 @@
         if (view.id == run.missedAt && view.usable && view.hasHolder && !hasAdapter(view, need))
             return {EngineStep::Load, index};
     }
-    return chooseEngine(views, need, run.tried, run.node.settings.weights);
+    const EngineWeights &weights = run.node.settings.weights;
+    const EngineChoice choice = chooseEngine(views, need, run.tried, weights);
+    if (choice.step != EngineStep::Load && choice.step != EngineStep::Full)
+        return choice;
+    const double patienceMs = 1000 * toSeconds(beginPatience(run));
+    const auto incoming = incomingEngine(views, need, run.tried, weights, patienceMs);
+    return incoming ? EngineChoice{EngineStep::Load, *incoming} : choice;
 }
 
 asio::awaitable<Placement> placeOnEngine(CallRun &run, const ServiceSpec &spec)
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -44,6 +44,11 @@
         noteRunsChanged(node, target);
     runtime.models = record.models;
     noteResident(runtime, record.resident);
+    const auto expected = [&](const std::string &adapter) {
+        const bool copy = hasHostCopy(runtime.copies, adapter, HostMemory{record.copiesKept});
+        return fromSeconds((copy ? record.copyMs : record.fetchMs) / 1000);
+    };
+    noteIncoming(runtime.incoming, record.incoming, expected, BootClock::now());
     node.facts.engines.set(target, std::move(record), node.facts.counter);
     node.engineChanged.notifyAll();
 }
@@ -66,7 +71,9 @@
     record.copyMs = inSteps(hostCopyTime(beliefs.pace));
     record.copiesKept = std::exp2(std::floor(2 * std::log2(beliefs.memory.loads)) / 2);
     for (const auto &[adapter, slot] : desk.slots) {
-        if (!slot.loading && !slot.leaving)
+        if (slot.loading)
+            record.incoming.insert(adapter);
+        else if (!slot.leaving)
             record.resident[adapter] = slot.version;
     }
     const EngineRecord *known = node.facts.engines.find(target);
--- a/libs/gateway/src/TargetStarts.cpp
+++ b/libs/gateway/src/TargetStarts.cpp
@@ -20,6 +20,7 @@
     runtime.resident.clear();
     runtime.copies = HostCopies();
     runtime.models.clear();
+    runtime.incoming = IncomingLoads();
     runtime.loadMark = LoadMark();
     runtime.cachedParts.clear();
 }
--- a/libs/gateway/tests/LoadNews.cpp
+++ b/libs/gateway/tests/LoadNews.cpp
@@ -1,6 +1,7 @@
 #include "EngineOrders.h"
 #include "GatewayNode.h"
 #include "NewsCodec.h"
+#include "PeerExchange.h"
 #include "SharedEngines.h"
 
 #include <criterion/criterion.h>
@@ -57,3 +58,34 @@
     takeEngineRecord(node, "e", record);
     cr_assert(mark == LoadMark());
 }
+
+// Symptom would be a second load of an adapter that another engine was ordered to load moments ago.
+// Guards against the name of the adapter not reaching other VMs, or reaching them without a time.
+Test(load_news, loads_under_way_are_told_with_the_engine)
+{
+    GatewayNode node((GatewaySettings()));
+    EngineRecord record;
+    record.holder = {"10.0.0.2", 7380};
+    record.holderLive = true;
+    record.revision = {1, 1, 1};
+    record.fetchMs = 300;
+    record.incoming = {"m/a", "m/b"};
+    gateway::v1::EngineState state;
+    encodeEngine("e", record, state);
+    gateway::v1::EngineState read;
+    cr_assert(read.ParseFromString(state.SerializeAsString()));
+    cr_assert(decodeEngine(read) == record);
+    cr_assert(!loadUnderWay(node, "e", "m/a", 300ms));
+    addPeer(node, record.holder, {"vm-2", "zone-a", 1});
+    takeEngineRecord(node, "e", decodeEngine(read));
+    const auto left = loadUnderWay(node, "e", "m/a", 300ms);
+    cr_assert(left && *left > 0ms && *left <= 300ms);
+    cr_assert(!loadUnderWay(node, "e", "m/c", 300ms));
+    node.loadsAsked[{"e", "m/c"}] = std::make_shared<LoadAsk>(node.context);
+    cr_assert(loadUnderWay(node, "e", "m/c", 120ms) == Duration(120ms), "asked by this VM");
+    // The holder is gone: nobody tells when the load is done.
+    record.holderLive = false;
+    ++record.revision.count;
+    takeEngineRecord(node, "e", record);
+    cr_assert(!loadUnderWay(node, "e", "m/a", 300ms));
+}
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -28,6 +28,8 @@
     TokensStreamed,
     KeysRefused, ///< calls without a key that is known to be valid
     OverLimit, ///< calls beyond their workspace's limit
+    LoadsShared, ///< that served several calls of one VM
+    LoadsJoined, ///< calls of a VM that found the load under way at the engine already
     LoadsDeclinedOther, ///< the holder has not answered, or has said no reason
     LoadsDeclinedNoSlot,
     LoadsDeclinedQueue,
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -44,6 +44,8 @@
                                                                   "tokens_streamed",
                                                                   "keys_refused",
                                                                   "over_limit",
+                                                                  "loads_shared",
+                                                                  "loads_joined",
                                                                   "loads_declined_other",
                                                                   "loads_declined_no_slot",
                                                                   "loads_declined_queue",
--- a/libs/serving/include/serving/EngineBoard.h
+++ b/libs/serving/include/serving/EngineBoard.h
@@ -31,6 +31,8 @@
     bool warm = false; ///< it held the adapter lately and loads it fast again
     double loadMs = 0; ///< expected time of a load of the adapter there
     double fetchMs = 0; ///< expected time of a load from the weight store
+    double incomingMs =
+        -1; ///< until a load of the adapter there is done; below 0: none is waited for
     int idleSlots = 1; ///< adapter slots that no call uses now
     bool hasHolder = false; ///< some VM may order it now
     double doubtMs = 0; ///< drawn for this call, up to the age of what is known of the load there
@@ -117,6 +119,9 @@
 double expectedCostMs(const EngineView &engine, const EngineNeed &need,
                       const EngineWeights &weights);
 
+/** True if the engine can run one more call like this. */
+bool hasRoom(const EngineView &engine, const EngineNeed &need, const EngineWeights &weights);
+
 /** True if the engine has the adapter in the version that the call needs. */
 bool hasAdapter(const EngineView &engine, const EngineNeed &need);
 
--- a/libs/serving/include/serving/EngineRecord.h
+++ b/libs/serving/include/serving/EngineRecord.h
@@ -32,6 +32,7 @@
     bool holderLive = false; ///< that VM may order it now, as far as is known
     ResidentVersions resident;
     std::set<std::string> models; ///< base models that are there
+    std::set<std::string> incoming; ///< adapters that are being loaded
     int loading = 0; ///< adapters on their way from the weight store
     // What its holder has learnt of loads, in coarse steps, as each change is told to all.
     double fetchMs = 0; ///< expected time of a load from the weight store, ms
--- a/libs/serving/src/EngineBoard.cpp
+++ b/libs/serving/src/EngineBoard.cpp
@@ -12,14 +12,6 @@
     return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
 
-bool hasRoom(const EngineView &engine, const EngineNeed &need, const EngineWeights &weights)
-{
-    if (engine.runs >= engine.slots)
-        return false;
-    const double wanted = need.promptTokens + need.outputTokens;
-    return engine.runs == 0 || engine.heldTokens + wanted <= weights.memoryShare * engine.kvTokens;
-}
-
 /**
  * Index of the engine with the least cost that `accepts`; nothing if none does.
  *
@@ -106,6 +98,14 @@
         + (there ? 0 : engine.loadMs);
 }
 
+bool hasRoom(const EngineView &engine, const EngineNeed &need, const EngineWeights &weights)
+{
+    if (engine.runs >= engine.slots)
+        return false;
+    const double wanted = need.promptTokens + need.outputTokens;
+    return engine.runs == 0 || engine.heldTokens + wanted <= weights.memoryShare * engine.kvTokens;
+}
+
 bool hasAdapter(const EngineView &engine, const EngineNeed &need)
 {
     if (need.adapter.empty())
--- /dev/null
+++ b/libs/serving/src/IncomingLoads.cpp
@@ -0,0 +1,58 @@
+#include "serving/IncomingLoads.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace monsoonbay {
+
+namespace {
+
+/** The word that a load is done comes about as late as the one that it had begun. */
+constexpr Duration wordOnItsWay = std::chrono::milliseconds(250);
+
+} // namespace
+
+void noteIncoming(IncomingLoads &loads, const std::set<std::string> &adapters,
+                  const std::function<Duration(const std::string &)> &expected, Instant now)
+{
+    std::erase_if(loads.doneAt,
+                  [&adapters](const auto &load) { return adapters.count(load.first) == 0; });
+    for (const std::string &adapter : adapters) {
+        if (loads.doneAt.count(adapter) == 0)
+            loads.doneAt[adapter] = now + expected(adapter);
+    }
+}
+
+// A load that fails, or whose holder goes, is named until there is other news of the engine. Calls
+// wait for it no longer than it was expected to take.
+std::optional<Duration> incomingIn(const IncomingLoads &loads, const std::string &adapter,
+                                   Instant now)
+{
+    const auto load = loads.doneAt.find(adapter);
+    if (load == loads.doneAt.end() || now >= load->second + wordOnItsWay)
+        return std::nullopt;
+    return std::max(load->second - now, Duration::zero());
+}
+
+std::optional<std::size_t> incomingEngine(const std::vector<EngineView> &engines,
+                                          const EngineNeed &need,
+                                          const std::vector<std::string> &tried,
+                                          const EngineWeights &weights, double patienceMs)
+{
+    std::optional<std::size_t> best;
+    double bestMs = patienceMs;
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        const EngineView &engine = engines[index];
+        const bool wasTried = std::find(tried.begin(), tried.end(), engine.id) != tried.end();
+        if (engine.incomingMs < 0 || !engine.usable || !engine.hasModel || wasTried)
+            continue;
+        const double forecast = engine.incomingMs + expectedWaitMs(engine, weights);
+        if (forecast > bestMs || !hasRoom(engine, need, weights))
+            continue;
+        best = index;
+        bestMs = forecast;
+    }
+    return best;
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/serving/tests/Incoming.cpp
@@ -0,0 +1,79 @@
+#include <limits>
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include "serving/IncomingLoads.h"
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant{} + 1000s;
+const EngineWeights weights;
+
+Duration quarterSecond(const std::string &adapter)
+{
+    return adapter.empty() ? 0ms : 250ms;
+}
+
+EngineView drawnEngine(int index)
+{
+    EngineView view;
+    view.id = "e" + std::to_string(index);
+    view.slots = 4;
+    view.kvTokens = 100000;
+    view.runs = *rc::gen::inRange(0, 6);
+    view.waitingTokens = *rc::gen::inRange(0, 20000);
+    view.usable = *rc::gen::inRange(0, 4) > 0;
+    view.hasModel = *rc::gen::inRange(0, 6) > 0;
+    view.incomingMs = *rc::gen::inRange(-200, 400);
+    return view;
+}
+
+} // namespace
+
+// Symptom would be a call that waits for its whole time for an adapter that never comes. Sequence:
+// an engine is said to load it; the load fails, or the holder goes, and no news follows.
+Test(incoming, an_overdue_load_is_not_waited_for)
+{
+    IncomingLoads loads;
+    noteIncoming(loads, {"m/a"}, quarterSecond, start);
+    cr_assert(incomingIn(loads, "m/a", start + 100ms) == Duration(150ms));
+    cr_assert(!incomingIn(loads, "m/b", start));
+    noteIncoming(loads, {"m/a", "m/b"}, quarterSecond, start + 200ms);
+    cr_assert(incomingIn(loads, "m/a", start + 200ms) == Duration(50ms), "its time stays");
+    cr_assert(incomingIn(loads, "m/a", start + 300ms) == Duration(0ms), "the word may be late");
+    cr_assert(!incomingIn(loads, "m/a", start + 500ms));
+    noteIncoming(loads, {}, quarterSecond, start + 500ms);
+    noteIncoming(loads, {"m/a"}, quarterSecond, start + 600ms);
+    cr_assert(incomingIn(loads, "m/a", start + 600ms) == Duration(250ms), "a further load");
+}
+
+// Guards against waiting at an engine that has no room or was tried, or longer than the patience.
+Test(incoming, the_soonest_load_under_way_within_patience_is_waited_for)
+{
+    cr_assert(rc::check("incoming", [] {
+        std::vector<EngineView> views;
+        for (int index = 0; index < 6; ++index)
+            views.push_back(drawnEngine(index));
+        const std::vector<std::string> tried{"e0"};
+        const double patienceMs = *rc::gen::inRange(20, 700);
+        EngineNeed need;
+        need.adapter = "m/a";
+        const auto chosen = incomingEngine(views, need, tried, weights, patienceMs);
+        double least = std::numeric_limits<double>::infinity();
+        for (const EngineView &view : views) {
+            const double wait =
+                view.waitingTokens / weights.promptTokensPerMs + weights.runMs * view.runs;
+            const double forecast = view.incomingMs + wait;
+            const bool may = view.id != "e0" && view.usable && view.hasModel && view.runs < 4;
+            if (may && view.incomingMs >= 0 && forecast <= patienceMs)
+                least = std::min(least, forecast);
+        }
+        RC_ASSERT(chosen.has_value() == (least <= patienceMs));
+        if (chosen)
+            RC_ASSERT(views[*chosen].incomingMs + expectedWaitMs(views[*chosen], weights) == least);
+    }));
+}
