A holder orders loads by rank and waiting callers

Cause: loads at an engine were forecast in order of arrival, and given in the order in which the calls that waited happened to wake.

Change: a request for a load tells the rank of its call. The holder orders the load of the most urgent callers first, then the one that more callers wait for, then the one asked for first, and each load waits for its turn. Loads under way no longer count as before a load in its forecast: they were counted twice, as the places they take at the engine are counted, too.

The test of the order of arrival keeps what it asserted, for equals; a drawn one compares the whole order with a naive version.

--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -22,6 +22,8 @@
 /** Every slot in use: some call is likely to end within this. */
 constexpr Duration slotPatience = std::chrono::milliseconds(120);
 constexpr Duration slotLook = std::chrono::milliseconds(25);
+/** A load whose turn comes before may be given up by its callers. */
+constexpr Duration turnLook = std::chrono::milliseconds(10);
 /** After a refused order, and twice that after each further one; reports lag by about 100 ms. */
 constexpr Duration afterRefusal = std::chrono::milliseconds(60);
 constexpr int mostDoublings = 3;
@@ -244,11 +246,11 @@
 class QueuePlace
 {
 public:
-    QueuePlace(LoadQueue &queue, const std::string &adapter)
+    QueuePlace(LoadQueue &queue, const std::string &adapter, int rank)
         : queue(queue)
         , adapter(adapter)
     {
-        joinQueue(this->queue, this->adapter);
+        joinQueue(this->queue, this->adapter, rank);
     }
 
     QueuePlace(const QueuePlace &) = delete;
@@ -275,7 +277,7 @@
     if (held.desk.slots.count(key) > 0)
         return now;
     const Duration loadTime = fetchTime(node.loadBeliefs.pace, loadsUnderWay(node) + 1);
-    const int ahead = loadsAhead(held.queue, key);
+    const int ahead = loadsAhead(held.queue, held.desk, key);
     return expectedBegin(held.desk, ahead, loadTime, ordersFrom(held, now));
 }
 
@@ -317,7 +319,7 @@
         : loadPatience;
     if (isLoading(deskOf(node, target).desk, key))
         node.metrics.add(Counter::LoadsJoined);
-    const QueuePlace place(deskOf(node, target).queue, key);
+    const QueuePlace place(deskOf(node, target).queue, key, decodeRank(request));
     while (BootClock::now() - begun < loadPatience) {
         const TargetEntry *entry = entryOf(node, target);
         const EngineSpec *spec = entry != nullptr ? specOf(node, *entry) : nullptr;
@@ -360,6 +362,13 @@
         if (settleLoads(held.desk, now))
             publishDesk(node, target);
         const DeskChoice choice = nextDeskStep(held.desk, key, request.version(), now);
+        const bool orders = choice.step == DeskStep::Load || choice.step == DeskStep::Unload;
+        const bool othersFirst =
+            orders && held.desk.slots.count(key) == 0 && loadsAhead(held.queue, held.desk, key) > 0;
+        if (othersFirst) {
+            co_await held.changed.wait(turnLook);
+            continue;
+        }
         switch (choice.step) {
         case DeskStep::Ready: {
             const Duration trial = waitForTrial(held.desk, key, node.loadBeliefs.pace, now);
@@ -468,6 +477,7 @@
     request.set_adapter(adapter.substr(adapter.find('/') + 1));
     request.set_version(version);
     request.set_missed(missed);
+    encodeRank(limits.rank, request);
     request.set_begin_within_ms(static_cast<std::uint32_t>(toMillis(limits.begin)));
     const Instant begun = BootClock::now();
     std::optional<v1::LoadReply> reply;
--- a/libs/gateway/src/EngineOrders.h
+++ b/libs/gateway/src/EngineOrders.h
@@ -29,6 +29,7 @@
 {
     Duration whole{}; ///< until it is there
     Duration begin{}; ///< until it is ordered; an engine that is busy for longer declines at once
+    int rank = 0; ///< of its route; loads of rank 0 are ordered first
 
     auto operator<=>(const LoadPatience &) const = default;
 };
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -17,6 +17,10 @@
 constexpr int retryInMsField = 3;
 constexpr int reasonField = 4;
 
+/** Field of LoadRequest, see Gateway.proto. */
+constexpr int rankField = 7;
+constexpr int lastRank = 1000;
+
 /** Longer times than this are not told of loads. */
 constexpr Duration longestTold = std::chrono::seconds(60);
 
@@ -108,6 +112,17 @@
     return record;
 }
 
+void encodeRank(int rank, v1::LoadRequest &request)
+{
+    setNumberField(request, rankField, static_cast<std::uint32_t>(std::clamp(rank, 0, lastRank)));
+}
+
+int decodeRank(const v1::LoadRequest &request)
+{
+    const std::uint64_t rank = numberField(request, rankField);
+    return static_cast<int>(std::min<std::uint64_t>(rank, lastRank));
+}
+
 void encodeDecline(const LoadDecline &decline, v1::LoadReply &reply)
 {
     // Rounded up: a holder that is asked a moment too early declines once more.
--- a/libs/gateway/src/NewsCodec.h
+++ b/libs/gateway/src/NewsCodec.h
@@ -22,6 +22,10 @@
 EngineRecord decodeEngine(const gateway::v1::EngineState &state);
 
 /** The adapters go to the holder of an engine only, see UseNotes.h. */
+/** Rank of the call that a load is for. */
+void encodeRank(int rank, gateway::v1::LoadRequest &request);
+int decodeRank(const gateway::v1::LoadRequest &request);
+
 /** The holder's answer that it begins no load. */
 void encodeDecline(const LoadDecline &decline, gateway::v1::LoadReply &reply);
 LoadDecline decodeDecline(const gateway::v1::LoadReply &reply);
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -233,6 +233,7 @@
             LoadPatience patience;
             patience.whole = timeLeft(run);
             patience.begin = beginPatience(run);
+            patience.rank = run.route->priority;
             const bool loaded = co_await askLoad(node, id, run.facts.model, need.adapter,
                                                  need.version, missed, patience);
             if (missed)
--- a/libs/gateway/tests/LoadNews.cpp
+++ b/libs/gateway/tests/LoadNews.cpp
@@ -38,6 +38,17 @@
     cr_assert(markAfter(former, Instant{} + 1s).until > Instant{} + 1s);
 }
 
+// Guards against a rank that gets lost on its way to the holder, which orders loads by it.
+Test(load_news, a_request_tells_the_rank_of_its_call)
+{
+    gateway::v1::LoadRequest request;
+    encodeRank(2, request);
+    gateway::v1::LoadRequest read;
+    cr_assert(read.ParseFromString(request.SerializeAsString()));
+    cr_assert_eq(decodeRank(read), 2);
+    cr_assert_eq(decodeRank(gateway::v1::LoadRequest()), 0);
+}
+
 // Guards against a mark by the former holder of an engine that keeps calls from the new one.
 Test(load_news, a_new_holder_is_asked_at_once)
 {
--- a/libs/serving/src/LoadQueue.cpp
+++ b/libs/serving/src/LoadQueue.cpp
@@ -13,15 +13,24 @@
                         [&adapter](const QueuedLoad &load) { return load.adapter == adapter; });
 }
 
+bool isOrderedBefore(const QueuedLoad &first, const QueuedLoad &second) noexcept
+{
+    if (first.rank != second.rank)
+        return first.rank < second.rank;
+    return first.callers > second.callers;
+}
+
 } // namespace
 
-void joinQueue(LoadQueue &queue, const std::string &adapter)
+void joinQueue(LoadQueue &queue, const std::string &adapter, int rank)
 {
     const auto found = findLoad(queue, adapter);
-    if (found == queue.loads.end())
-        queue.loads.push_back({adapter, 1});
-    else
-        ++found->callers;
+    if (found == queue.loads.end()) {
+        queue.loads.push_back({adapter, 1, rank});
+        return;
+    }
+    ++found->callers;
+    found->rank = std::min(found->rank, rank);
 }
 
 void leaveQueue(LoadQueue &queue, const std::string &adapter)
@@ -33,12 +42,20 @@
         queue.loads.erase(found);
 }
 
-int loadsAhead(const LoadQueue &queue, const std::string &adapter) noexcept
+int loadsAhead(const LoadQueue &queue, const OrderDesk &desk, const std::string &adapter)
 {
-    const auto found =
+    const auto own =
         std::find_if(queue.loads.begin(), queue.loads.end(),
                      [&adapter](const QueuedLoad &load) { return load.adapter == adapter; });
-    return static_cast<int>(found - queue.loads.begin());
+    int ahead = 0;
+    for (auto load = queue.loads.begin(); load != queue.loads.end(); ++load) {
+        if (load == own || desk.slots.count(load->adapter) > 0)
+            continue;
+        const bool before = own == queue.loads.end() || isOrderedBefore(*load, *own)
+            || (load < own && !isOrderedBefore(*own, *load));
+        ahead += before ? 1 : 0;
+    }
+    return ahead;
 }
 
 // An engine has a few places for loads on their way; each load takes the place that is free first.
--- a/libs/serving/tests/Queue.cpp
+++ b/libs/serving/tests/Queue.cpp
@@ -1,4 +1,8 @@
+#include <algorithm>
+#include <array>
+
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
 
 #include "serving/LoadQueue.h"
 
@@ -47,17 +51,48 @@
               "an order that was not answered delays all");
 }
 
-Test(load_queue, who_came_first_goes_first_and_callers_of_one_adapter_count_once)
+Test(load_queue, among_equals_who_came_first_goes_first_and_an_adapter_counts_once)
 {
     LoadQueue queue;
-    joinQueue(queue, "m/a");
-    joinQueue(queue, "m/b");
-    joinQueue(queue, "m/a");
-    cr_assert_eq(loadsAhead(queue, "m/a"), 0);
-    cr_assert_eq(loadsAhead(queue, "m/b"), 1);
-    cr_assert_eq(loadsAhead(queue, "m/c"), 2);
+    const OrderDesk desk;
+    joinQueue(queue, "m/a", 0);
+    joinQueue(queue, "m/b", 0);
+    joinQueue(queue, "m/a", 0);
+    cr_assert_eq(loadsAhead(queue, desk, "m/a"), 0);
+    cr_assert_eq(loadsAhead(queue, desk, "m/b"), 1);
+    cr_assert_eq(loadsAhead(queue, desk, "m/c"), 2);
     leaveQueue(queue, "m/a");
-    cr_assert_eq(loadsAhead(queue, "m/b"), 1);
+    cr_assert_eq(loadsAhead(queue, desk, "m/b"), 1);
     leaveQueue(queue, "m/a");
-    cr_assert_eq(loadsAhead(queue, "m/b"), 0);
+    cr_assert_eq(loadsAhead(queue, desk, "m/b"), 0);
+}
+
+// Symptom: the most urgent calls were served worst. Guards against loads that are ordered as they
+// were asked for, and against a load that no load goes before, or that several take for theirs.
+Test(load_queue, loads_are_ordered_by_rank_then_callers_then_arrival)
+{
+    cr_assert(rc::check("order of loads", [] {
+        LoadQueue queue;
+        OrderDesk desk;
+        std::vector<std::array<int, 4>> naive; // rank, callers taken off, arrival, adapter
+        for (int index = 0; index < 6; ++index) {
+            const std::string adapter = "m/" + std::to_string(index);
+            const int callers = *rc::gen::inRange(1, 4);
+            int least = 9;
+            for (int caller = 0; caller < callers; ++caller) {
+                const int rank = *rc::gen::inRange(0, 3);
+                joinQueue(queue, adapter, rank);
+                least = std::min(least, rank);
+            }
+            if (*rc::gen::inRange(0, 4) == 0)
+                desk.slots[adapter].loading = true;
+            else
+                naive.push_back({least, -callers, index, index});
+        }
+        std::sort(naive.begin(), naive.end());
+        for (std::size_t turn = 0; turn < naive.size(); ++turn) {
+            const std::string adapter = "m/" + std::to_string(naive[turn][3]);
+            RC_ASSERT(loadsAhead(queue, desk, adapter) == static_cast<int>(turn));
+        }
+    }));
 }
