--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -16,6 +16,7 @@
 #include "GatewayPeers.h"
 #include "Signal.h"
 #include "TargetPool.h"
+#include "WaitingPlaces.h"
 #include "access/Confirmation.h"
 #include "access/KeyTable.h"
 #include "gateway/GatewaySettings.h"
@@ -29,6 +30,8 @@
 #include "serving/EngineRecord.h"
 #include "serving/HarmfulCalls.h"
 #include "serving/HolderLease.h"
+#include "serving/IncomingLoads.h"
+#include "serving/LoadDecline.h"
 #include "serving/LoadQueue.h"
 #include "serving/NamedLimit.h"
 #include "serving/OrderDesk.h"
@@ -80,6 +83,8 @@
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
     HostCopies copies; ///< adapters that load fast again there
     std::set<std::string> models; ///< base models that are there
+    IncomingLoads incoming;
+    LoadMark loadMark; ///< after a declined load, for all calls of this VM
 };
 
 /** The last word of a VM on whether it may order engines of its zone. */
@@ -133,6 +138,17 @@
     Instant loadFailedAt{}; ///< it did not answer when asked for a load
 };
 
+/** A load that a call of this VM has asked for. */
+struct LoadAsk
+{
+    explicit LoadAsk(asio::io_context &context)
+        : done(context)
+    { }
+
+    Signal done;
+    int callers = 1; ///< that wait for it
+};
+
 /** An engine that this VM orders. */
 struct HeldDesk
 {
@@ -252,6 +268,7 @@
 
     GatewaySettings settings;
     const PlatformPort *platform;
+    WaitingPlaces places; ///< the context still destroys calls that wait here
     asio::io_context context;
     HttpClient http;
     Metrics metrics;
@@ -305,7 +322,8 @@
     bool notingOrders = false; ///< notes in the store are being read or added
     Instant noteRetryAt{}; ///< no further attempt before this
     std::unordered_map<std::string, std::unique_ptr<HeldDesk>> desks;
-    std::map<std::pair<std::string, std::string>, std::shared_ptr<Signal>> loadsAsked;
+    /** By engine and adapter. */
+    std::map<std::pair<std::string, std::string>, std::shared_ptr<LoadAsk>> loadsAsked;
     LoadBeliefs loadBeliefs;
     std::unordered_map<std::string, PrefillPace> prefillPaces; ///< by service
     HarmfulCalls harmful; ///< follows from the evidence
@@ -315,6 +333,7 @@
 
     Signal started; ///< a first configuration, or a first list of targets, is there
     Signal engineChanged; ///< residents or loads of engines changed
+    Signal callWaits; ///< a call has begun to wait for a place
     Signal newsDue; ///< something that the relay should hear before the next regular report
     bool storeUp = false;
     Instant storeFailedAt{}; ///< last attempt to read the store that failed; zero: none
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -4,6 +4,7 @@
 
 #include "ClassFields.h"
 #include "observe/Events.h"
+#include "WireFields.h"
 
 namespace monsoonbay {
 
@@ -11,6 +12,20 @@
 
 namespace {
 
+/** Field of EngineState, see Gateway.proto. */
+constexpr int incomingField = 15;
+
+/** Fields of LoadReply, see Gateway.proto. */
+constexpr int retryInMsField = 3;
+constexpr int reasonField = 4;
+
+/** Field of LoadRequest, see Gateway.proto. */
+constexpr int rankField = 7;
+constexpr int lastRank = 1000;
+
+/** Longer times than this are not told of loads. */
+constexpr Duration longestTold = std::chrono::seconds(60);
+
 std::uint16_t portOf(std::uint32_t port)
 {
     return static_cast<std::uint16_t>(port);
@@ -71,6 +86,8 @@
     }
     for (const std::string &model : record.models)
         state.add_models(model);
+    for (const std::string &adapter : record.incoming)
+        addTextField(state, incomingField, adapter);
     state.set_loading(record.loading);
     state.set_born(record.born);
     state.set_fetch_ms(static_cast<std::uint32_t>(record.fetchMs));
@@ -87,6 +104,8 @@
     for (const v1::Slot &slot : state.slots())
         record.resident[slot.adapter()] = slot.version();
     record.models = std::set<std::string>(state.models().begin(), state.models().end());
+    for (const std::string &adapter : textFields(state, incomingField))
+        record.incoming.insert(adapter);
     record.loading = state.loading();
     record.born = state.born();
     record.fetchMs = state.fetch_ms();
@@ -95,6 +114,37 @@
     return record;
 }
 
+void encodeRank(int rank, v1::LoadRequest &request)
+{
+    setNumberField(request, rankField, static_cast<std::uint32_t>(std::clamp(rank, 0, lastRank)));
+}
+
+int decodeRank(const v1::LoadRequest &request)
+{
+    const std::uint64_t rank = numberField(request, rankField);
+    return static_cast<int>(std::min<std::uint64_t>(rank, lastRank));
+}
+
+void encodeDecline(const LoadDecline &decline, v1::LoadReply &reply)
+{
+    // Rounded up: a holder that is asked a moment too early declines once more.
+    const Duration told = std::clamp(decline.retryIn, Duration::zero(), longestTold);
+    const auto millis = static_cast<std::uint32_t>(toMillis(told));
+    const bool rest = told > std::chrono::milliseconds(millis);
+    setNumberField(reply, retryInMsField, millis + (rest ? 1 : 0));
+    setNumberField(reply, reasonField, static_cast<std::uint32_t>(decline.reason));
+}
+
+LoadDecline decodeDecline(const v1::LoadReply &reply)
+{
+    LoadDecline decline;
+    const auto longest = static_cast<std::uint64_t>(toMillis(longestTold));
+    decline.retryIn =
+        std::chrono::milliseconds(std::min(numberField(reply, retryInMsField), longest));
+    decline.reason = declineReasonOf(numberField(reply, reasonField));
+    return decline;
+}
+
 void encodeUse(const std::string &target, const TargetUse &use, v1::EngineUse &told)
 {
     told.set_target(target);
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -5,6 +5,7 @@
 
 #include "EngineOrders.h"
 #include "LeaseKeeping.h"
+#include "PlaceWaiting.h"
 #include "RelayLoops.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
@@ -15,22 +16,10 @@
 
 namespace {
 
-/**
- * A call waits for its place for this share of its latency objective at most, and of the time that
- * its caller has left; then it is refused while the caller can still come back. On crowded days
- * what is held longer is mostly answered late or not at all, and keeps others waiting: against two
- * seconds for all, callers' benefit rose from 0.584 to 0.594 of what is owed (Bavaria, mean of 18
- * heavy days, a day's spread 0.05).
- */
-constexpr double objectiveShare = 0.7;
-constexpr double timeLeftShare = 0.35;
-/** For routes that name no objective. */
-constexpr Duration leastPlacePatience = std::chrono::milliseconds(300);
 /** For a call whose patience is nearly over: an engine that is not busy still takes its load. */
 constexpr Duration leastBeginWait = std::chrono::milliseconds(20);
 /** Engines in a row that decline a load at once; then all are taken as busy for a moment. */
 constexpr std::size_t mostDeclines = 6;
-constexpr Duration roomLook = std::chrono::milliseconds(40);
 
 /** Callers of refused calls come back after about a load's time. */
 constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
@@ -53,13 +42,35 @@
         view.usable = true;
 }
 
-/** Slots of an engine that could take another adapter, as far as is known here. */
-int idleSlotsAt(GatewayNode &node, const TargetEntry &entry, const TargetUse &use, int capacity)
+/** How long the call has for a load to begin. */
+Duration beginPatience(const CallRun &run)
+{
+    return std::max(run.place.usualBy - BootClock::now(), leastBeginWait);
+}
+
+bool wasDeclined(const CallRun &run, const std::string &target)
 {
-    const auto desk = node.desks.find(entry.id);
-    if (desk != node.desks.end() && desk->second->desk.sequence >= 0 && mayOrderNow(node, entry.id))
-        return idleSlots(desk->second->desk, BootClock::now());
-    return capacity - use.busySlots;
+    return std::find(run.unloadable.begin(), run.unloadable.end(), target) != run.unloadable.end();
+}
+
+/** True if a load for the call may be asked for there. */
+bool mayAskLoadFor(const CallRun &run, const std::string &target)
+{
+    if (wasDeclined(run, target))
+        return false;
+    // Its holder has to hear that the adapter is not there, whatever it said before.
+    return run.missedAt == target ? isOrderable(run.node, target)
+                                  : mayAskLoad(run.node, target, beginPatience(run));
+}
+
+/** Time until the call's adapter is there by a load under way; below 0: none is waited for. */
+double incomingMs(const CallRun &run, const std::string &target, double loadMs)
+{
+    if (run.facts.adapter.empty() || wasDeclined(run, target))
+        return -1;
+    const auto incoming =
+        loadUnderWay(run.node, target, run.facts.adapter, fromSeconds(loadMs / 1000));
+    return incoming ? 1000 * toSeconds(*incoming) : -1;
 }
 
 /** Targets of the call's service that take calls of this VM now. */
@@ -136,10 +147,9 @@
             && hasHostCopy(runtime.copies, run.facts.adapter, HostMemory{record->copiesKept});
         view.loadMs = record == nullptr ? 0 : view.warm ? record->copyMs : record->fetchMs;
         view.fetchMs = record == nullptr ? 0 : record->fetchMs;
+        view.incomingMs = incomingMs(run, entry.id, view.loadMs);
         view.idleSlots = idleSlotsAt(node, entry, use, capacity);
-        view.hasHolder = isOrderable(node, entry.id)
-            && std::find(run.unloadable.begin(), run.unloadable.end(), entry.id)
-                == run.unloadable.end();
+        view.hasHolder = mayAskLoadFor(run, entry.id);
         view.doubtMs = doubt(node.random);
         views.push_back(std::move(view));
     }
@@ -147,16 +157,10 @@
     return views;
 }
 
-Duration placePatience(const CallRun &run)
-{
-    const double objective = toSeconds(run.route->latencyObjective) * objectiveShare;
-    const double left = toSeconds(timeLeft(run)) * timeLeftShare;
-    return std::min(std::max(fromSeconds(objective), leastPlacePatience), fromSeconds(left));
-}
-
 /**
  * Where the call goes next. An engine that refused it because its load was not done yet is about to
- * have the adapter; anywhere else it would be loaded anew, and the holder would not learn of it.
+ * have the adapter; anywhere else it would be loaded anew, and the holder would not learn of it. A
+ * load that is under way serves all who want the adapter, if they can wait for it.
  */
 EngineChoice nextEngine(const CallRun &run, const std::vector<EngineView> &views,
                         const EngineNeed &need, const EngineWeights &weights)
@@ -166,7 +170,12 @@
         if (view.id == run.missedAt && view.usable && view.hasHolder && !hasAdapter(view, need))
             return {EngineStep::Load, index};
     }
-    return chooseEngine(views, need, run.tried, weights);
+    const EngineChoice choice = chooseEngine(views, need, run.tried, weights);
+    if (choice.step != EngineStep::Load && choice.step != EngineStep::Full)
+        return choice;
+    const double patienceMs = 1000 * toSeconds(beginPatience(run));
+    const auto incoming = incomingEngine(views, need, run.tried, weights, patienceMs);
+    return incoming ? EngineChoice{EngineStep::Load, *incoming} : choice;
 }
 
 asio::awaitable<Placement> placeOnEngine(CallRun &run, const ServiceSpec &spec)
@@ -183,7 +192,7 @@
     need.objectives.pauseMs = 1000 * toSeconds(run.route->gapObjective);
     if (const auto quickest = run.routes->quickestObjective(run.service))
         need.quickestMs = 1000 * toSeconds(*quickest);
-    const Instant refuseAt = BootClock::now() + placePatience(run);
+    beginPlacing(run);
     Placement placement;
     while (!run.cancelled()) {
         const std::vector<EngineView> views = engineViews(run, spec);
@@ -195,12 +204,13 @@
             placement.refusal = ownAnswer(503, "no engine can be reached", comeBackWhenTaken(run));
             co_return placement;
         }
-        if (BootClock::now() >= refuseAt && choice.step != EngineStep::Send) {
+        if (BootClock::now() >= run.place.by && choice.step != EngineStep::Send) {
             const bool anyOrderable =
-                std::any_of(views.begin(), views.end(),
-                            [](const EngineView &view) { return view.usable && view.hasHolder; });
+                std::any_of(views.begin(), views.end(), [&node](const EngineView &view) {
+                    return view.usable && isOrderable(node, view.id);
+                });
             placement.refusal = anyOrderable
-                ? ownAnswer(503, "no engine has room", comeBackSoon)
+                ? refuseForRoom(run, "no engine has room")
                 : ownAnswer(503, "no engine may be ordered", comeBackLater);
             co_return placement;
         }
@@ -209,8 +219,11 @@
             choice.step == EngineStep::Full || (choice.step == EngineStep::Load && noneTakesIt);
         if (wait) {
             run.unloadable.clear();
-            co_await node.engineChanged.wait(roomLook);
-            continue;
+            std::optional<OwnAnswer> refusal = co_await waitForPlace(run, spec);
+            if (!refusal)
+                continue;
+            placement.refusal = std::move(*refusal);
+            co_return placement;
         }
         const std::string id = views[choice.engine].id;
         run.forecastAt = BootClock::now();
@@ -222,7 +235,8 @@
             const bool missed = run.missedAt == id;
             LoadPatience patience;
             patience.whole = timeLeft(run);
-            patience.begin = std::max(refuseAt - BootClock::now(), leastBeginWait);
+            patience.begin = beginPatience(run);
+            patience.rank = run.route->priority;
             const bool loaded = co_await askLoad(node, id, run.facts.model, need.adapter,
                                                  need.version, missed, patience);
             if (missed)
@@ -237,6 +251,7 @@
         if (!mayTake || !takesCalls(node, id, BootClock::now()))
             continue;
         placement.target = record->second.entry;
+        notePlaced(run);
         co_return placement;
     }
     placement.refusal = ownAnswer(503, "the time ran out before an engine was found", comeBackSoon);
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -38,10 +38,17 @@
         return;
     TargetRuntime &runtime = runtimeOf(node, target);
     const bool otherHolder = known == nullptr || known->holder != record.holder;
+    if (otherHolder)
+        runtime.loadMark = LoadMark();
     if (otherHolder && !runtime.ownAdapterRuns.empty())
         noteRunsChanged(node, target);
     runtime.models = record.models;
     noteResident(node, target, record.resident);
+    const auto expected = [&](const std::string &adapter) {
+        const bool copy = hasHostCopy(runtime.copies, adapter, HostMemory{record.copiesKept});
+        return fromSeconds((copy ? record.copyMs : record.fetchMs) / 1000);
+    };
+    noteIncoming(runtime.incoming, record.incoming, expected, BootClock::now());
     node.facts.engines.set(target, std::move(record), node.facts.counter);
     node.engineChanged.notifyAll();
 }
@@ -64,7 +71,9 @@
     record.copyMs = inSteps(hostCopyTime(beliefs.pace));
     record.copiesKept = std::exp2(std::floor(2 * std::log2(beliefs.memory.loads)) / 2);
     for (const auto &[adapter, slot] : desk.slots) {
-        if (!slot.loading && !slot.leaving)
+        if (slot.loading)
+            record.incoming.insert(adapter);
+        else if (!slot.leaving)
             record.resident[adapter] = slot.version;
     }
     const EngineRecord *known = node.facts.engines.find(target);
--- a/libs/gateway/src/TargetStarts.cpp
+++ b/libs/gateway/src/TargetStarts.cpp
@@ -20,6 +20,8 @@
     runtime.resident.clear();
     runtime.copies = HostCopies();
     runtime.models.clear();
+    runtime.incoming = IncomingLoads();
+    runtime.loadMark = LoadMark();
 }
 
 void forgetEngine(GatewayNode &node, const std::string &target, std::int64_t born)
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -34,9 +34,23 @@
     OverLimitRank2,
     CachedTokens, ///< of prompts, that engines were believed to keep from former calls
     PrefixesMissing, ///< times that they read the whole prompt all the same
+    LoadsShared, ///< that served several calls of one VM
+    LoadsJoined, ///< calls of a VM that found the load under way at the engine already
+    LoadsDeclinedOther, ///< the holder has not answered, or has said no reason
+    LoadsDeclinedNoSlot,
+    LoadsDeclinedQueue,
+    LoadsDeclinedSilent, ///< the engine does not answer
+    LoadsDeclinedModel,
+    LoadsDeclinedHolder, ///< the VM that was asked may not order the engine
     Count, ///< number of counters, not one of them
 };
 
+/** What goes up and down. */
+enum class Gauge : std::uint8_t {
+    CallsWaiting, ///< for a place at an engine
+    Count, ///< number of gauges, not one of them
+};
+
 enum class Timing : std::uint8_t {
     LoadStall, ///< seconds a request waited because its adapter was not resident
     FirstPiece, ///< seconds from arrival to the first piece of the answer
@@ -68,6 +82,7 @@
 
     void add(Counter counter, std::uint64_t amount = 1) noexcept;
     std::uint64_t value(Counter counter) const noexcept;
+    void set(Gauge gauge, std::uint64_t value) noexcept;
     void record(Timing timing, double seconds);
     TimingSummary summary(Timing timing) const;
 
@@ -77,6 +92,7 @@
 private:
     struct Impl;
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Counter::Count)> counters{};
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Gauge::Count)> gauges{};
     std::unique_ptr<Impl> impl;
 };
 
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -71,8 +71,11 @@
     EventRow{EventId::LoadFailed, "load-failed", EventLevel::Warning,
              "the engine could not load the adapter; it backs off",
              "check the weight store and the adapter's weights"},
-    EventRow{EventId::LoadDeclined, "load-declined", EventLevel::Info,
-             "the owner did not take the order: slot in use, lease lapsed or target gone", "none"},
+    EventRow{
+        EventId::LoadDeclined, "load-declined", EventLevel::Info,
+        "the owner did not take the order: `reason` tells why; with `retryInMs` above 0 a load "
+        "could begin then, and this VM does not ask before",
+        "none"},
     EventRow{EventId::CoordinatorChanged, "coordinator-changed", EventLevel::Info,
              "another VM gives out the load permits from now on", "none"},
     EventRow{EventId::WrongAnswer, "wrong-answer", EventLevel::Error,
@@ -144,8 +147,10 @@
              "none; without an added note it gives no orders"},
     EventRow{EventId::OrderGiven, "order-given", EventLevel::Info,
              "an engine was told to load or unload an adapter", "none"},
-    EventRow{EventId::CallRefused, "call-refused", EventLevel::Warning,
-             "a call was refused; it has not run", "look at the reason and the lines around it"},
+    EventRow{
+        EventId::CallRefused, "call-refused", EventLevel::Warning,
+        "a call was refused; it has not run; `forecastMs` above 0 is when a place was expected",
+        "look at the reason and the lines around it"},
     EventRow{EventId::CallFailed, "call-failed", EventLevel::Warning,
              "a call failed; it may have run", "look for call-bounced with the same call"},
     EventRow{EventId::CallBounced, "call-bounced", EventLevel::Info,
--- a/libs/serving/include/serving/EngineBoard.h
+++ b/libs/serving/include/serving/EngineBoard.h
@@ -32,6 +32,8 @@
     bool warm = false; ///< it held the adapter lately and loads it fast again
     double loadMs = 0; ///< expected time of a load of the adapter there
     double fetchMs = 0; ///< expected time of a load from the weight store
+    double incomingMs =
+        -1; ///< until a load of the adapter there is done; below 0: none is waited for
     int idleSlots = 1; ///< adapter slots that no call uses now
     bool hasHolder = false; ///< some VM may order it now
     double doubtMs = 0; ///< drawn for this call, up to the age of what is known of the load there
