--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -39,6 +39,7 @@
 
     std::vector<std::string> tried; ///< targets that were sent to, or could not be reached
     std::vector<std::string> unloadable; ///< engines that will not load the adapter now
+    std::vector<std::string> prefillAsked; ///< engines whose holder was asked what waits there
     std::string missedAt; ///< engine that lacked the adapter which it was taken to hold
     int sends = 0;
     Duration placing{}; ///< time spent on finding targets, loads included
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -7,6 +7,7 @@
 #include "GatewayNode.h"
 #include "LeaseKeeping.h"
 #include "PeerExchange.h"
+#include "PrefillReserving.h"
 #include "RelayLoops.h"
 #include "UseNotes.h"
 #include "observe/Events.h"
@@ -78,6 +79,9 @@
         handlers.load = [this](gateway::v1::LoadRequest request) {
             return loadHere(this->node, std::move(request));
         };
+        handlers.reservePrefill = [this](const gateway::v1::PrefillRequest &request) {
+            return takePrefillRequest(this->node, request);
+        };
         this->peersPort = this->node.links.listen(
             this->node.context, settings.peersListen.value_or(settings.peers), std::move(handlers));
         if (!settings.peersListen)
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -33,6 +33,7 @@
 #include "serving/LoadQueue.h"
 #include "serving/NamedLimit.h"
 #include "serving/OrderDesk.h"
+#include "serving/PrefillQueue.h"
 #include "serving/ServiceRetryBudget.h"
 #include "serving/ServingConfig.h"
 #include "serving/TargetBook.h"
@@ -225,6 +226,14 @@
     auto operator<=>(const ListSource &) const = default;
 };
 
+/** What is known of the prompts that engines still have to read; see PrefillReserving.h. */
+struct PrefillCounts
+{
+    std::unordered_map<std::string, PrefillQueue> ordered; ///< of engines that this VM orders
+    std::unordered_map<std::string, PrefillQueue> told; ///< by the VMs that order the others
+    std::map<Endpoint, Instant> silentAt; ///< VMs that did not answer, and when
+};
+
 /** A configuration that is being read from peers, part after part. */
 struct ConfigReading
 {
@@ -295,6 +304,7 @@
     std::unordered_map<std::string, std::unique_ptr<HeldDesk>> desks;
     std::map<std::pair<std::string, std::string>, std::shared_ptr<Signal>> loadsAsked;
     LoadBeliefs loadBeliefs;
+    PrefillCounts prefill;
     HarmfulCalls harmful; ///< follows from the evidence
     bool evidenceChanged = false; ///< since it was judged last
     std::size_t evidenceCalls = 0; ///< named in all evidence
--- a/libs/gateway/src/GatewayPeers.cpp
+++ b/libs/gateway/src/GatewayPeers.cpp
@@ -60,6 +60,13 @@
         return this->answerAtOnce(call, note, noted, this->handlers.noteUse);
     }
 
+    grpc::ServerUnaryReactor *ReservePrefill(grpc::CallbackServerContext *call,
+                                             const v1::PrefillRequest *request,
+                                             v1::PrefillReply *reply) override
+    {
+        return this->answerAtOnce(call, request, reply, this->handlers.reservePrefill);
+    }
+
     grpc::ServerUnaryReactor *Load(grpc::CallbackServerContext *call,
                                    const v1::LoadRequest *request, v1::LoadReply *reply) override
     {
@@ -264,4 +271,15 @@
            auto done) { stub.async()->Load(&context, &request, &reply, done); });
 }
 
+asio::awaitable<std::optional<v1::PrefillReply>>
+GatewayPeers::reservePrefill(Endpoint peer, v1::PrefillRequest request, Duration timeout)
+{
+    auto shared = std::make_shared<const v1::PrefillRequest>(std::move(request));
+    return this->impl->unary<v1::PrefillRequest, v1::PrefillReply>(
+        std::move(peer), std::move(shared), timeout,
+        [](v1::Gateway::Stub &stub, grpc::ClientContext &context, const v1::PrefillRequest &request,
+           v1::PrefillReply &reply,
+           auto done) { stub.async()->ReservePrefill(&context, &request, &reply, done); });
+}
+
 } // namespace monsoonbay
--- a/libs/gateway/src/GatewayPeers.h
+++ b/libs/gateway/src/GatewayPeers.h
@@ -23,6 +23,7 @@
     std::function<gateway::v1::Word(const gateway::v1::WordRequest &)> word;
     std::function<gateway::v1::UseNoted(const gateway::v1::UseNote &)> noteUse;
     std::function<asio::awaitable<gateway::v1::LoadReply>(gateway::v1::LoadRequest)> load;
+    std::function<gateway::v1::PrefillReply(const gateway::v1::PrefillRequest &)> reservePrefill;
 };
 
 /** gRPC between the gateways: server and clients. */
@@ -57,6 +58,9 @@
     asio::awaitable<std::optional<gateway::v1::LoadReply>>
     load(Endpoint peer, gateway::v1::LoadRequest request, Duration timeout);
 
+    asio::awaitable<std::optional<gateway::v1::PrefillReply>>
+    reservePrefill(Endpoint peer, gateway::v1::PrefillRequest request, Duration timeout);
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl;
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -4,6 +4,7 @@
 
 #include "EngineOrders.h"
 #include "LeaseKeeping.h"
+#include "PrefillReserving.h"
 #include "RelayLoops.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
@@ -121,6 +122,7 @@
     // See calls_do_not_follow_old_news_all_to_the_same_engine: with 195 VMs it takes late calls
     // from 20 to 18 in 100 on a heavy day (one play each).
     std::uniform_real_distribution<double> doubt(0, 1000 * toSeconds(loadNewsAge(node)));
+    const bool asked = asksHolders(node, *run.route);
     std::vector<EngineView> views;
     for (const TargetRecord *listed : takingTargets(run, now)) {
         const TargetEntry &entry = listed->entry;
@@ -132,7 +134,8 @@
         view.slots = spec.engine->slots;
         view.kvTokens = spec.engine->kvTokens;
         view.resident = &runtime.resident;
-        view.waitingTokens = use.waitingTokens;
+        view.waitingTokens = asked ? countedTokens(node, entry.id, now).value_or(use.waitingTokens)
+                                   : use.waitingTokens;
         view.heldTokens = use.heldTokens;
         view.runs = use.runs;
         view.cachedTokens = cachedTokens(run, runtime);
@@ -228,6 +231,10 @@
                 continue;
             }
         }
+        const bool mayLeave = choice.step == EngineStep::Send;
+        const bool reserved = co_await reservePrefill(run, views[choice.engine], mayLeave);
+        if (!reserved)
+            continue;
         const auto record = node.book.records.find(id);
         const bool mayTake = record != node.book.records.end() && mayTakeWork(record->second);
         if (!mayTake || !takesCalls(node, id, BootClock::now()))
--- /dev/null
+++ b/libs/serving/src/PrefillQueue.cpp
@@ -0,0 +1,35 @@
+#include "serving/PrefillQueue.h"
+
+#include <algorithm>
+
+namespace monsoonbay {
+
+double waitingTokens(const PrefillQueue &queue, double tokensPerMs, Instant now) noexcept
+{
+    const double elapsedMs = std::max(1000 * toSeconds(now - queue.at), 0.0);
+    return std::max(queue.tokens - tokensPerMs * elapsedMs, 0.0);
+}
+
+// A VM's news of an engine's load are older than it takes to read a long prompt. Without one count
+// that is current, several VMs send theirs to the engine that all of them take for idle, where the
+// last one waits for seconds while other engines with the same adapter have nothing to read.
+PrefillReply reservePrefill(PrefillQueue &queue, const PrefillRequest &request, double tokensPerMs,
+                            Instant now) noexcept
+{
+    PrefillReply reply;
+    reply.ahead = waitingTokens(queue, tokensPerMs, now);
+    reply.reserved = reply.ahead <= request.mostAhead;
+    if (!reply.reserved)
+        return reply;
+    queue.tokens = reply.ahead + std::max(request.tokens, 0.0);
+    queue.at = now;
+    return reply;
+}
+
+double mostTokensAhead(const PrefillBound &bound) noexcept
+{
+    const double leftMs = bound.untilLateMs - bound.otherMs;
+    return std::max(leftMs * bound.tokensPerMs - bound.ownTokens, 0.0);
+}
+
+} // namespace monsoonbay
