--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -217,8 +217,12 @@
         }
         const std::string id = views[choice.engine].id;
         if (choice.step == EngineStep::Load) {
-            ++run.loads;
             const bool missed = run.missedAt == id;
+            const bool bearable =
+                missed || co_await reservePrefill(run, views[choice.engine], PrefillStep::Load);
+            if (!bearable)
+                continue;
+            ++run.loads;
             LoadPatience patience;
             patience.whole = timeLeft(run);
             patience.begin = std::max(refuseAt - BootClock::now(), leastBeginWait);
@@ -231,8 +235,9 @@
                 continue;
             }
         }
-        const bool mayLeave = choice.step == EngineStep::Send;
-        const bool reserved = co_await reservePrefill(run, views[choice.engine], mayLeave);
+        const PrefillStep sendStep =
+            choice.step == EngineStep::Send ? PrefillStep::Send : PrefillStep::SendLoaded;
+        const bool reserved = co_await reservePrefill(run, views[choice.engine], sendStep);
         if (!reserved)
             continue;
         const auto record = node.book.records.find(id);
--- a/libs/gateway/src/PrefillReserving.cpp
+++ b/libs/gateway/src/PrefillReserving.cpp
@@ -34,18 +34,34 @@
 }
 
 /** Tokens that may wait before the call at this engine while there are others to ask. */
-double mostAhead(const CallRun &run, const EngineView &engine)
+double mostAhead(const CallRun &run, const EngineView &engine, PrefillStep step)
 {
     const EngineWeights &weights = run.node.settings.weights;
-    PrefillBound bound;
     const Duration elapsed = BootClock::now() - run.arrivedAt;
+    const double loadMs = step == PrefillStep::Load ? engine.loadMs : 0;
+    PrefillBound bound;
     bound.untilLateMs =
         1000 * (weights.calmShare * toSeconds(run.route->latencyObjective) - toSeconds(elapsed));
     bound.ownTokens = tokensToRead(run, engine);
-    bound.otherMs = weights.runMs * engine.runs;
+    bound.otherMs = weights.runMs * engine.runs + loadMs;
     bound.tokensPerMs = weights.promptTokensPerMs;
-    // Where all engines are late, one that is no worse than it was believed to be is the best.
-    return std::max(boundShare * mostTokensAhead(bound), engine.waitingTokens);
+    // The engine reads on while the adapter is loaded. Where all engines are late, one that is no
+    // worse than it was believed to be is the best.
+    return std::max(boundShare * mostTokensAhead(bound) + loadMs * bound.tokensPerMs,
+                    engine.waitingTokens);
+}
+
+PrefillRequest requestOf(const CallRun &run, const EngineView &engine, PrefillStep step)
+{
+    // An engine that is chosen again after its holder was asked is the best there is.
+    const auto &asked = run.prefillAsked;
+    const bool askedBefore = std::find(asked.begin(), asked.end(), engine.id) != asked.end();
+    const bool stays = step == PrefillStep::SendLoaded || askedBefore || asked.size() >= mostAsked;
+    PrefillRequest wanted;
+    wanted.tokens = step == PrefillStep::Load ? 0 : tokensToRead(run, engine);
+    wanted.mostAhead =
+        stays ? std::numeric_limits<double>::infinity() : mostAhead(run, engine, step);
+    return wanted;
 }
 
 /** The VM that orders the engine, if it answers; null: nobody can be asked. */
@@ -123,19 +139,14 @@
     return waitingTokens(told->second, pace, now);
 }
 
-asio::awaitable<bool> reservePrefill(CallRun &run, EngineView engine, bool mayLeave)
+asio::awaitable<bool> reservePrefill(CallRun &run, EngineView engine, PrefillStep step)
 {
     GatewayNode &node = run.node;
     if (!asksHolders(node, *run.route))
         co_return true;
-    // An engine that is chosen again after its holder was asked is the best there is.
-    const bool asked = std::find(run.prefillAsked.begin(), run.prefillAsked.end(), engine.id)
-        != run.prefillAsked.end();
-    const bool anyway = !mayLeave || asked || run.prefillAsked.size() >= mostAsked;
-    PrefillRequest wanted;
-    wanted.tokens = tokensToRead(run, engine);
-    wanted.mostAhead = anyway ? std::numeric_limits<double>::infinity() : mostAhead(run, engine);
-    run.prefillAsked.push_back(engine.id);
+    const PrefillRequest wanted = requestOf(run, engine, step);
+    if (step != PrefillStep::SendLoaded)
+        run.prefillAsked.push_back(engine.id);
     if (mayOrderNow(node, engine.id))
         co_return reserveHere(node, engine.id, wanted).reserved;
     const PeerState *holder = askedHolder(node, engine.id, BootClock::now());
--- a/libs/gateway/src/PrefillReserving.h
+++ b/libs/gateway/src/PrefillReserving.h
@@ -20,12 +20,19 @@
  */
 std::optional<double> countedTokens(GatewayNode &node, const std::string &target, Instant now);
 
+/** What a call does next with the engine that it was placed on. */
+enum class PrefillStep : std::uint8_t {
+    Load, ///< has its adapter loaded there; nothing is counted yet
+    Send, ///< is sent, or looks for another engine if too much waits there
+    SendLoaded, ///< is sent there in any case: the adapter was loaded for it
+};
+
 /**
- * True if the call goes to that engine: its tokens count there from now on, or nobody can be asked.
- * False, only if it may leave the engine: another one may be better; what was learnt shows in
- * countedTokens().
+ * True if the call goes on with that engine; for a send, its tokens count there from now on. False:
+ * another engine may be better; what was learnt shows in countedTokens(). Where nobody can be asked
+ * it is always true.
  */
-asio::awaitable<bool> reservePrefill(CallRun &run, EngineView engine, bool mayLeave);
+asio::awaitable<bool> reservePrefill(CallRun &run, EngineView engine, PrefillStep step);
 
 /** Answers another VM that asks for an engine. */
 gateway::v1::PrefillReply takePrefillRequest(GatewayNode &node,
--- /dev/null
+++ b/libs/gateway/tests/PrefillReservations.cpp
@@ -0,0 +1,90 @@
+#include "GatewayNode.h"
+#include "PrefillReserving.h"
+
+#include <criterion/criterion.h>
+
+using namespace monsoonbay;
+
+namespace {
+
+GatewaySettings settingsOfVm()
+{
+    GatewaySettings settings;
+    settings.vm = "vm-1";
+    settings.zone = "zone-a";
+    settings.peers = {"10.0.0.1", 7380};
+    return settings;
+}
+
+void listEngine(GatewayNode &node, const std::string &id)
+{
+    TargetEntry entry;
+    entry.id = id;
+    entry.service = "engines";
+    entry.zone = "zone-a";
+    noteListed(node.book, entry);
+}
+
+void orderAll(GatewayNode &node)
+{
+    const Instant now = BootClock::now();
+    node.orderedBefore = true;
+    node.lease.until = now + std::chrono::hours(1);
+    for (int partition = 0; partition < node.settings.partitions; ++partition) {
+        node.lease.orderFrom[partition] = now - std::chrono::seconds(1);
+        node.lease.noted.insert(partition);
+    }
+}
+
+gateway::v1::PrefillRequest requestFor(const std::string &target, std::uint32_t tokens,
+                                       std::uint32_t mostAhead)
+{
+    gateway::v1::PrefillRequest request;
+    request.set_target(target);
+    request.set_tokens(tokens);
+    request.set_most_ahead(mostAhead);
+    return request;
+}
+
+} // namespace
+
+// Guards against a count by a VM that no longer orders the engine: two VMs would each count a part.
+Test(prefill_reservations, only_the_vm_that_orders_an_engine_counts)
+{
+    GatewayNode node(settingsOfVm());
+    listEngine(node, "e1");
+    cr_assert_not(takePrefillRequest(node, requestFor("e1", 9000, 0)).holder());
+    cr_assert(node.prefill.ordered.empty());
+    orderAll(node);
+    cr_assert_not(takePrefillRequest(node, requestFor("unknown", 9000, 0)).holder());
+    cr_assert(node.prefill.ordered.empty());
+}
+
+// Guards against two calls of different VMs that both take an engine for idle.
+Test(prefill_reservations, the_second_call_learns_of_the_first)
+{
+    GatewayNode node(settingsOfVm());
+    listEngine(node, "e1");
+    orderAll(node);
+    const auto first = takePrefillRequest(node, requestFor("e1", 900000, 0));
+    cr_assert(first.holder());
+    cr_assert(first.reserved());
+    const auto second = takePrefillRequest(node, requestFor("e1", 9000, 1000));
+    cr_assert(second.holder());
+    cr_assert_not(second.reserved());
+    cr_assert_gt(second.ahead(), 1000);
+    const auto counted = countedTokens(node, "e1", BootClock::now());
+    cr_assert(counted.has_value());
+    cr_assert_gt(*counted, 1000);
+}
+
+// Guards against calls that ask where news are fresh: a hop on their way that tells them nothing.
+Test(prefill_reservations, nobody_is_asked_where_news_are_new_enough)
+{
+    GatewayNode node(settingsOfVm());
+    Route route;
+    route.latencyObjective = std::chrono::seconds(1);
+    cr_assert_not(asksHolders(node, route));
+    route.latencyObjective = std::chrono::milliseconds(200);
+    cr_assert(asksHolders(node, route));
+}
