--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -51,6 +51,7 @@
     std::vector<std::string> tried; ///< targets that were sent to, or could not be reached
     std::vector<std::string> unloadable; ///< engines that will not load the adapter now
     PlaceTimes place;
+    std::vector<std::string> prefillAsked; ///< engines whose holder was asked what waits there
     std::string missedAt; ///< engine that lacked the adapter which it was taken to hold
     std::vector<PromptPrefix> prefixes; ///< of its prompt, if it goes to engines
     double cachedTokens = 0; ///< of its prompt, believed to be at the engine it was sent to last
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "ClassFields.h"
-#include "observe/Events.h"
 #include "WireFields.h"
+#include "observe/Events.h"
 
 namespace monsoonbay {
 
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -6,6 +6,7 @@
 #include "EngineOrders.h"
 #include "LeaseKeeping.h"
 #include "PlaceWaiting.h"
+#include "PrefillReserving.h"
 #include "RelayLoops.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
@@ -124,6 +125,7 @@
     const Duration age =
         run.routes->quickestObjective(run.service) ? knownLoadAge(node, now) : loadNewsAge(node);
     std::uniform_real_distribution<double> doubt(0, 1000 * toSeconds(age));
+    const bool asked = asksHolders(node, *run.route);
     std::vector<EngineView> views;
     for (const TargetRecord *listed : takingTargets(run, now)) {
         const TargetEntry &entry = listed->entry;
@@ -135,7 +137,9 @@
         view.slots = spec.engine->slots;
         view.kvTokens = spec.engine->kvTokens;
         view.resident = &runtime.resident;
-        view.waitingTokens = use.waitingTokens;
+        const std::optional<double> counted =
+            asked ? countedTokens(node, entry.id, now) : std::nullopt;
+        view.waitingTokens = counted.value_or(use.waitingTokens);
         view.heldTokens = use.heldTokens;
         view.runs = use.runs;
         view.quickRuns = use.quickRuns;
@@ -150,7 +154,7 @@
         view.incomingMs = incomingMs(run, entry.id, view.loadMs);
         view.idleSlots = idleSlotsAt(node, entry, use, capacity);
         view.hasHolder = mayAskLoadFor(run, entry.id);
-        view.doubtMs = doubt(node.random);
+        view.doubtMs = counted ? 0 : doubt(node.random);
         views.push_back(std::move(view));
     }
     keepSomeUsable(views);
@@ -231,8 +235,12 @@
             forecastMs(views[choice.engine], need, weights, choice.step == EngineStep::Send)
             / 1000);
         if (choice.step == EngineStep::Load) {
-            ++run.loads;
             const bool missed = run.missedAt == id;
+            const bool bearable =
+                missed || co_await reservePrefill(run, views[choice.engine], PrefillStep::Load);
+            if (!bearable)
+                continue;
+            ++run.loads;
             LoadPatience patience;
             patience.whole = timeLeft(run);
             patience.begin = beginPatience(run);
@@ -246,6 +254,11 @@
                 continue;
             }
         }
+        const PrefillStep sendStep =
+            choice.step == EngineStep::Send ? PrefillStep::Send : PrefillStep::SendLoaded;
+        const bool reserved = co_await reservePrefill(run, views[choice.engine], sendStep);
+        if (!reserved)
+            continue;
         const auto record = node.book.records.find(id);
         const bool mayTake = record != node.book.records.end() && mayTakeWork(record->second);
         if (!mayTake || !takesCalls(node, id, BootClock::now()))
