--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -57,8 +57,10 @@
                                                                   "loads_declined_queue",
                                                                   "loads_declined_engine_silent",
                                                                   "loads_declined_model_missing",
-                                                                  "loads_declined_not_holder",
-                                                                  "calls_waiting"};
+                                                                  "loads_declined_not_holder"};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Count)> gaugeNames{
+    "calls_waiting"};
 
 constexpr std::array<std::string_view, timingCount> timingNames{
     "load_stall_seconds", "first_piece_seconds", "between_pieces_seconds", "refusal_seconds",
