Prefixes, classes and declines use the generated accessors

The parts were written against unknown fields by number; the messages are declared in Gateway.proto now, and the code by number is gone. Two numbers of a single field are no longer told from one, so fewer units than calls make an entry invalid instead.

--- a/libs/gateway/src/ClassFields.cpp
+++ b/libs/gateway/src/ClassFields.cpp
@@ -3,41 +3,33 @@
 #include <algorithm>
 #include <numeric>
 
-#include <google/protobuf/unknown_field_set.h>
-
 namespace monsoonbay {
 
 namespace v1 = gateway::v1;
 
 namespace {
 
-using Fields = google::protobuf::UnknownFieldSet;
-
-constexpr int askedByClass = 4;
-constexpr int callsByClass = 5;
-constexpr int askedInWindow = 6;
+using Numbers = google::protobuf::RepeatedField<std::uint64_t>;
 
-void addNumbers(int field, const ByClass &numbers, Fields &fields)
+void addNumbers(const ByClass &values, Numbers &numbers)
 {
-    for (const std::int64_t number : numbers)
-        fields.AddVarint(field, static_cast<std::uint64_t>(std::max<std::int64_t>(number, 0)));
+    for (const std::int64_t value : values)
+        numbers.Add(static_cast<std::uint64_t>(std::max<std::int64_t>(value, 0)));
 }
 
-/** Up to as many numbers as there are classes; false if there are more, or they are no numbers. */
-struct Numbers
+/** False if there is not one sound number for each class. */
+bool takeNumbers(const Numbers &numbers, ByClass &values)
 {
-    ByClass values{};
-    std::size_t count = 0;
-
-    bool take(const google::protobuf::UnknownField &field)
-    {
-        const bool valid = field.type() == google::protobuf::UnknownField::TYPE_VARINT
-            && field.varint() <= mostTold && this->count < callClasses;
-        if (valid)
-            this->values[this->count++] = static_cast<std::int64_t>(field.varint());
-        return valid;
+    if (numbers.size() != static_cast<int>(callClasses))
+        return false;
+    for (std::size_t index = 0; index < callClasses; ++index) {
+        const std::uint64_t number = numbers.Get(static_cast<int>(index));
+        if (number > mostTold)
+            return false;
+        values[index] = static_cast<std::int64_t>(number);
     }
-};
+    return true;
+}
 
 std::int64_t sumOf(const ByClass &values)
 {
@@ -46,49 +38,34 @@
 
 } // namespace
 
-// The fields are written and read as wire data, which is the same whether or not the committed
-// generated code has accessors for them.
 void encodeClasses(const WorkspaceUse &use, v1::WorkspaceUse &told)
 {
     if (use.askedByClass == ByClass() && use.callsByClass == ByClass())
         return;
-    Fields fields;
-    addNumbers(askedByClass, use.askedByClass, fields);
-    addNumbers(callsByClass, use.callsByClass, fields);
-    fields.AddVarint(askedInWindow,
-                     static_cast<std::uint64_t>(std::max<std::int64_t>(use.askedInWindow, 0)));
-    std::string wire;
-    fields.SerializeToString(&wire);
-    told.MergeFromString(wire);
+    addNumbers(use.askedByClass, *told.mutable_asked_by_class());
+    addNumbers(use.callsByClass, *told.mutable_calls_by_class());
+    told.set_asked_in_window(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(use.askedInWindow, 0)));
 }
 
 bool decodeClasses(const v1::WorkspaceUse &told, WorkspaceUse &use)
 {
-    Fields fields;
-    if (!fields.ParseFromString(told.SerializeAsString()))
-        return false;
-    Numbers asked;
-    Numbers calls;
-    Numbers window;
-    bool valid = true;
-    for (int index = 0; index < fields.field_count(); ++index) {
-        const google::protobuf::UnknownField &field = fields.field(index);
-        if (field.number() == askedByClass)
-            valid = asked.take(field) && valid;
-        if (field.number() == callsByClass)
-            valid = calls.take(field) && valid;
-        if (field.number() == askedInWindow)
-            valid = window.take(field) && valid;
-    }
-    if (asked.count == 0 && calls.count == 0 && window.count == 0)
-        return valid;
-    valid = valid && asked.count == callClasses && calls.count == callClasses && window.count == 1
-        && sumOf(asked.values) <= use.askedPerSecond;
+    const bool none = told.asked_by_class().empty() && told.calls_by_class().empty()
+        && told.asked_in_window() == 0;
+    if (none)
+        return true;
+    ByClass asked{};
+    ByClass calls{};
+    const bool sound = takeNumbers(told.asked_by_class(), asked)
+        && takeNumbers(told.calls_by_class(), calls) && told.asked_in_window() <= mostTold;
+    const auto inWindow = static_cast<std::int64_t>(told.asked_in_window());
+    // A call asks for one unit at least.
+    const bool valid = sound && sumOf(asked) <= use.askedPerSecond && inWindow >= sumOf(calls);
     if (!valid)
         return false;
-    use.askedByClass = asked.values;
-    use.callsByClass = calls.values;
-    use.askedInWindow = window.values[0];
+    use.askedByClass = asked;
+    use.callsByClass = calls;
+    use.askedInWindow = inWindow;
     return true;
 }
 
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "ClassFields.h"
-#include "WireFields.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -12,15 +11,6 @@
 
 namespace {
 
-/** Field of EngineState, see Gateway.proto. */
-constexpr int incomingField = 15;
-
-/** Fields of LoadReply, see Gateway.proto. */
-constexpr int retryInMsField = 3;
-constexpr int reasonField = 4;
-
-/** Field of LoadRequest, see Gateway.proto. */
-constexpr int rankField = 7;
 constexpr int lastRank = 1000;
 
 /** Longer times than this are not told of loads. */
@@ -87,7 +77,7 @@
     for (const std::string &model : record.models)
         state.add_models(model);
     for (const std::string &adapter : record.incoming)
-        addTextField(state, incomingField, adapter);
+        state.add_incoming(adapter);
     state.set_loading(record.loading);
     state.set_born(record.born);
     state.set_fetch_ms(static_cast<std::uint32_t>(record.fetchMs));
@@ -104,8 +94,7 @@
     for (const v1::Slot &slot : state.slots())
         record.resident[slot.adapter()] = slot.version();
     record.models = std::set<std::string>(state.models().begin(), state.models().end());
-    for (const std::string &adapter : textFields(state, incomingField))
-        record.incoming.insert(adapter);
+    record.incoming.insert(state.incoming().begin(), state.incoming().end());
     record.loading = state.loading();
     record.born = state.born();
     record.fetchMs = state.fetch_ms();
@@ -116,13 +105,12 @@
 
 void encodeRank(int rank, v1::LoadRequest &request)
 {
-    setNumberField(request, rankField, static_cast<std::uint32_t>(std::clamp(rank, 0, lastRank)));
+    request.set_rank(static_cast<std::uint32_t>(std::clamp(rank, 0, lastRank)));
 }
 
 int decodeRank(const v1::LoadRequest &request)
 {
-    const std::uint64_t rank = numberField(request, rankField);
-    return static_cast<int>(std::min<std::uint64_t>(rank, lastRank));
+    return static_cast<int>(std::min<std::uint32_t>(request.rank(), lastRank));
 }
 
 void encodeDecline(const LoadDecline &decline, v1::LoadReply &reply)
@@ -131,8 +119,8 @@
     const Duration told = std::clamp(decline.retryIn, Duration::zero(), longestTold);
     const auto millis = static_cast<std::uint32_t>(toMillis(told));
     const bool rest = told > std::chrono::milliseconds(millis);
-    setNumberField(reply, retryInMsField, millis + (rest ? 1 : 0));
-    setNumberField(reply, reasonField, static_cast<std::uint32_t>(decline.reason));
+    reply.set_retry_in_ms(millis + (rest ? 1 : 0));
+    reply.set_reason(static_cast<v1::LoadDecline>(decline.reason));
 }
 
 LoadDecline decodeDecline(const v1::LoadReply &reply)
@@ -140,8 +128,8 @@
     LoadDecline decline;
     const auto longest = static_cast<std::uint64_t>(toMillis(longestTold));
     decline.retryIn =
-        std::chrono::milliseconds(std::min(numberField(reply, retryInMsField), longest));
-    decline.reason = declineReasonOf(numberField(reply, reasonField));
+        std::chrono::milliseconds(std::min(std::uint64_t{reply.retry_in_ms()}, longest));
+    decline.reason = declineReasonOf(static_cast<std::uint64_t>(reply.reason()));
     return decline;
 }
 
--- a/libs/gateway/src/PrefixCodec.h
+++ b/libs/gateway/src/PrefixCodec.h
@@ -3,8 +3,7 @@
 #include <cstdint>
 #include <vector>
 
-#include <google/protobuf/message.h>
-
+#include "Gateway.pb.h"
 #include "serving/PrefixLog.h"
 
 namespace monsoonbay {
@@ -19,26 +18,9 @@
     auto operator<=>(const PrefixNews &) const = default;
 };
 
-/**
- * Adds the news to a message as field 30, which the generated code keeps as an unknown field. On
- * the wire it is
- *
- *     message EnginePrefixes {
- *       fixed64 engine = 1;
- *       repeated fixed64 prefixes = 2;
- *       repeated uint32 tokens = 3; // of each prefix
- *     }
- *     message PrefixNews {
- *       uint64 seen = 1;
- *       uint64 change = 2;
- *       repeated EnginePrefixes engines = 3;
- *     }
- *
- * Nothing is added if the news are empty.
- */
-void encodePrefixNews(const PrefixNews &news, google::protobuf::Message &message);
+gateway::v1::PrefixNews encodePrefixNews(const PrefixNews &news);
 
 /** What is malformed or beyond the bounds of a message is left out. */
-PrefixNews decodePrefixNews(const google::protobuf::Message &message);
+PrefixNews decodePrefixNews(const gateway::v1::PrefixNews &told);
 
 } // namespace monsoonbay
--- a/libs/gateway/src/PrefixSharing.cpp
+++ b/libs/gateway/src/PrefixSharing.cpp
@@ -86,7 +86,8 @@
         reader.seen = peer.toldBoot == peer.boot ? peer.toldPrefix : 0;
         news.reads = prefixesFor(node.prefixes.log, reader, now);
     }
-    encodePrefixNews(news, report);
+    if (news != PrefixNews())
+        *report.mutable_prefixes() = encodePrefixNews(news);
 }
 
 void tellPrefixes(const GatewayNode &node, const v1::Report &report, bool mate, v1::Digest &digest)
@@ -97,7 +98,7 @@
     PrefixReader reader;
     reader.mate = mate;
     reader.teller = tellerOf(decodeEndpoint(report.from()));
-    const std::uint64_t seen = decodePrefixNews(report).seen;
+    const std::uint64_t seen = report.prefixes().seen();
     // A number that was never given is not of this log.
     if (report.known_boot() == node.boot && seen <= log.last)
         reader.seen = seen;
@@ -106,7 +107,7 @@
     if (news.reads.empty())
         return;
     news.change = log.last;
-    encodePrefixNews(news, digest);
+    *digest.mutable_prefixes() = encodePrefixNews(news);
 }
 
 namespace {
@@ -129,14 +130,14 @@
 void takePrefixesReported(GatewayNode &node, const v1::Report &report)
 {
     takeReads(node, decodeEndpoint(report.from()), PrefixSource::Zone,
-              decodePrefixNews(report).reads);
+              decodePrefixNews(report.prefixes()).reads);
 }
 
 void takePrefixesTold(GatewayNode &node, PeerState &peer, const v1::Digest &digest)
 {
     if (peer.seenBoot != digest.from().boot())
         peer.seenPrefix = 0;
-    const PrefixNews news = decodePrefixNews(digest);
+    const PrefixNews news = decodePrefixNews(digest.prefixes());
     if (news.change > 0)
         peer.seenPrefix = news.change;
     takeReads(node, peer.endpoint, PrefixSource::Elsewhere, news.reads);
--- a/libs/gateway/tests/Prefixes.cpp
+++ b/libs/gateway/tests/Prefixes.cpp
@@ -111,15 +111,16 @@
     cr_assert_eq(relay.believed(), 0);
     first.call(soon);
     const v1::Digest echo = exchange(first, relay);
-    cr_assert(decodePrefixNews(echo).reads.empty(), "not told back");
+    cr_assert(decodePrefixNews(echo.prefixes()).reads.empty(), "not told back");
     cr_assert_eq(relay.believed(), 6300);
     exchange(mate, relay);
     cr_assert_eq(mate.believed(), 6300);
     exchange(farRelay, relay);
     exchange(far, farRelay);
     cr_assert_eq(far.believed(), 6300);
-    cr_assert(decodePrefixNews(exchange(mate, relay)).reads.empty(), "told once");
-    cr_assert(decodePrefixNews(exchange(relay, farRelay)).reads.empty(), "not told round");
+    cr_assert(decodePrefixNews(exchange(mate, relay).prefixes()).reads.empty(), "told once");
+    cr_assert(decodePrefixNews(exchange(relay, farRelay).prefixes()).reads.empty(),
+              "not told round");
 }
 
 // Guards against estimates from before a restart of the engine, also by words that come late, and
@@ -195,29 +196,25 @@
 // Guards against bad values on the wire that are believed, or that end the VM.
 Test(prefixes, bad_values_are_left_out)
 {
-    v1::Report report;
     PrefixNews news;
     news.reads = {{1, {10, 999}}, {1, {11, 1000}}, {1, {12, 2'000'000'000}}, {2, {13, 5000}}};
-    encodePrefixNews(news, report);
-    const PrefixNews taken = decodePrefixNews(report);
+    const v1::PrefixNews told = encodePrefixNews(news);
+    const PrefixNews taken = decodePrefixNews(told);
     cr_assert_eq(taken.reads.size(), 2);
     cr_assert_eq(taken.reads[0].prefix.hash, 11);
     cr_assert_eq(taken.reads[1].engine, 2);
     news.reads.assign(1000, {3, {14, 5000}});
-    v1::Report many;
-    encodePrefixNews(news, many);
-    cr_assert_eq(decodePrefixNews(many).reads.size(), mostPrefixesTold);
+    cr_assert_eq(decodePrefixNews(encodePrefixNews(news)).reads.size(), mostPrefixesTold);
     // Every way of cutting or changing a message can be read.
-    const std::string sound =
-        report.GetReflection()->GetUnknownFields(report).field(0).length_delimited();
+    const std::string sound = told.SerializeAsString();
     std::mt19937 random(7);
     for (int round = 0; round < 5000; ++round) {
         std::string bytes = sound.substr(0, random() % (sound.size() + 1));
         if (!bytes.empty())
             bytes[random() % bytes.size()] = static_cast<char>(random());
-        v1::Report spoiled;
-        auto *fields = spoiled.GetReflection()->MutableUnknownFields(&spoiled);
-        fields->AddLengthDelimited(30, bytes);
+        v1::PrefixNews spoiled;
+        // What was read before the damage is kept.
+        static_cast<void>(spoiled.ParseFromString(bytes));
         for (const PrefixRead &read : decodePrefixNews(spoiled).reads)
             cr_assert(read.prefix.tokens >= leastToldTokens);
     }
@@ -246,7 +243,7 @@
         PrefixNews news;
         news.reads = prefixesFor(log, reader, now);
         news.change = log.last;
-        encodePrefixNews(news, digest);
+        *digest.mutable_prefixes() = encodePrefixNews(news);
         bytes += digest.ByteSizeLong();
         reader.seen = log.last;
     }
@@ -279,7 +276,7 @@
     reading.noteFirstEvent(BootClock::now());
     const v1::Report report = reportOf(first, relay);
     const v1::Digest digest = answerReport(relay.node, report);
-    cr_assert(report.GetReflection()->GetUnknownFields(report).empty());
-    cr_assert(digest.GetReflection()->GetUnknownFields(digest).empty());
+    cr_assert_not(report.has_prefixes());
+    cr_assert_not(digest.has_prefixes());
     cr_assert(first.node.prefixes.book.engines.empty());
 }
