Copies are ordered by cost as well, as without forecasts

Cause: the forecast leaves out others' pauses, and so did the rule for copies, which the cost had triggered earlier.

--- a/libs/serving/src/ForecastChoice.cpp
+++ b/libs/serving/src/ForecastChoice.cpp
@@ -204,15 +204,23 @@
     return stay.forecast + std::min(need.newsAgeMs, newsShare * objective) > objective;
 }
 
+/** A copy is weighed by cost, as without forecasts: others' pauses count before the call is late.
+ */
+bool isCostly(const EngineFigures &stay, const EngineNeed &need, const EngineWeights &weights)
+{
+    return stay.cost > weights.calmShare * need.objectives.firstEventMs;
+}
+
 /** True if the adapter is to be loaded at `home` although `stay` has it. */
 bool copyPays(const EngineFigures &stay, const EngineFigures &home, const EngineView &homeView,
               const EngineNeed &need, const EngineWeights &weights)
 {
     if (homeView.idleSlots < idleSlotsForCopy)
         return false;
-    if (home.meets)
-        return !stay.meets || mayBeLate(stay, need);
-    return !stay.meets && stay.cost > home.cost + weights.copyLoads * homeView.fetchMs;
+    if (home.meets && (!stay.meets || mayBeLate(stay, need)))
+        return true;
+    return isCostly(stay, need, weights)
+        && stay.cost > home.cost + weights.copyLoads * homeView.fetchMs;
 }
 
 } // namespace
@@ -231,7 +239,9 @@
     }
     const auto resident =
         leastCost(engines, figures, EngineUse::Send, [](const EngineView &) { return true; });
-    if (resident && figures[*resident].meets && !mayBeLate(figures[*resident], need))
+    const bool calm = resident && figures[*resident].meets && !mayBeLate(figures[*resident], need)
+        && !isCostly(figures[*resident], need, weights);
+    if (calm)
         return {EngineStep::Send, *resident};
     const auto home = firstHome(engines, figures, need, weights);
     if (resident) {
--- a/libs/serving/tests/EngineDay.h
+++ b/libs/serving/tests/EngineDay.h
@@ -16,6 +16,7 @@
 };
 
 constexpr std::size_t dayKinds = 3;
+constexpr std::size_t quickKind = 2; ///< the one with the least objective
 
 /** Load and knowledge on a played day: 83 VMs, 90 engines, adapters by Zipf. */
 struct EngineDay
