--- a/libs/gateway/tests/LoadNews.cpp
+++ b/libs/gateway/tests/LoadNews.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-gateway::v1::LoadReply overTheWire(const gateway::v1::LoadReply &reply)
+template <typename Message> Message overTheWire(const Message &message)
 {
-    gateway::v1::LoadReply read;
-    cr_assert(read.ParseFromString(reply.SerializeAsString()));
+    Message read;
+    cr_assert(read.ParseFromString(message.SerializeAsString()));
     return read;
 }
 
@@ -43,9 +43,7 @@
 {
     gateway::v1::LoadRequest request;
     encodeRank(2, request);
-    gateway::v1::LoadRequest read;
-    cr_assert(read.ParseFromString(request.SerializeAsString()));
-    cr_assert_eq(decodeRank(read), 2);
+    cr_assert_eq(decodeRank(overTheWire(request)), 2);
     cr_assert_eq(decodeRank(gateway::v1::LoadRequest()), 0);
 }
 
@@ -83,12 +81,11 @@
     record.incoming = {"m/a", "m/b"};
     gateway::v1::EngineState state;
     encodeEngine("e", record, state);
-    gateway::v1::EngineState read;
-    cr_assert(read.ParseFromString(state.SerializeAsString()));
-    cr_assert(decodeEngine(read) == record);
+    const EngineRecord read = decodeEngine(overTheWire(state));
+    cr_assert(read == record);
     cr_assert(!loadUnderWay(node, "e", "m/a", 300ms));
     addPeer(node, record.holder, {"vm-2", "zone-a", 1});
-    takeEngineRecord(node, "e", decodeEngine(read));
+    takeEngineRecord(node, "e", read);
     const auto left = loadUnderWay(node, "e", "m/a", 300ms);
     cr_assert(left && *left > 0ms && *left <= 300ms);
     cr_assert(!loadUnderWay(node, "e", "m/c", 300ms));
--- a/libs/gateway/tests/Waiting.cpp
+++ b/libs/gateway/tests/Waiting.cpp
@@ -1,3 +1,5 @@
+#include <deque>
+
 #include "GatewayNode.h"
 #include "PeerExchange.h"
 #include "PlaceWaiting.h"
@@ -18,21 +20,9 @@
 std::shared_ptr<const RouteTable> routesOfEngines()
 {
     ServingConfig config;
-    config.version = 1;
-    Route route;
-    route.name = "chat";
-    route.latencyObjective = 1s;
-    route.services.push_back({"engines", 1});
-    config.routes.push_back(route);
     ServiceSpec service;
     service.name = "engines";
-    EngineSpec engine;
-    engine.slots = 8;
-    engine.kvTokens = 100000;
-    engine.weightsMb = 10000;
-    engine.adapterSlots = 2;
-    engine.models.push_back({"m", 1000, 100, 100, 1s});
-    service.engine = engine;
+    service.engine = EngineSpec{8, 100000, 10000, 2, 0, {{"m", 1000, 100, 100, 1s}}};
     config.services.push_back(service);
     return std::make_shared<RouteTable>(std::move(config));
 }
@@ -58,20 +48,16 @@
 
     void wait(int rank)
     {
-        Route ranked = this->node.routes->config().routes.front();
-        ranked.priority = rank;
-        this->ranks.push_back(std::make_unique<Route>(ranked));
-        this->callers.push_back(std::make_unique<boost::beast::tcp_stream>(this->node.context));
-        this->runs.push_back(
-            std::make_unique<CallRun>(this->node, *this->callers.back(), HttpRequest()));
-        CallRun &run = *this->runs.back();
+        this->routes.emplace_back().priority = rank;
+        this->callers.emplace_back(this->node.context);
+        CallRun &run = this->runs.emplace_back(this->node, this->callers.back(), HttpRequest());
         run.routes = this->node.routes;
-        run.route = this->ranks.back().get();
+        run.route = &this->routes.back();
         run.service = "engines";
         run.facts.adapter = "m/" + std::to_string(this->runs.size());
         run.deadline = BootClock::now() + 60s;
         beginPlacing(run);
-        // Long enough for a busy machine: only what is woken counts here.
+        // Long enough for a busy machine.
         run.place.usualBy = run.place.by = BootClock::now() + 50s;
         asio::co_spawn(this->node.context, this->waitOne(run), asio::detached);
         this->node.context.poll();
@@ -87,9 +73,9 @@
             this->woken.push_back(run.route->priority);
     }
 
-    void wake(Duration after)
+    void wake()
     {
-        wakeCalls(this->node, "engines", BootClock::now() + after);
+        wakeCalls(this->node, "engines", BootClock::now());
         this->node.context.poll();
     }
 
@@ -98,10 +84,10 @@
         this->node.upstream.others["e"].busySlots = busy;
     }
 
-    std::vector<std::unique_ptr<Route>> ranks;
+    std::deque<Route> routes;
     GatewayNode node;
-    std::vector<std::unique_ptr<boost::beast::tcp_stream>> callers;
-    std::vector<std::unique_ptr<CallRun>> runs;
+    std::deque<boost::beast::tcp_stream> callers;
+    std::deque<CallRun> runs;
     std::vector<int> woken;
     std::vector<OwnAnswer> refused;
 };
@@ -117,16 +103,16 @@
     crowd.wait(0);
     crowd.wait(2);
     cr_assert_eq(callsWaiting(crowd.node), 3);
-    crowd.wake(0ms);
+    crowd.wake();
     cr_assert(crowd.woken.empty(), "no slot is idle");
     crowd.useSlots(1);
-    crowd.wake(0ms);
+    crowd.wake();
     cr_assert_eq(crowd.woken, std::vector<int>{0});
     crowd.node.loadsAsked[{"e", "m/2"}] = std::make_shared<LoadAsk>(crowd.node.context);
-    crowd.wake(0ms);
+    crowd.wake();
     cr_assert_eq(crowd.woken.size(), 1, "its load takes the slot");
     crowd.useSlots(0);
-    crowd.wake(0ms);
+    crowd.wake();
     cr_assert_eq(callsWaiting(crowd.node), 1);
     cr_assert_eq(crowd.woken.back(), 1);
 }
@@ -139,7 +125,7 @@
     crowd.wait(0);
     crowd.wait(1);
     runtimeOf(crowd.node, "e").resident["m/2"] = 1;
-    crowd.wake(0ms);
+    crowd.wake();
     cr_assert_eq(crowd.woken, std::vector<int>{1});
 }
 
@@ -152,7 +138,7 @@
         markAfter({DeclineReason::EngineSilent, 900ms}, BootClock::now());
     crowd.wait(0);
     cr_assert(crowd.refused.empty(), "it has 50 s");
-    CallRun &run = *crowd.runs.front();
+    CallRun &run = crowd.runs.front();
     run.place.by = BootClock::now() + 20ms;
     asio::co_spawn(crowd.node.context, crowd.waitOne(run), asio::detached);
     crowd.node.context.poll();
@@ -172,10 +158,10 @@
     crowd.useSlots(2);
     crowd.wait(0);
     crowd.wait(1);
-    crowd.runs.front()->callerGone = true;
-    crowd.wake(0ms);
+    crowd.runs.front().callerGone = true;
+    crowd.wake();
     cr_assert_eq(callsWaiting(crowd.node), 1);
     crowd.node.routes = std::make_shared<RouteTable>(ServingConfig());
-    crowd.wake(0ms);
+    crowd.wake();
     cr_assert_eq(callsWaiting(crowd.node), 0);
 }
--- a/libs/serving/tests/Declines.cpp
+++ b/libs/serving/tests/Declines.cpp
@@ -9,12 +9,8 @@
 using namespace monsoonbay;
 using namespace std::chrono_literals;
 
-namespace {
-
 const Instant start = Instant{} + 1000s;
 
-} // namespace
-
 // Guards against a mark that outlives its holder, or that lets calls ask again at once.
 Test(declines, marks_last_until_the_forecast_and_never_over_a_second)
 {
--- a/libs/serving/tests/Incoming.cpp
+++ b/libs/serving/tests/Incoming.cpp
@@ -1,5 +1,3 @@
-#include <limits>
-
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
@@ -12,11 +10,9 @@
 
 const Instant start = Instant{} + 1000s;
 const EngineWeights weights;
-
-Duration quarterSecond(const std::string &adapter)
-{
-    return adapter.empty() ? 0ms : 250ms;
-}
+const auto quarterSecond = [](const std::string &) {
+    return Duration(250ms);
+};
 
 EngineView drawnEngine(int index)
 {
@@ -63,7 +59,7 @@
         EngineNeed need;
         need.adapter = "m/a";
         const auto chosen = incomingEngine(views, need, tried, weights, patienceMs);
-        double least = std::numeric_limits<double>::infinity();
+        double least = 1e9;
         for (const EngineView &view : views) {
             const double wait =
                 view.waitingTokens / weights.promptTokensPerMs + weights.runMs * view.runs;
