--- a/libs/gateway/tests/LoadNews.cpp
+++ b/libs/gateway/tests/LoadNews.cpp
@@ -3,6 +3,7 @@
 #include "NewsCodec.h"
 #include "PeerExchange.h"
 #include "SharedEngines.h"
+#include "WireFields.h"
 
 #include <criterion/criterion.h>
 
@@ -11,10 +12,10 @@
 
 namespace {
 
-gateway::v1::LoadReply overTheWire(const gateway::v1::LoadReply &reply)
+template <typename Message> Message overTheWire(const Message &message)
 {
-    gateway::v1::LoadReply read;
-    cr_assert(read.ParseFromString(reply.SerializeAsString()));
+    Message read;
+    cr_assert(read.ParseFromString(message.SerializeAsString()));
     return read;
 }
 
@@ -43,10 +44,12 @@
 {
     gateway::v1::LoadRequest request;
     encodeRank(2, request);
-    gateway::v1::LoadRequest read;
-    cr_assert(read.ParseFromString(request.SerializeAsString()));
-    cr_assert_eq(decodeRank(read), 2);
+    cr_assert_eq(decodeRank(overTheWire(request)), 2);
     cr_assert_eq(decodeRank(gateway::v1::LoadRequest()), 0);
+    // A field that the generated code knows is the same one by its number.
+    setNumberField(request, gateway::v1::LoadRequest::kBeginWithinMsFieldNumber, 70);
+    cr_assert_eq(request.begin_within_ms(), 70);
+    cr_assert_eq(numberField(request, gateway::v1::LoadRequest::kBeginWithinMsFieldNumber), 70);
 }
 
 // Guards against a mark by the former holder of an engine that keeps calls from the new one.
@@ -83,12 +86,11 @@
     record.incoming = {"m/a", "m/b"};
     gateway::v1::EngineState state;
     encodeEngine("e", record, state);
-    gateway::v1::EngineState read;
-    cr_assert(read.ParseFromString(state.SerializeAsString()));
-    cr_assert(decodeEngine(read) == record);
+    const EngineRecord read = decodeEngine(overTheWire(state));
+    cr_assert(read == record);
     cr_assert(!loadUnderWay(node, "e", "m/a", 300ms));
     addPeer(node, record.holder, {"vm-2", "zone-a", 1});
-    takeEngineRecord(node, "e", decodeEngine(read));
+    takeEngineRecord(node, "e", read);
     const auto left = loadUnderWay(node, "e", "m/a", 300ms);
     cr_assert(left && *left > 0ms && *left <= 300ms);
     cr_assert(!loadUnderWay(node, "e", "m/c", 300ms));
