Spend notes are written, told and read

Change: the relay of a zone writes its note to keyed.monsoonbay under spend/ZONE (PlatformPort noteSpend, SpendNoteRecord), at once when it is needed and once a second from then on, and an empty one at the end. Digests tell the zone's VMs what the acknowledged note permits and how old it is (Digest.spend = 29; 28 was taken, so one message holds both). Reports carry units by age of workspaces whose use is to be noted (WorkspaceUse 5). VMs read the notes with the list of VMs; one that has just started tells them to those that hear it first. All of it only where workspaces have limits and the settings have quota; else nothing is written or told, and a start counts as before.

--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -36,6 +36,7 @@
     RetryPolicy retries;
     AccessPolicy access;
     QuotaPolicy quota;
+    bool quotaGiven = false; ///< then use is noted in the store; see quota/SpendNote.h
     LeaseTiming lease;
     EngineWeights weights;
     int logLinesPerSecond = 40; ///< of one kind of event
--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/message.hpp>
 
 #include "gateway/GatewaySettings.h"
+#include "quota/SpendNote.h"
 #include "serving/CallFacts.h"
 #include "serving/HolderLease.h"
 #include "serving/OrderDesk.h"
@@ -60,6 +61,8 @@
     std::function<void(std::string_view what, const std::string &key)> unreadable;
     std::function<void()> listFailed; ///< an attempt to read the list failed
     std::function<void(PlatformVm)> peer; ///< another VM of the system
+    /** Before the first `peersRead`, unless a note cannot be read. */
+    std::function<void(std::vector<SpendNote>)> spendNotes;
     std::function<void()> peersRead; ///< all VMs in the store's list have been told
     /** True while this VM is to read configuration and targets. */
     std::function<bool()> isReading;
@@ -154,6 +157,9 @@
                                                                  const GatewaySettings &);
     /** Notes that this VM does; only if no note was added since that read. True if it was added. */
     asio::awaitable<bool> (*noteOrderer)(HttpClient &, const GatewaySettings &, OrdererClaims);
+
+    /** Replaces the spend note of this VM's zone; true if the store acknowledged it. */
+    asio::awaitable<bool> (*noteSpend)(HttpClient &, const GatewaySettings &, SpendNote);
 };
 
 /** Makes a platform known under its name; called by plug-ins before main. */
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -6,6 +6,7 @@
 #include "EngineOrders.h"
 #include "HarmfulWatch.h"
 #include "PeerExchange.h"
+#include "SpendNotes.h"
 #include "TargetEnds.h"
 #include "TargetStarts.h"
 #include "ZoneView.h"
@@ -214,6 +215,9 @@
     sink.peer = [&node](PlatformVm vm) {
         addPeer(node, vm.peers, {std::move(vm.name), std::move(vm.zone), vm.capacity});
     };
+    sink.spendNotes = [&node](std::vector<SpendNote> notes) {
+        takeNotesOfStore(node, std::move(notes));
+    };
     sink.peersRead = [&node] {
         node.vmsRead = true;
     };
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -8,6 +8,7 @@
 #include "LeaseKeeping.h"
 #include "PeerExchange.h"
 #include "RelayLoops.h"
+#include "SpendNotes.h"
 #include "UseNotes.h"
 #include "observe/Events.h"
 #include "transport/HttpServer.h"
@@ -93,6 +94,7 @@
         spawn(this->node, "read configuration", readConfigLoop(this->node));
         spawn(this->node, "look for mates", matesLoop(this->node));
         spawn(this->node, "sweep", sweepLoop(this->node));
+        spawn(this->node, "note use", spendNoteLoop(this->node));
     }
 
     asio::awaitable<void> shutDown()
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -16,6 +16,7 @@
 
 #include "GatewayPeers.h"
 #include "Signal.h"
+#include "SpendState.h"
 #include "TargetPool.h"
 #include "access/Confirmation.h"
 #include "access/KeyTable.h"
@@ -257,6 +258,7 @@
     int keysAwaited = 0; ///< calls that wait to learn whether their key is a new one
     std::unordered_map<std::string, SpendRecord> spending; ///< of own calls, by workspace
     FleetSize fleet;
+    SpendState spend;
     Signal configOffered; ///< a peer has a newer one
     SharedFacts facts;
     TargetBook book;
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -152,6 +152,7 @@
         readRetries(reader, root, settings.retries);
         readAccess(reader, root, settings.access);
         readQuota(reader, root, settings.quota);
+        settings.quotaGiven = root.contains("quota");
         readLease(reader, root, settings.lease);
         settings.logLinesPerSecond = static_cast<int>(
             reader.number(root, "", "logLinesPerSecond", settings.logLinesPerSecond, 1, 100000));
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -9,6 +9,7 @@
 #include "NewsCodec.h"
 #include "NewsTelling.h"
 #include "SharedEngines.h"
+#include "SpendNotes.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
 #include "WorkspaceQuota.h"
@@ -131,6 +132,7 @@
         encodeUse(target, use, *report->add_uses());
     for (const auto &[workspace, use] : zoneWorkspaceUses(node, BootClock::now()))
         encodeWorkspaceUse(workspace, use, *report->add_workspaces());
+    fillUnitsByAge(node, *report);
     for (const auto &[target, entry] : node.facts.engines.all()) {
         const bool held =
             entry.value.holderLive && zoneOfTarget(node, target) == node.settings.zone;
@@ -303,6 +305,7 @@
             uses.uses[told.target()] = decodeUse(told);
         for (const v1::WorkspaceUse &told : report.workspaces())
             uses.workspaces[told.workspace()] = decodeWorkspaceUse(told);
+        uses.unitsByAge = decodeUnitsByAge(report);
         // A VM that does not relay hears of the other zones from its relay; twice would count
         // twice.
         if (mate || node.relaying)
@@ -321,6 +324,7 @@
         takeReleases(node, report.released());
 
     tellNews(node, report, mate, digest);
+    tellSpendNews(node, report, mate, digest);
     if (mate)
         fillReleases(node, now, *digest.mutable_released());
     if (mate && report.carries_use()) {
@@ -409,6 +413,7 @@
     const std::uint64_t bootBefore = answered.boot;
     takeDigest(node, endpoint, *digest, upstream);
     takeConfirmation(node, *digest, asked);
+    takeSpendNews(node, *digest, upstream, asked);
     if (withUse && bootBefore == digest->from().boot()) {
         answered.toldBoot = bootBefore;
         answered.toldChange = told;
--- /dev/null
+++ b/libs/gateway/src/SpendNotes.cpp
@@ -0,0 +1,259 @@
+#include "SpendNotes.h"
+
+#include <algorithm>
+
+#include "FleetCount.h"
+#include "WorkspaceQuota.h"
+#include "observe/Events.h"
+
+namespace monsoonbay {
+
+namespace {
+
+namespace v1 = gateway::v1;
+
+constexpr Duration wantedLook = std::chrono::milliseconds(50);
+constexpr Duration unlimitedLook = std::chrono::milliseconds(250);
+constexpr std::uint32_t allPercent = 100;
+
+bool isLimitedWorkspace(const Workspace &workspace)
+{
+    return isLimited(workspace.limit);
+}
+
+UnitsByAge decodeUnits(const google::protobuf::RepeatedField<std::uint64_t> &told)
+{
+    UnitsByAge units{};
+    const std::size_t count = std::min(units.size(), static_cast<std::size_t>(told.size()));
+    for (std::size_t age = 0; age < count; ++age)
+        units[age] = static_cast<std::int64_t>(told[static_cast<int>(age)]);
+    return units;
+}
+
+void encodeUnits(const UnitsByAge &units, google::protobuf::RepeatedField<std::uint64_t> &told)
+{
+    for (const std::int64_t unit : units)
+        told.Add(static_cast<std::uint64_t>(std::max<std::int64_t>(unit, 0)));
+}
+
+/** Of this VM and all that report to it. */
+UnitsByAge unitsHeard(GatewayNode &node, const std::string &workspace, bool otherZones, Instant now)
+{
+    const QuotaPolicy &policy = node.settings.quota;
+    UnitsByAge units{};
+    const auto own = node.spending.find(workspace);
+    if (own != node.spending.end())
+        units = unitsByAge(own->second, policy, now);
+    for (const auto &[reporter, report] : node.reported.reports) {
+        const auto told = report.unitsByAge.find(workspace);
+        if (told == report.unitsByAge.end())
+            continue;
+        if (otherZones || !reporter.starts_with(zoneReporter))
+            addUnits(units, told->second, policy, now - report.at);
+    }
+    return units;
+}
+
+SpendPercents percentsWanted(GatewayNode &node, Instant now)
+{
+    SpendPercents wanted;
+    for (const Workspace &workspace : node.routes->config().workspaces) {
+        if (!isLimitedWorkspace(workspace))
+            continue;
+        const int percent =
+            percentWanted(workspace.limit, node.settings.quota, fleetUseOf(node, workspace, now));
+        if (percent > 0)
+            wanted[workspace.name] = percent;
+    }
+    return wanted;
+}
+
+std::vector<std::string> limitedWorkspaces(const GatewayNode &node)
+{
+    std::vector<std::string> names;
+    for (const Workspace &workspace : node.routes->config().workspaces) {
+        if (isLimitedWorkspace(workspace))
+            names.push_back(workspace.name);
+    }
+    return names;
+}
+
+void logCounted(const GatewayNode &node, const char *source)
+{
+    std::size_t named = 0;
+    for (const SpendNote &note : node.spend.atStart.zones)
+        named += note.size();
+    logEvent(EventId::UseCountedAtStart,
+             {{"source", source},
+              {"zones", std::to_string(node.spend.atStart.zones.size())},
+              {"named", std::to_string(named)},
+              {"upMs", std::to_string(toMillis(BootClock::now() - node.bootedAt))}});
+}
+
+asio::awaitable<void> writeNote(GatewayNode &node)
+{
+    const Instant began = BootClock::now();
+    SpendNote note;
+    for (const auto &[workspace, percent] : beginNote(node.spend.noting, began))
+        note[workspace] = {percent, unitsHeard(node, workspace, true, began)};
+    node.spend.permits = permitsOf(node.spend.noting);
+    const std::string named = std::to_string(note.size());
+    const bool done = co_await node.platform->noteSpend(node.http, node.settings, std::move(note));
+    endNote(node.spend.noting, done);
+    node.spend.permits = permitsOf(node.spend.noting);
+    const Duration took = BootClock::now() - began;
+    if (done)
+        node.metrics.record(Timing::NoteAge, toSeconds(took));
+    logEvent(done ? EventId::SpendNoted : EventId::SpendNoteFailed,
+             {{"named", named},
+              {"permitted", std::to_string(node.spend.permits.percents.size())},
+              {"tookMs", std::to_string(toMillis(took))}});
+}
+
+} // namespace
+
+bool notesSpend(const GatewayNode &node)
+{
+    const auto &workspaces = node.routes->config().workspaces;
+    return node.settings.quotaGiven
+        && std::any_of(workspaces.begin(), workspaces.end(), isLimitedWorkspace);
+}
+
+double spendAllowed(const GatewayNode &node, const std::string &workspace, Instant now)
+{
+    if (!notesSpend(node))
+        return 1;
+    return shareAllowed(node.spend.permits, workspace, now);
+}
+
+// Notes that another VM told are of before this one's start and stay.
+void takeNotesOfStore(GatewayNode &node, std::vector<SpendNote> notes)
+{
+    const Instant now = BootClock::now();
+    if (node.spend.atStart.wereRead || node.settings.firstStart)
+        return;
+    node.spend.atStart = {true, now, std::move(notes)};
+    if (!node.spend.atStart.zones.empty())
+        logCounted(node, "store");
+}
+
+void fillUnitsByAge(GatewayNode &node, v1::Report &report)
+{
+    if (!notesSpend(node))
+        return;
+    const Instant now = BootClock::now();
+    const SpendPercents wanted = percentsWanted(node, now);
+    for (v1::WorkspaceUse &told : *report.mutable_workspaces()) {
+        if (wanted.count(told.workspace()) > 0)
+            encodeUnits(unitsHeard(node, told.workspace(), false, now),
+                        *told.mutable_units_by_age());
+    }
+}
+
+WorkspaceUnits decodeUnitsByAge(const v1::Report &report)
+{
+    WorkspaceUnits units;
+    for (const v1::WorkspaceUse &told : report.workspaces()) {
+        if (told.units_by_age_size() > 0)
+            units[told.workspace()] = decodeUnits(told.units_by_age());
+    }
+    return units;
+}
+
+void tellSpendNews(const GatewayNode &node, const v1::Report &report, bool mate, v1::Digest &digest)
+{
+    if (!notesSpend(node))
+        return;
+    const Instant now = BootClock::now();
+    const SpendPermits &permits = node.spend.permits;
+    if (mate && node.spend.writes && !permits.percents.empty()) {
+        for (const auto &[workspace, percent] : permits.percents) {
+            v1::NotedSpend *told = digest.mutable_spend()->add_noted_workspaces();
+            told->set_workspace(workspace);
+            told->set_percent(static_cast<std::uint32_t>(percent));
+        }
+        digest.mutable_spend()->set_noted_ago_ms(
+            static_cast<std::uint64_t>(toMillis(now - permits.at)) + 1);
+    }
+    // Only who has not heard this boot of the VM before may have started since.
+    const bool startsNow = now - node.bootedAt < node.settings.quota.window;
+    if (!startsNow || !node.spend.atStart.wereRead || report.known_boot() == node.boot)
+        return;
+    const Duration readAgo = now - node.spend.atStart.readAt;
+    digest.mutable_spend()->set_notes_read_ago_ms(static_cast<std::uint64_t>(toMillis(readAgo))
+                                                  + 1);
+    for (const SpendNote &note : node.spend.atStart.zones) {
+        v1::ZoneNote *told = digest.mutable_spend()->add_notes_at_start();
+        for (const auto &[workspace, noted] : note) {
+            v1::NotedSpend *entry = told->add_workspaces();
+            entry->set_workspace(workspace);
+            entry->set_percent(static_cast<std::uint32_t>(noted.percent));
+            encodeUnits(noted.units, *entry->mutable_units_by_age());
+        }
+    }
+}
+
+namespace {
+
+// A message that was long under way makes notes look younger than they are, so that more counts.
+void takeNotesTold(GatewayNode &node, const v1::SpendNews &news)
+{
+    if (news.notes_read_ago_ms() == 0 || node.settings.firstStart)
+        return;
+    const Instant now = BootClock::now();
+    NotesAtStart told;
+    told.wereRead = true;
+    told.readAt = now - std::chrono::milliseconds(news.notes_read_ago_ms() - 1);
+    for (const v1::ZoneNote &note : news.notes_at_start()) {
+        SpendNote &zone = told.zones.emplace_back();
+        for (const v1::NotedSpend &entry : note.workspaces())
+            zone[entry.workspace()] = {static_cast<int>(std::min(entry.percent(), allPercent)),
+                                       decodeUnits(entry.units_by_age())};
+    }
+    const NotesAtStart before = node.spend.atStart;
+    takeNotes(node.spend.atStart, told, node.settings.quota, now);
+    if (node.spend.atStart != before)
+        logCounted(node, "another VM");
+}
+
+} // namespace
+
+void takeSpendNews(GatewayNode &node, const v1::Digest &digest, bool ownRelay, Instant askedAt)
+{
+    if (BootClock::now() - node.bootedAt < node.settings.quota.window)
+        takeNotesTold(node, digest.spend());
+    if (!ownRelay)
+        return;
+    const v1::SpendNews &news = digest.spend();
+    SpendPermits permits;
+    permits.at = askedAt - std::chrono::milliseconds(news.noted_ago_ms());
+    for (const v1::NotedSpend &told : news.noted_workspaces())
+        permits.percents[told.workspace()] = static_cast<int>(std::min(told.percent(), allPercent));
+    if (!permits.percents.empty())
+        node.metrics.record(Timing::NoteAge, toSeconds(BootClock::now() - permits.at));
+    node.spend.permits = std::move(permits);
+}
+
+asio::awaitable<void> spendNoteLoop(GatewayNode &node)
+{
+    while (!node.stopped) {
+        const bool notes = notesSpend(node);
+        const Instant now = BootClock::now();
+        if (!notes || !node.relaying || !knowsOthers(node, now)) {
+            node.spend.writes = false;
+            co_await pauseFor(node, notes ? wantedLook : unlimitedLook);
+            continue;
+        }
+        if (!node.spend.writes)
+            beginNoting(node.spend.noting, limitedWorkspaces(node), node.settings.quota,
+                        node.bootedAt, now);
+        node.spend.writes = true;
+        noteWanted(node.spend.noting, percentsWanted(node, now), now);
+        node.spend.permits = permitsOf(node.spend.noting);
+        if (isNoteDue(node.spend.noting, now))
+            co_await writeNote(node);
+        co_await pauseFor(node, wantedLook);
+    }
+}
+
+} // namespace monsoonbay
--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -2,6 +2,7 @@
 
 #include "FleetCount.h"
 #include "RelayLoops.h"
+#include "SpendNotes.h"
 #include "ZoneView.h"
 #include "observe/Events.h"
 #include "quota/Admission.h"
@@ -33,7 +34,12 @@
     if (node.settings.firstStart || up >= 2 * policy.window || !knowsOthers(node, now))
         return use;
     const int known = vmsKnown(node, now);
-    addUse(use, useBeforeStart(workspace.limit, policy, known, up));
+    if (notesSpend(node))
+        addUse(use,
+               useAtStart(workspace.name, workspace.limit, policy, node.spend.atStart, known,
+                          node.bootedAt, now));
+    else
+        addUse(use, useBeforeStart(workspace.limit, policy, known, up));
     return use;
 }
 
@@ -44,6 +50,8 @@
         addUse(sum, found->second);
 }
 
+} // namespace
+
 FleetUse fleetUseOf(GatewayNode &node, const Workspace &workspace, Instant now)
 {
     // A VM that was suspended must not take what it heard before for what there is now.
@@ -56,9 +64,12 @@
     fleet.vmsInTouch = vmsInTouch(node, now);
     fleet.vmsKnown = vmsKnown(node, now);
     fleet.newsAge = loadNewsAge(node);
+    fleet.allowed = spendAllowed(node, workspace.name, now);
     return fleet;
 }
 
+namespace {
+
 void logOverLimit(const CallRun &run, const Workspace &workspace, const FleetUse &fleet,
                   std::int64_t units)
 {
@@ -72,6 +83,7 @@
               {"askedPerSecond", std::to_string(fleet.use.askedPerSecond)},
               {"vmsInTouch", std::to_string(fleet.vmsInTouch)},
               {"vmsKnown", std::to_string(fleet.vmsKnown)},
+              {"allowed", std::to_string(fleet.allowed)},
               {"newsAgeMs", std::to_string(toMillis(fleet.newsAge))}});
 }
 
--- a/libs/gateway/src/WorkspaceQuota.h
+++ b/libs/gateway/src/WorkspaceQuota.h
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "CallRun.h"
+#include "quota/Admission.h"
 
 namespace monsoonbay {
 
@@ -17,6 +18,9 @@
 /** What was taken last has not run. */
 void giveUnitsBack(CallRun &run);
 
+/** What all VMs in touch use of a workspace. */
+FleetUse fleetUseOf(GatewayNode &node, const Workspace &workspace, Instant now);
+
 /** What calls of this VM use, by workspace. */
 WorkspaceUses ownWorkspaceUses(GatewayNode &node, Instant now);
 
--- /dev/null
+++ b/libs/gateway/tests/SpendNews.cpp
@@ -0,0 +1,109 @@
+#include "FleetCount.h"
+#include "GatewayNode.h"
+#include "PeerExchange.h"
+#include "SpendNotes.h"
+
+#include <criterion/criterion.h>
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace v1 = gateway::v1;
+
+GatewaySettings settingsOf(const std::string &vm, const Endpoint &peers)
+{
+    GatewaySettings settings;
+    settings.vm = vm;
+    settings.zone = "zone-a";
+    settings.peers = peers;
+    settings.quotaGiven = true;
+    return settings;
+}
+
+const GatewaySettings relaySettings = settingsOf("vm-1", {"10.0.0.1", 7380});
+const GatewaySettings mateSettings = settingsOf("vm-2", {"10.0.0.2", 7380});
+
+void configure(GatewayNode &node, double ratePerSecond)
+{
+    Workspace workspace;
+    workspace.name = "ferry";
+    workspace.limit.ratePerSecond = ratePerSecond;
+    ServingConfig config;
+    config.version = 1;
+    config.workspaces = {workspace};
+    node.routes = std::make_shared<RouteTable>(std::move(config));
+}
+
+v1::Report reportOfMate(std::uint64_t sequence)
+{
+    v1::Report report;
+    report.mutable_from()->set_name("vm-2");
+    report.mutable_from()->set_address("10.0.0.2");
+    report.mutable_from()->set_port(7380);
+    report.mutable_from()->set_boot(5);
+    report.mutable_from()->set_zone("zone-a");
+    report.set_sequence(sequence);
+    return report;
+}
+
+SpendNote noteOf(int percent)
+{
+    NotedSpend noted;
+    noted.percent = percent;
+    noted.units[3] = 700;
+    return {{"ferry", noted}};
+}
+
+} // namespace
+
+// Guards against a permit that counts for longer at a VM than at the one that told of it.
+Test(spend_news, a_permit_ages_on_its_way)
+{
+    GatewayNode relay(relaySettings);
+    configure(relay, 1000);
+    relay.spend.writes = true;
+    const Instant now = BootClock::now();
+    relay.spend.permits = {{{"ferry", 80}}, now - 1s};
+    const v1::Digest digest = answerReport(relay, reportOfMate(1));
+    GatewayNode mate(mateSettings);
+    configure(mate, 1000);
+    cr_assert_eq(spendAllowed(mate, "ferry", now), noteShare);
+    takeSpendNews(mate, digest, false, now);
+    cr_assert_eq(spendAllowed(mate, "ferry", now), noteShare, "it is not of its own relay");
+    takeSpendNews(mate, digest, true, now);
+    cr_assert_eq(spendAllowed(mate, "ferry", now), 0.8);
+    cr_assert_eq(spendAllowed(mate, "ferry", now + 1s), noteShare);
+}
+
+// Guards against a VM that starts late in a restart of all and counts what the others' new notes
+// permit as used.
+Test(spend_news, what_was_read_at_the_start_is_told_to_those_that_start_later)
+{
+    GatewayNode first(relaySettings);
+    configure(first, 1000);
+    takeNotesOfStore(first, {noteOf(60)});
+    const v1::Digest digest = answerReport(first, reportOfMate(1));
+    GatewayNode second(mateSettings);
+    configure(second, 1000);
+    takeNotesOfStore(second, {noteOf(100)});
+    second.spend.atStart.readAt += 500ms;
+    takeSpendNews(second, digest, false, BootClock::now());
+    cr_assert_eq(second.spend.atStart.zones, std::vector<SpendNote>{noteOf(60)});
+    v1::Report later = reportOfMate(2);
+    later.set_known_boot(first.boot);
+    cr_assert_not(answerReport(first, later).has_spend(), "told once");
+}
+
+// Guards against bytes for a feature that a deployment does not use.
+Test(spend_news, without_limits_nothing_is_told)
+{
+    GatewayNode node(relaySettings);
+    configure(node, 0);
+    takeNotesOfStore(node, {noteOf(60)});
+    node.spend.writes = true;
+    node.spend.permits = {{{"ferry", 80}}, BootClock::now()};
+    cr_assert_not(answerReport(node, reportOfMate(1)).has_spend());
+    cr_assert_eq(spendAllowed(node, "ferry", BootClock::now()), 1.0);
+}
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -69,6 +69,9 @@
     CallAnswered = 7044,
     CallFoundHarmful = 7045,
     CallOverLimit = 7046,
+    SpendNoted = 7050,
+    SpendNoteFailed = 7051,
+    UseCountedAtStart = 7052,
 };
 
 enum class EventLevel : std::uint8_t { Info, Warning, Error };
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -36,6 +36,7 @@
     FirstPiece, ///< seconds from arrival to the first piece of the answer
     BetweenPieces,
     Refusal, ///< seconds from arrival to a refusal
+    NoteAge, ///< seconds since the spend note that permits a VM more use, as it hears of it
     Count, ///< number of timings, not one of them
 };
 
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -158,6 +158,17 @@
     EventRow{EventId::CallOverLimit, "call-over-limit", EventLevel::Info,
              "a call was refused for its workspace's limit; the fields tell what was known",
              "none if it asks for more than its limit; else compare vmsInTouch, vmsKnown"},
+    EventRow{EventId::SpendNoted, "spend-noted", EventLevel::Info,
+             "the use of workspaces was noted in the store, and how much of it is permitted",
+             "none"},
+    EventRow{EventId::SpendNoteFailed, "spend-note-failed", EventLevel::Warning,
+             "a note of the use of workspaces was not acknowledged; after 2 s without one, "
+             "workspaces are held to half of their limits",
+             "see store-unreachable; none if it is rare"},
+    EventRow{EventId::UseCountedAtStart, "use-counted-at-start", EventLevel::Info,
+             "a VM that has started knows what to count as used before, by notes of the store or "
+             "of another VM",
+             "none"},
     EventRow{EventId::CallFoundHarmful, "call-found-harmful", EventLevel::Error,
              "targets ended under the same call again and again; it is refused from now on",
              "find its caller by call-refused with this reason, and mend the call or the target"},
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -35,7 +35,8 @@
     "over_limit"};
 
 constexpr std::array<std::string_view, timingCount> timingNames{
-    "load_stall_seconds", "first_piece_seconds", "between_pieces_seconds", "refusal_seconds"};
+    "load_stall_seconds", "first_piece_seconds", "between_pieces_seconds", "refusal_seconds",
+    "spend_note_age_seconds"};
 
 struct Shard
 {
--- a/libs/serving/include/serving/UseLedger.h
+++ b/libs/serving/include/serving/UseLedger.h
@@ -4,6 +4,7 @@
 #include <unordered_map>
 
 #include "core/Time.h"
+#include "quota/UnitsByAge.h"
 #include "quota/WorkspaceUse.h"
 #include "serving/TargetUse.h"
 
@@ -14,6 +15,7 @@
 {
     TargetUses uses;
     WorkspaceUses workspaces;
+    WorkspaceUnits unitsByAge; ///< of workspaces whose use is to be noted
     int vms = 1; ///< VMs that it speaks for
     Instant at{};
 
