--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -290,8 +290,9 @@
 
 bool mayAskLoad(GatewayNode &node, const std::string &target, Duration begin)
 {
-    return !holdsBack(runtimeOf(node, target).loadMark, BootClock::now(), begin)
-        && isOrderable(node, target);
+    const bool heldBack = node.settings.placement.keepDeclines
+        && holdsBack(runtimeOf(node, target).loadMark, BootClock::now(), begin);
+    return !heldBack && isOrderable(node, target);
 }
 
 std::optional<Duration> loadUnderWay(GatewayNode &node, const std::string &target,
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -10,6 +10,7 @@
 #include "PlaceWaiting.h"
 #include "PrefillReserving.h"
 #include "RelayLoops.h"
+#include "SpendNotes.h"
 #include "UseNotes.h"
 #include "observe/Events.h"
 #include "transport/HttpServer.h"
@@ -99,6 +100,7 @@
         spawn(this->node, "read configuration", readConfigLoop(this->node));
         spawn(this->node, "look for mates", matesLoop(this->node));
         spawn(this->node, "sweep", sweepLoop(this->node));
+        spawn(this->node, "note use", spendNoteLoop(this->node));
     }
 
     asio::awaitable<void> shutDown()
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -97,6 +97,24 @@
     quota.slack = reader.number(object, path, "slack", quota.slack, 0, 1e12);
 }
 
+void readPlacement(JsonReader &reader, const Json &root, PlacementSettings &placement)
+{
+    if (!root.contains("placement"))
+        return;
+    const Json &object = root["placement"];
+    const std::string path = "/placement";
+    if (!reader.isObject(object, path))
+        return;
+    reader.onlyKeys(object, path,
+                    {"forecast", "reservePrefill", "keepDeclines", "awaitLoads", "queue"});
+    placement.forecast = reader.boolean(object, path, "forecast", placement.forecast);
+    placement.reservePrefill =
+        reader.boolean(object, path, "reservePrefill", placement.reservePrefill);
+    placement.keepDeclines = reader.boolean(object, path, "keepDeclines", placement.keepDeclines);
+    placement.awaitLoads = reader.boolean(object, path, "awaitLoads", placement.awaitLoads);
+    placement.queue = reader.boolean(object, path, "queue", placement.queue);
+}
+
 void readLease(JsonReader &reader, const Json &root, LeaseTiming &lease)
 {
     if (!root.contains("lease"))
@@ -125,11 +143,27 @@
     const Json root = reader.parseObject(json);
     if (reader.problems.empty()) {
         GatewaySettings &settings = parsed.value;
-        reader.onlyKeys(
-            root, "", {"vm",         "zone",        "platform",          "callers",  "readiness",
-                       "operators",  "peers",       "peersListen",       "seeds",    "store",
-                       "partitions", "heartbeatMs", "shutdownMs",        "retries",  "access",
-                       "quota",      "lease",       "logLinesPerSecond", "capacity", "firstStart"});
+        reader.onlyKeys(root, "", {"vm",
+                                   "zone",
+                                   "platform",
+                                   "callers",
+                                   "readiness",
+                                   "operators",
+                                   "peers",
+                                   "peersListen",
+                                   "seeds",
+                                   "store",
+                                   "partitions",
+                                   "heartbeatMs",
+                                   "shutdownMs",
+                                   "retries",
+                                   "access",
+                                   "quota",
+                                   "lease",
+                                   "placement",
+                                   "logLinesPerSecond",
+                                   "capacity",
+                                   "firstStart"});
         settings.vm = reader.text(root, "", "vm");
         settings.zone = reader.text(root, "", "zone");
         settings.firstStart = reader.boolean(root, "", "firstStart", settings.firstStart);
@@ -152,7 +186,9 @@
         readRetries(reader, root, settings.retries);
         readAccess(reader, root, settings.access);
         readQuota(reader, root, settings.quota);
+        settings.quotaGiven = root.contains("quota");
         readLease(reader, root, settings.lease);
+        readPlacement(reader, root, settings.placement);
         settings.logLinesPerSecond = static_cast<int>(
             reader.number(root, "", "logLinesPerSecond", settings.logLinesPerSecond, 1, 100000));
         if (findPlatform(settings.platform) == nullptr) {
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -10,6 +10,7 @@
 #include "NewsTelling.h"
 #include "PrefixSharing.h"
 #include "SharedEngines.h"
+#include "SpendNotes.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
 #include "WorkspaceQuota.h"
@@ -133,6 +134,7 @@
         encodeUse(target, use, *report->add_uses());
     for (const auto &[workspace, use] : zoneWorkspaceUses(node, BootClock::now()))
         encodeWorkspaceUse(workspace, use, *report->add_workspaces());
+    fillUnitsByAge(node, *report);
     for (const auto &[target, entry] : node.facts.engines.all()) {
         const bool held =
             entry.value.holderLive && zoneOfTarget(node, target) == node.settings.zone;
@@ -304,6 +306,7 @@
         for (const v1::EngineUse &told : report.uses())
             uses.uses[told.target()] = decodeUse(told);
         uses.workspaces = decodeWorkspaceUses(report.workspaces(), report.from());
+        uses.unitsByAge = decodeUnitsByAge(report);
         // A VM that does not relay hears of the other zones from its relay; twice would count
         // twice.
         if (mate || node.relaying)
@@ -325,6 +328,7 @@
 
     tellNews(node, report, mate, digest);
     tellPrefixes(node, report, mate, digest);
+    tellSpendNews(node, report, mate, digest);
     if (mate)
         fillReleases(node, now, *digest.mutable_released());
     if (mate && report.carries_use()) {
@@ -413,6 +417,7 @@
     const std::uint64_t bootBefore = answered.boot;
     takeDigest(node, endpoint, *digest, upstream);
     takeConfirmation(node, *digest, asked);
+    takeSpendNews(node, *digest, upstream, asked);
     if (withUse && bootBefore == digest->from().boot()) {
         answered.toldBoot = bootBefore;
         answered.toldChange = told;
--- a/libs/gateway/src/PlaceWaiting.cpp
+++ b/libs/gateway/src/PlaceWaiting.cpp
@@ -191,6 +191,10 @@
 asio::awaitable<std::optional<OwnAnswer>> waitForPlace(CallRun &run, const ServiceSpec &spec)
 {
     GatewayNode &node = run.node;
+    if (!node.settings.placement.queue) {
+        co_await node.engineChanged.wait(roomLook);
+        co_return std::nullopt;
+    }
     const Instant now = BootClock::now();
     ServicePlaces &places = node.places.services[run.service];
     WaitingCall call;
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -55,6 +55,14 @@
 }
 
 /** True if a load for the call may be asked for there. */
+/** Nothing where engines are not chosen by forecast. */
+std::optional<Duration> quickestObjective(const CallRun &run)
+{
+    if (!run.node.settings.placement.forecast)
+        return std::nullopt;
+    return run.routes->quickestObjective(run.service);
+}
+
 bool mayAskLoadFor(const CallRun &run, const std::string &target)
 {
     if (wasDeclined(run, target))
@@ -67,6 +75,8 @@
 /** Time until the call's adapter is there by a load under way; below 0: none is waited for. */
 double incomingMs(const CallRun &run, const std::string &target, double loadMs)
 {
+    if (!run.node.settings.placement.awaitLoads)
+        return -1;
     if (run.facts.adapter.empty() || wasDeclined(run, target))
         return -1;
     const auto incoming =
@@ -100,7 +110,7 @@
 /** Age of what this VM knows of the load of engines, for the choice. */
 Duration loadAge(const CallRun &run, Instant now)
 {
-    const bool real = run.routes->quickestObjective(run.service).has_value();
+    const bool real = quickestObjective(run).has_value();
     return real ? knownLoadAge(run.node, now) : loadNewsAge(run.node);
 }
 
@@ -109,7 +119,7 @@
 {
     EngineWeights weights = run.node.settings.weights;
     const auto pace = run.node.prefillPaces.find(run.service);
-    if (pace != run.node.prefillPaces.end() && run.routes->quickestObjective(run.service))
+    if (pace != run.node.prefillPaces.end() && quickestObjective(run))
         weights.promptTokensPerMs = prefillPace(pace->second, weights.promptTokensPerMs);
     return weights;
 }
@@ -122,8 +132,7 @@
     const int capacity = model != nullptr ? adapterCapacity(*spec.engine, *model) : 0;
     // See calls_do_not_follow_old_news_all_to_the_same_engine: with 195 VMs it takes late calls
     // from 20 to 18 in 100 on a heavy day (one play each).
-    const Duration age =
-        run.routes->quickestObjective(run.service) ? knownLoadAge(node, now) : loadNewsAge(node);
+    const Duration age = quickestObjective(run) ? knownLoadAge(node, now) : loadNewsAge(node);
     std::uniform_real_distribution<double> doubt(0, 1000 * toSeconds(age));
     const bool asked = asksHolders(node, *run.route);
     std::vector<EngineView> views;
@@ -194,7 +203,7 @@
     need.outputTokens = run.facts.maxOutputTokens;
     need.objectives.firstEventMs = 1000 * toSeconds(run.route->latencyObjective);
     need.objectives.pauseMs = 1000 * toSeconds(run.route->gapObjective);
-    if (const auto quickest = run.routes->quickestObjective(run.service))
+    if (const auto quickest = quickestObjective(run))
         need.quickestMs = 1000 * toSeconds(*quickest);
     beginPlacing(run);
     Placement placement;
@@ -320,7 +329,7 @@
     , prompt(run, target, BootClock::now())
     , waiting(run.facts.promptTokens - run.cachedTokens)
     , held(run.facts.promptTokens + run.facts.maxOutputTokens)
-    , quick(run.routes->quickestObjective(run.service) == run.route->latencyObjective ? 1 : 0)
+    , quick(quickestObjective(run) == run.route->latencyObjective ? 1 : 0)
     , waitingBefore(totalLoad(run.node, target).waitingTokens)
     , sentAt(BootClock::now())
 {
--- a/libs/gateway/src/PrefillReserving.cpp
+++ b/libs/gateway/src/PrefillReserving.cpp
@@ -122,7 +122,8 @@
 
 bool asksHolders(const GatewayNode &node, const Route &route)
 {
-    return toSeconds(loadNewsAge(node)) > newsShare * toSeconds(route.latencyObjective);
+    return node.settings.placement.reservePrefill
+        && toSeconds(loadNewsAge(node)) > newsShare * toSeconds(route.latencyObjective);
 }
 
 std::optional<double> countedTokens(GatewayNode &node, const std::string &target, Instant now)
--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -2,6 +2,7 @@
 
 #include "FleetCount.h"
 #include "RelayLoops.h"
+#include "SpendNotes.h"
 #include "ZoneView.h"
 #include "observe/Events.h"
 #include "quota/Admission.h"
@@ -33,7 +34,12 @@
     if (node.settings.firstStart || up >= 2 * policy.window || !knowsOthers(node, now))
         return use;
     const int known = vmsKnown(node, now);
-    addUse(use, useBeforeStart(workspace.limit, policy, known, up));
+    if (notesSpend(node))
+        addUse(use,
+               useAtStart(workspace.name, workspace.limit, policy, node.spend.atStart, known,
+                          node.bootedAt, now));
+    else
+        addUse(use, useBeforeStart(workspace.limit, policy, known, up));
     return use;
 }
 
@@ -56,9 +62,21 @@
     fleet.vmsInTouch = vmsInTouch(node, now);
     fleet.vmsKnown = vmsKnown(node, now);
     fleet.newsAge = loadNewsAge(node);
+    fleet.allowed = spendAllowed(node, workspace.name, now);
     return fleet;
 }
 
+} // namespace
+
+FleetUse fleetUseOf(GatewayNode &node, const Workspace &workspace, Instant now)
+{
+    FleetUse fleet = othersUseOf(node, workspace, now);
+    addUse(fleet.use, ownUseOf(node, workspace, now));
+    return fleet;
+}
+
+namespace {
+
 /** The workspace's own priority is the same for all of its calls. */
 int rankOf(const CallRun &run)
 {
@@ -86,6 +104,7 @@
               {"askedPerSecond", std::to_string(fleet.use.askedPerSecond)},
               {"vmsInTouch", std::to_string(fleet.vmsInTouch)},
               {"vmsKnown", std::to_string(fleet.vmsKnown)},
+              {"allowed", std::to_string(fleet.allowed)},
               {"newsAgeMs", std::to_string(toMillis(fleet.newsAge))}});
 }
 
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -57,6 +57,7 @@
     BetweenPieces,
     Refusal, ///< seconds from arrival to a refusal
     ForecastError, ///< seconds by which a first event came earlier or later than expected
+    NoteAge, ///< seconds since the spend note that permits a VM more use, as it hears of it
     Count, ///< number of timings, not one of them
 };
 
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -63,8 +63,8 @@
     "calls_waiting"};
 
 constexpr std::array<std::string_view, timingCount> timingNames{
-    "load_stall_seconds", "first_piece_seconds", "between_pieces_seconds", "refusal_seconds",
-    "forecast_error_seconds"};
+    "load_stall_seconds", "first_piece_seconds",    "between_pieces_seconds",
+    "refusal_seconds",    "forecast_error_seconds", "spend_note_age_seconds"};
 
 struct Shard
 {
--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -32,30 +32,13 @@
 constexpr Duration soonest = std::chrono::milliseconds(500);
 constexpr double retryJitter = 0.25; ///< of the wait
 
-/** The part of the limits that the VMs in touch may use. */
-double shareInTouch(const FleetUse &fleet)
-{
-    const int known = std::max({fleet.vmsKnown, fleet.vmsInTouch, 1});
-    return static_cast<double>(std::max(fleet.vmsInTouch, 1)) / known;
-}
-
-/** Units that all VMs may use in a window, some of the tolerance among them. */
-double usableInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy)
-{
-    return grantedInWindow(limit, policy) * (1 + excessUsed * policy.excess)
-        + slackUsed * policy.slack;
-}
-
 /** Units a second that all VMs in touch together may let run now. */
 double admittedPerSecond(const WorkspaceLimit &limit, const QuotaPolicy &policy,
                          const FleetUse &fleet) noexcept
 {
-    const double room =
-        shareInTouch(fleet) * usableInWindow(limit, policy) - static_cast<double>(fleet.use.whole);
-    // No faster than use is heard of: until then, what was let run elsewhere has been told.
-    const double fill =
-        std::max(fillShare * toSeconds(policy.window), 2 * toSeconds(fleet.newsAge));
-    return std::max(room / fill, 0.0);
+    const double room = shareInTouch(fleet) * fleet.allowed * usableInWindow(limit, policy)
+        - static_cast<double>(fleet.use.whole);
+    return std::max(room / secondsToFill(policy, fleet), 0.0);
 }
 
 /**
@@ -106,6 +89,24 @@
 
 } // namespace
 
+double shareInTouch(const FleetUse &fleet) noexcept
+{
+    const int known = std::max({fleet.vmsKnown, fleet.vmsInTouch, 1});
+    return static_cast<double>(std::max(fleet.vmsInTouch, 1)) / known;
+}
+
+// No faster than use is heard of: until then, what was let run elsewhere has been told.
+double secondsToFill(const QuotaPolicy &policy, const FleetUse &fleet) noexcept
+{
+    return std::max(fillShare * toSeconds(policy.window), 2 * toSeconds(fleet.newsAge));
+}
+
+double usableInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy) noexcept
+{
+    return grantedInWindow(limit, policy) * (1 + excessUsed * policy.excess)
+        + slackUsed * policy.slack;
+}
+
 // Every VM lets the same share of calls of a class run, the shares that keep all of them together
 // within the limit: so none has to know what its part is, and news that are some tenths of a second
 // old only shift a share a little. The carry spreads what is let run evenly, whatever the calls'
@@ -128,7 +129,7 @@
     const auto cost = static_cast<double>(units);
     // Where one call is more than the part of these VMs, the share alone decides: it then lets run
     // as many of such calls, over all parts, as fit together.
-    const bool fits = static_cast<double>(ahead.use.whole) + cost <= most
+    const bool fits = static_cast<double>(ahead.use.whole) + cost <= most * fleet.allowed
         || (cost > most && cost <= mostInWindow(limit, policy));
     const ClassDemand demand = classDemandOf(fleet.use, asked);
     const double share = sharesOf(demand, std::min(rate / asked, 1.0))[indexOf(callClass)];
--- a/libs/quota/tests/FleetModel.h
+++ b/libs/quota/tests/FleetModel.h
@@ -31,14 +31,22 @@
     int vms = 70;
     int callersAt = 70; ///< VMs that its calls come to
     Duration newsAge = std::chrono::milliseconds(450);
+    Duration permitAge = std::chrono::milliseconds(70); ///< of what the zone's relay told
     WorkspaceLimit limit;
     QuotaPolicy policy;
     double usual = 0.56; ///< of the rate
     double hot = 1; ///< times its usual, from `hotFrom` to 24 s
     int hotFrom = 12; ///< s
+    bool quietBefore = false; ///< no calls until then
     int cutAlone = 0; ///< VMs that hear nobody from 10 s to 26 s
     double cutTogether = 0; ///< share of the VMs that hear only each other in that time
-    bool restart = false; ///< all lose what they know at 16 s, and are back at 17 s
+    std::vector<Duration> restarts; ///< all VMs end then, and are back a second later
+    Duration apart{}; ///< within this time they end, and likewise come back
+    int zones = 4;
+    double largestCall = 0; ///< units; 0: no largest
+    int storeAwayFor = 0; ///< zones whose notes the store refuses from `storeAwayFrom` on
+    Duration storeAwayFrom = std::chrono::seconds(12);
+    Duration storeAwayUntil = std::chrono::seconds(30);
     double lowered = 1; ///< times the rate, from 18 s on
     std::vector<CallsOfKind> kinds; ///< none: calls of one class and of many sizes
     std::size_t burstOf = 0; ///< kind of which `burst` times as many calls come from 12 s to 24 s
@@ -55,6 +63,7 @@
     double servedInCalm = 0; ///< the same outside the hot hours
     double servedCalls = 0; ///< part of the calls that were let run in the hot hours
     std::array<double, callClasses> servedByClass{}; ///< the same by class; 0: none came
+    double servedAfter = 0; ///< of what was asked for in the window after the last restart
 };
 
 FleetOutcome playDay(const FleetDay &day, Division division);
