--- a/libs/gateway/tests/LoadNews.cpp
+++ b/libs/gateway/tests/LoadNews.cpp
@@ -18,6 +18,14 @@
     return read;
 }
 
+GatewaySettings settingsOfVm()
+{
+    GatewaySettings settings;
+    settings.placement.keepDeclines = true;
+    settings.placement.awaitLoads = true;
+    return settings;
+}
+
 } // namespace
 
 // Guards against a time or reason that gets lost between two VMs, or a VM of the former version
@@ -50,7 +58,7 @@
 // Guards against a mark by the former holder of an engine that keeps calls from the new one.
 Test(load_news, a_new_holder_is_asked_at_once)
 {
-    GatewayNode node((GatewaySettings()));
+    GatewayNode node(settingsOfVm());
     EngineRecord record;
     record.holder = {"10.0.0.2", 7380};
     record.holderLive = true;
@@ -72,7 +80,7 @@
 // Guards against the name of the adapter not reaching other VMs, or reaching them without a time.
 Test(load_news, loads_under_way_are_told_with_the_engine)
 {
-    GatewayNode node((GatewaySettings()));
+    GatewayNode node(settingsOfVm());
     EngineRecord record;
     record.holder = {"10.0.0.2", 7380};
     record.holderLive = true;
--- a/libs/gateway/tests/PrefillReservations.cpp
+++ b/libs/gateway/tests/PrefillReservations.cpp
@@ -13,6 +13,7 @@
     settings.vm = "vm-1";
     settings.zone = "zone-a";
     settings.peers = {"10.0.0.1", 7380};
+    settings.placement.reservePrefill = true;
     return settings;
 }
 
--- a/libs/gateway/tests/Waiting.cpp
+++ b/libs/gateway/tests/Waiting.cpp
@@ -15,6 +15,13 @@
 
 namespace {
 
+GatewaySettings settingsOfVm()
+{
+    GatewaySettings settings;
+    settings.placement = {true, true, true, true, true};
+    return settings;
+}
+
 const Endpoint holder{"10.0.0.2", 7380};
 
 std::shared_ptr<const RouteTable> routesOfEngines()
@@ -31,7 +38,7 @@
 struct Crowd
 {
     Crowd()
-        : node(GatewaySettings())
+        : node(settingsOfVm())
     {
         this->node.routes = routesOfEngines();
         TargetRecord target;
--- a/libs/quota/tests/Classes.cpp
+++ b/libs/quota/tests/Classes.cpp
@@ -56,7 +56,7 @@
 std::vector<FleetDay> withFaults(const FleetDay &day)
 {
     std::vector<FleetDay> days(3, day);
-    days[0].restart = true;
+    days[0].restarts = {std::chrono::seconds(16)};
     days[1].cutTogether = 0.25;
     days[2].cutAlone = day.vms / 3;
     return days;
