--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -8,6 +8,7 @@
 #include "access/Confirmation.h"
 #include "config/Settings.h"
 #include "core/Time.h"
+#include "gateway/PlacementSettings.h"
 #include "quota/WorkspaceLimit.h"
 #include "serving/EngineBoard.h"
 #include "serving/HolderLease.h"
@@ -36,8 +37,10 @@
     RetryPolicy retries;
     AccessPolicy access;
     QuotaPolicy quota;
+    bool quotaGiven = false; ///< then use is noted in the store; see quota/SpendNote.h
     LeaseTiming lease;
     EngineWeights weights;
+    PlacementSettings placement;
     int logLinesPerSecond = 40; ///< of one kind of event
 
     bool operator==(const GatewaySettings &) const = default;
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -8,6 +8,7 @@
 
 #include "GatewayNode.h"
 #include "serving/CallFacts.h"
+#include "serving/PromptPrefixes.h"
 #include "serving/ServingConfig.h"
 #include "transport/HttpServer.h"
 
@@ -16,6 +17,16 @@
 /** A caller that takes nothing of its answer for this long is given up. */
 constexpr Duration writePatience = std::chrono::seconds(10);
 
+/** The wait of a call for a place at an engine. */
+struct PlaceTimes
+{
+    Instant since{};
+    Instant usualBy{}; ///< then others go first
+    Instant by{}; ///< then it is refused
+    bool waited = false; ///< it has found no place at once
+    Duration forecast{}; ///< until a place was expected when it last found none; zero: not known
+};
+
 /** One caller's call while it is being served. */
 struct CallRun
 {
@@ -39,10 +50,16 @@
 
     std::vector<std::string> tried; ///< targets that were sent to, or could not be reached
     std::vector<std::string> unloadable; ///< engines that will not load the adapter now
+    PlaceTimes place;
+    std::vector<std::string> prefillAsked; ///< engines whose holder was asked what waits there
     std::string missedAt; ///< engine that lacked the adapter which it was taken to hold
+    std::vector<PromptPrefix> prefixes; ///< of its prompt, if it goes to engines
+    double cachedTokens = 0; ///< of its prompt, believed to be at the engine it was sent to last
     int sends = 0;
     Duration placing{}; ///< time spent on finding targets, loads included
     int loads = 0; ///< adapter loads that were waited for
+    Duration forecast{}; ///< expected from the choice of the engine to the first event; zero: none
+    Instant forecastAt{}; ///< when that engine was chosen
     Instant firstPieceAt{}; ///< of the answer, towards the caller; zero: none yet
     Instant lastPieceAt{};
     Duration longestGap{}; ///< between two pieces
@@ -83,6 +100,7 @@
     int status = 503;
     std::string reason; ///< short, for callers and logs
     Duration retryAfter{}; ///< zero: none
+    Duration forecast{}; ///< until a place was expected; zero: not known
 };
 
 OwnAnswer ownAnswer(int status, std::string reason, Duration retryAfter);
--- /dev/null
+++ b/libs/gateway/src/ClassFields.cpp
@@ -0,0 +1,72 @@
+#include "ClassFields.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace monsoonbay {
+
+namespace v1 = gateway::v1;
+
+namespace {
+
+using Numbers = google::protobuf::RepeatedField<std::uint64_t>;
+
+void addNumbers(const ByClass &values, Numbers &numbers)
+{
+    for (const std::int64_t value : values)
+        numbers.Add(static_cast<std::uint64_t>(std::max<std::int64_t>(value, 0)));
+}
+
+/** False if there is not one sound number for each class. */
+bool takeNumbers(const Numbers &numbers, ByClass &values)
+{
+    if (numbers.size() != static_cast<int>(callClasses))
+        return false;
+    for (std::size_t index = 0; index < callClasses; ++index) {
+        const std::uint64_t number = numbers.Get(static_cast<int>(index));
+        if (number > mostTold)
+            return false;
+        values[index] = static_cast<std::int64_t>(number);
+    }
+    return true;
+}
+
+std::int64_t sumOf(const ByClass &values)
+{
+    return std::accumulate(values.begin(), values.end(), std::int64_t{0});
+}
+
+} // namespace
+
+void encodeClasses(const WorkspaceUse &use, v1::WorkspaceUse &told)
+{
+    if (use.askedByClass == ByClass() && use.callsByClass == ByClass())
+        return;
+    addNumbers(use.askedByClass, *told.mutable_asked_by_class());
+    addNumbers(use.callsByClass, *told.mutable_calls_by_class());
+    told.set_asked_in_window(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(use.askedInWindow, 0)));
+}
+
+bool decodeClasses(const v1::WorkspaceUse &told, WorkspaceUse &use)
+{
+    const bool none = told.asked_by_class().empty() && told.calls_by_class().empty()
+        && told.asked_in_window() == 0;
+    if (none)
+        return true;
+    ByClass asked{};
+    ByClass calls{};
+    const bool sound = takeNumbers(told.asked_by_class(), asked)
+        && takeNumbers(told.calls_by_class(), calls) && told.asked_in_window() <= mostTold;
+    const auto inWindow = static_cast<std::int64_t>(told.asked_in_window());
+    // A call asks for one unit at least.
+    const bool valid = sound && sumOf(asked) <= use.askedPerSecond && inWindow >= sumOf(calls);
+    if (!valid)
+        return false;
+    use.askedByClass = asked;
+    use.callsByClass = calls;
+    use.askedInWindow = inWindow;
+    return true;
+}
+
+} // namespace monsoonbay
--- a/libs/gateway/src/EngineOrders.h
+++ b/libs/gateway/src/EngineOrders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <optional>
 #include <string>
 
 #include "GatewayNode.h"
@@ -10,11 +11,25 @@
 /** True if some reachable gateway may order this engine now. */
 bool isOrderable(const GatewayNode &node, const std::string &target);
 
+/**
+ * True if a call may ask for a load there now: the engine is orderable, and has not told this VM to
+ * come later. The load is of use if it begins within `begin`.
+ */
+bool mayAskLoad(GatewayNode &node, const std::string &target, Duration begin);
+
+/**
+ * Time until an adapter that is being loaded at an engine is expected there; nothing if none is, or
+ * no call can wait for it. One that a call of this VM has only asked for yet takes `loadTime`.
+ */
+std::optional<Duration> loadUnderWay(GatewayNode &node, const std::string &target,
+                                     const std::string &adapter, Duration loadTime);
+
 /** How long a call waits for the load of its adapter at one engine. */
 struct LoadPatience
 {
     Duration whole{}; ///< until it is there
     Duration begin{}; ///< until it is ordered; an engine that is busy for longer declines at once
+    int rank = 0; ///< of its route; loads of rank 0 are ordered first
 
     auto operator<=>(const LoadPatience &) const = default;
 };
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -6,6 +6,7 @@
 #include "EngineOrders.h"
 #include "HarmfulWatch.h"
 #include "PeerExchange.h"
+#include "SpendNotes.h"
 #include "TargetEnds.h"
 #include "TargetStarts.h"
 #include "ZoneView.h"
@@ -80,7 +81,7 @@
         ResidentVersions resident;
         for (const HeldAdapter &held : entry.adapters)
             resident[held.adapter] = held.version;
-        noteResident(runtime, std::move(resident));
+        noteResident(node, id, std::move(resident));
         runtime.models = std::set<std::string>(entry.models.begin(), entry.models.end());
     }
     const bool wasLapsed = !isNew && known->second.lapsedAt != Instant{};
@@ -214,6 +215,9 @@
     sink.peer = [&node](PlatformVm vm) {
         addPeer(node, vm.peers, {std::move(vm.name), std::move(vm.zone), vm.capacity});
     };
+    sink.spendNotes = [&node](std::vector<SpendNote> notes) {
+        takeNotesOfStore(node, std::move(notes));
+    };
     sink.peersRead = [&node] {
         node.vmsRead = true;
     };
@@ -247,6 +251,7 @@
     while (!node.stopped) {
         sweep(node);
         forgetEvidence(node, BootClock::now());
+        forgetUnused(node.prefixes.book, BootClock::now());
         co_await pauseFor(node, sweepEvery);
     }
 }
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -7,6 +7,7 @@
 #include "HarmfulWatch.h"
 #include "PassedHeaders.h"
 #include "Placing.h"
+#include "PrefixSharing.h"
 #include "StreamRelay.h"
 #include "TargetEnds.h"
 #include "TargetExchange.h"
@@ -103,6 +104,7 @@
 {
     const Instant now = BootClock::now();
     const Instant first = run.firstPieceAt == Instant{} ? now : run.firstPieceAt;
+    const bool forecast = run.forecast > Duration::zero() && first > run.forecastAt;
     run.node.metrics.add(Counter::RequestsAnswered);
     logEvent(EventId::CallAnswered,
              {{"call", run.facts.attemptId},
@@ -112,10 +114,13 @@
               {"firstMs", millisText(first - run.arrivedAt)},
               {"wholeMs", millisText(now - run.arrivedAt)},
               {"placingMs", millisText(run.placing)},
+              {"forecastMs", millisText(run.forecast)},
+              {"forecastTookMs", millisText(forecast ? first - run.forecastAt : Duration::zero())},
               {"longestGapMs", millisText(run.longestGap)},
               {"loads", std::to_string(run.loads)},
               {"sends", std::to_string(run.sends)},
               {"promptTokens", std::to_string(static_cast<int>(run.facts.promptTokens))},
+              {"cachedTokens", std::to_string(static_cast<int>(run.cachedTokens))},
               {"late",
                first - run.arrivedAt > run.route->latencyObjective
                        || run.longestGap > run.route->gapObjective
@@ -323,6 +328,7 @@
         }
         if (facts.misdirected) {
             runtimeOf(this->node, target.id).resident.erase(this->run.facts.adapter);
+            forgetPrefixesOf(this->node, target.id, this->run.facts.adapter);
             this->run.missedAt = target.id;
             this->run.tried.pop_back();
             co_return;
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -7,7 +7,10 @@
 #include "GatewayNode.h"
 #include "LeaseKeeping.h"
 #include "PeerExchange.h"
+#include "PlaceWaiting.h"
+#include "PrefillReserving.h"
 #include "RelayLoops.h"
+#include "SpendNotes.h"
 #include "UseNotes.h"
 #include "observe/Events.h"
 #include "transport/HttpServer.h"
@@ -78,6 +81,9 @@
         handlers.load = [this](gateway::v1::LoadRequest request) {
             return loadHere(this->node, std::move(request));
         };
+        handlers.reservePrefill = [this](const gateway::v1::PrefillRequest &request) {
+            return takePrefillRequest(this->node, request);
+        };
         this->peersPort = this->node.links.listen(
             this->node.context, settings.peersListen.value_or(settings.peers), std::move(handlers));
         if (!settings.peersListen)
@@ -86,6 +92,7 @@
         spawn(this->node, "lease", leaseLoop(this->node));
         spawn(this->node, "extend lease", extendLoop(this->node));
         spawn(this->node, "tend", tendLoop(this->node));
+        spawn(this->node, "wake calls", wakeLoop(this->node));
         spawn(this->node, "tell holders", useNoteLoop(this->node));
         spawn(this->node, "words", wordLoop(this->node));
         spawn(this->node, "report to relay", upstreamLoop(this->node));
@@ -93,6 +100,7 @@
         spawn(this->node, "read configuration", readConfigLoop(this->node));
         spawn(this->node, "look for mates", matesLoop(this->node));
         spawn(this->node, "sweep", sweepLoop(this->node));
+        spawn(this->node, "note use", spendNoteLoop(this->node));
     }
 
     asio::awaitable<void> shutDown()
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -9,14 +9,15 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 
 #include "GatewayPeers.h"
 #include "Signal.h"
+#include "SpendState.h"
 #include "TargetPool.h"
+#include "WaitingPlaces.h"
 #include "access/Confirmation.h"
 #include "access/KeyTable.h"
 #include "gateway/GatewaySettings.h"
@@ -30,9 +31,15 @@
 #include "serving/EngineRecord.h"
 #include "serving/HarmfulCalls.h"
 #include "serving/HolderLease.h"
+#include "serving/IncomingLoads.h"
+#include "serving/LoadDecline.h"
 #include "serving/LoadQueue.h"
 #include "serving/NamedLimit.h"
 #include "serving/OrderDesk.h"
+#include "serving/PrefillPace.h"
+#include "serving/PrefillQueue.h"
+#include "serving/PrefixBook.h"
+#include "serving/PrefixLog.h"
 #include "serving/ServiceRetryBudget.h"
 #include "serving/ServingConfig.h"
 #include "serving/TargetBook.h"
@@ -78,7 +85,8 @@
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
     HostCopies copies; ///< adapters that load fast again there
     std::set<std::string> models; ///< base models that are there
-    std::unordered_set<std::string> cachedParts; ///< of prompts, by adapter and part
+    IncomingLoads incoming;
+    LoadMark loadMark; ///< after a declined load, for all calls of this VM
 };
 
 /** The last word of a VM on whether it may order engines of its zone. */
@@ -122,6 +130,8 @@
     std::set<std::string> toldInWhole; ///< targets that it has told so far in that
     std::uint64_t toldBoot = 0; ///< its boot that was told of engines up to `toldChange`
     std::uint64_t toldChange = 0; ///< of this VM's own changes
+    std::uint64_t seenPrefix = 0; ///< last of its log of prefixes, in the boot `seenBoot`
+    std::uint64_t toldPrefix = 0; ///< last of the own log that its boot `toldBoot` was told
 
     int configFailures = 0; ///< reads of its configuration that failed, in a row
     Instant configRetryAt{}; ///< no further one before this
@@ -130,6 +140,17 @@
     Instant loadFailedAt{}; ///< it did not answer when asked for a load
 };
 
+/** A load that a call of this VM has asked for. */
+struct LoadAsk
+{
+    explicit LoadAsk(asio::io_context &context)
+        : done(context)
+    { }
+
+    Signal done;
+    int callers = 1; ///< that wait for it
+};
+
 /** An engine that this VM orders. */
 struct HeldDesk
 {
@@ -198,6 +219,13 @@
     ChangeLog<std::uint64_t, KnownEvidence> evidence; ///< by an id that its VM drew
 };
 
+/** Prefixes of prompts that engines have read, and what other VMs are told of them. */
+struct SharedPrefixes
+{
+    PrefixBook book;
+    PrefixLog log;
+};
+
 /** Beginning of the name under which another zone as a whole reports; see UseLedger. */
 constexpr std::string_view zoneReporter = "zone ";
 
@@ -226,6 +254,14 @@
     auto operator<=>(const ListSource &) const = default;
 };
 
+/** What is known of the prompts that engines still have to read; see PrefillReserving.h. */
+struct PrefillCounts
+{
+    std::unordered_map<std::string, PrefillQueue> ordered; ///< of engines that this VM orders
+    std::unordered_map<std::string, PrefillQueue> told; ///< by the VMs that order the others
+    std::map<Endpoint, Instant> silentAt; ///< VMs that did not answer, and when
+};
+
 /** A configuration that is being read from peers, part after part. */
 struct ConfigReading
 {
@@ -242,6 +278,7 @@
 
     GatewaySettings settings;
     const PlatformPort *platform;
+    WaitingPlaces places; ///< the context still destroys calls that wait here
     asio::io_context context;
     HttpClient http;
     Metrics metrics;
@@ -258,8 +295,10 @@
     int keysAwaited = 0; ///< calls that wait to learn whether their key is a new one
     std::unordered_map<std::string, SpendRecord> spending; ///< of own calls, by workspace
     FleetSize fleet;
+    SpendState spend;
     Signal configOffered; ///< a peer has a newer one
     SharedFacts facts;
+    SharedPrefixes prefixes;
     TargetBook book;
     std::unordered_map<std::string, std::unique_ptr<TargetRuntime>> targets;
     std::unordered_map<std::string, ServiceRetryBudget> retryBudgets; ///< by service
@@ -294,8 +333,11 @@
     bool notingOrders = false; ///< notes in the store are being read or added
     Instant noteRetryAt{}; ///< no further attempt before this
     std::unordered_map<std::string, std::unique_ptr<HeldDesk>> desks;
-    std::map<std::pair<std::string, std::string>, std::shared_ptr<Signal>> loadsAsked;
+    /** By engine and adapter. */
+    std::map<std::pair<std::string, std::string>, std::shared_ptr<LoadAsk>> loadsAsked;
     LoadBeliefs loadBeliefs;
+    std::unordered_map<std::string, PrefillPace> prefillPaces; ///< by service
+    PrefillCounts prefill;
     HarmfulCalls harmful; ///< follows from the evidence
     bool evidenceChanged = false; ///< since it was judged last
     std::size_t evidenceCalls = 0; ///< named in all evidence
@@ -303,6 +345,7 @@
 
     Signal started; ///< a first configuration, or a first list of targets, is there
     Signal engineChanged; ///< residents or loads of engines changed
+    Signal callWaits; ///< a call has begun to wait for a place
     Signal newsDue; ///< something that the relay should hear before the next regular report
     bool storeUp = false;
     Instant storeFailedAt{}; ///< last attempt to read the store that failed; zero: none
@@ -322,7 +365,7 @@
 const TargetEntry *entryOf(const GatewayNode &node, const std::string &target);
 
 /** Sets what an engine holds, and remembers what it held. */
-void noteResident(TargetRuntime &runtime, ResidentVersions resident);
+void noteResident(GatewayNode &node, const std::string &target, ResidentVersions resident);
 
 /** Gateways heard of lately, this one among them; counts those that fell silent for a while on. */
 int liveGateways(const GatewayNode &node);
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -2,12 +2,20 @@
 
 #include <algorithm>
 
+#include "ClassFields.h"
+#include "observe/Events.h"
+
 namespace monsoonbay {
 
 namespace v1 = gateway::v1;
 
 namespace {
 
+constexpr int lastRank = 1000;
+
+/** Longer times than this are not told of loads. */
+constexpr Duration longestTold = std::chrono::seconds(60);
+
 std::uint16_t portOf(std::uint32_t port)
 {
     return static_cast<std::uint16_t>(port);
@@ -68,6 +76,8 @@
     }
     for (const std::string &model : record.models)
         state.add_models(model);
+    for (const std::string &adapter : record.incoming)
+        state.add_incoming(adapter);
     state.set_loading(record.loading);
     state.set_born(record.born);
     state.set_fetch_ms(static_cast<std::uint32_t>(record.fetchMs));
@@ -84,6 +94,7 @@
     for (const v1::Slot &slot : state.slots())
         record.resident[slot.adapter()] = slot.version();
     record.models = std::set<std::string>(state.models().begin(), state.models().end());
+    record.incoming.insert(state.incoming().begin(), state.incoming().end());
     record.loading = state.loading();
     record.born = state.born();
     record.fetchMs = state.fetch_ms();
@@ -92,6 +103,36 @@
     return record;
 }
 
+void encodeRank(int rank, v1::LoadRequest &request)
+{
+    request.set_rank(static_cast<std::uint32_t>(std::clamp(rank, 0, lastRank)));
+}
+
+int decodeRank(const v1::LoadRequest &request)
+{
+    return static_cast<int>(std::min<std::uint32_t>(request.rank(), lastRank));
+}
+
+void encodeDecline(const LoadDecline &decline, v1::LoadReply &reply)
+{
+    // Rounded up: a holder that is asked a moment too early declines once more.
+    const Duration told = std::clamp(decline.retryIn, Duration::zero(), longestTold);
+    const auto millis = static_cast<std::uint32_t>(toMillis(told));
+    const bool rest = told > std::chrono::milliseconds(millis);
+    reply.set_retry_in_ms(millis + (rest ? 1 : 0));
+    reply.set_reason(static_cast<v1::LoadDecline>(decline.reason));
+}
+
+LoadDecline decodeDecline(const v1::LoadReply &reply)
+{
+    LoadDecline decline;
+    const auto longest = static_cast<std::uint64_t>(toMillis(longestTold));
+    decline.retryIn =
+        std::chrono::milliseconds(std::min(std::uint64_t{reply.retry_in_ms()}, longest));
+    decline.reason = declineReasonOf(static_cast<std::uint64_t>(reply.reason()));
+    return decline;
+}
+
 void encodeUse(const std::string &target, const TargetUse &use, v1::EngineUse &told)
 {
     told.set_target(target);
@@ -101,6 +142,7 @@
     told.set_busy_slots(use.busySlots);
     told.set_faults(static_cast<std::uint32_t>(std::max(use.faults, 0)));
     told.set_goods(static_cast<std::uint32_t>(std::max(use.goods, 0)));
+    told.set_quick_runs(use.quickRuns);
 }
 
 void encodeWorkspaceUse(const std::string &workspace, const WorkspaceUse &use,
@@ -110,16 +152,45 @@
     told.set_units(static_cast<std::uint64_t>(std::max<std::int64_t>(use.whole, 0)));
     told.set_asked_per_second(
         static_cast<std::uint64_t>(std::max<std::int64_t>(use.askedPerSecond, 0)));
+    encodeClasses(use, told);
+}
+
+namespace {
+
+/** False if what `told` says of classes is invalid. */
+bool decodeInto(const v1::WorkspaceUse &told, WorkspaceUse &use)
+{
+    use.whole = static_cast<std::int64_t>(std::min<std::uint64_t>(told.units(), mostTold));
+    use.askedPerSecond =
+        static_cast<std::int64_t>(std::min<std::uint64_t>(told.asked_per_second(), mostTold));
+    return decodeClasses(told, use);
 }
 
+} // namespace
+
 WorkspaceUse decodeWorkspaceUse(const v1::WorkspaceUse &told)
 {
     WorkspaceUse use;
-    use.whole = static_cast<std::int64_t>(told.units());
-    use.askedPerSecond = static_cast<std::int64_t>(told.asked_per_second());
+    decodeInto(told, use);
     return use;
 }
 
+WorkspaceUses decodeWorkspaceUses(const google::protobuf::RepeatedPtrField<v1::WorkspaceUse> &all,
+                                  const v1::Vm &from)
+{
+    WorkspaceUses uses;
+    std::string invalid;
+    for (const v1::WorkspaceUse &told : all) {
+        WorkspaceUse use;
+        if (!decodeInto(told, use))
+            invalid = told.workspace();
+        uses[told.workspace()] = use;
+    }
+    if (!invalid.empty())
+        logEvent(EventId::UseMalformed, {{"peer", from.name()}, {"workspace", invalid}});
+    return uses;
+}
+
 TargetUse decodeUse(const v1::EngineUse &told)
 {
     TargetUse use;
@@ -129,6 +200,7 @@
     use.busySlots = told.busy_slots();
     use.faults = static_cast<int>(told.faults());
     use.goods = static_cast<int>(told.goods());
+    use.quickRuns = told.quick_runs();
     return use;
 }
 
--- a/libs/gateway/src/NewsCodec.h
+++ b/libs/gateway/src/NewsCodec.h
@@ -22,10 +22,22 @@
 EngineRecord decodeEngine(const gateway::v1::EngineState &state);
 
 /** The adapters go to the holder of an engine only, see UseNotes.h. */
+/** Rank of the call that a load is for. */
+void encodeRank(int rank, gateway::v1::LoadRequest &request);
+int decodeRank(const gateway::v1::LoadRequest &request);
+
+/** The holder's answer that it begins no load. */
+void encodeDecline(const LoadDecline &decline, gateway::v1::LoadReply &reply);
+LoadDecline decodeDecline(const gateway::v1::LoadReply &reply);
+
 void encodeUse(const std::string &target, const TargetUse &use, gateway::v1::EngineUse &told);
 void encodeWorkspaceUse(const std::string &workspace, const WorkspaceUse &use,
                         gateway::v1::WorkspaceUse &told);
 WorkspaceUse decodeWorkspaceUse(const gateway::v1::WorkspaceUse &told);
+/** All that one message tells; one event if part of it is invalid. */
+WorkspaceUses
+decodeWorkspaceUses(const google::protobuf::RepeatedPtrField<gateway::v1::WorkspaceUse> &all,
+                    const gateway::v1::Vm &from);
 
 TargetUse decodeUse(const gateway::v1::EngineUse &told);
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -8,7 +8,9 @@
 #include "LeaseKeeping.h"
 #include "NewsCodec.h"
 #include "NewsTelling.h"
+#include "PrefixSharing.h"
 #include "SharedEngines.h"
+#include "SpendNotes.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
 #include "WorkspaceQuota.h"
@@ -126,11 +128,13 @@
         return report;
     const bool mate = peer.zone == node.settings.zone;
     report->set_carries_use(true);
+    reportPrefixes(node, peer, mate, BootClock::now(), *report);
     report->set_vms(static_cast<std::uint32_t>(zoneVms(node)));
     for (const auto &[target, use] : zoneUses(node))
         encodeUse(target, use, *report->add_uses());
     for (const auto &[workspace, use] : zoneWorkspaceUses(node, BootClock::now()))
         encodeWorkspaceUse(workspace, use, *report->add_workspaces());
+    fillUnitsByAge(node, *report);
     for (const auto &[target, entry] : node.facts.engines.all()) {
         const bool held =
             entry.value.holderLive && zoneOfTarget(node, target) == node.settings.zone;
@@ -301,8 +305,8 @@
         uses.vms = static_cast<int>(report.vms());
         for (const v1::EngineUse &told : report.uses())
             uses.uses[told.target()] = decodeUse(told);
-        for (const v1::WorkspaceUse &told : report.workspaces())
-            uses.workspaces[told.workspace()] = decodeWorkspaceUse(told);
+        uses.workspaces = decodeWorkspaceUses(report.workspaces(), report.from());
+        uses.unitsByAge = decodeUnitsByAge(report);
         // A VM that does not relay hears of the other zones from its relay; twice would count
         // twice.
         if (mate || node.relaying)
@@ -317,10 +321,14 @@
     for (const v1::Target &leaving : report.leaving())
         noteLeavingByPeer(node, leaving.id(), leaving.born());
     takeEvidenceTold(node, report.evidence());
-    if (mate)
+    if (mate) {
+        takePrefixesReported(node, report);
         takeReleases(node, report.released());
+    }
 
     tellNews(node, report, mate, digest);
+    tellPrefixes(node, report, mate, digest);
+    tellSpendNews(node, report, mate, digest);
     if (mate)
         fillReleases(node, now, *digest.mutable_released());
     if (mate && report.carries_use()) {
@@ -360,6 +368,7 @@
     if (peer.zone != node.settings.zone)
         noteZoneRelay(node, peer, digest);
     noteConfigOffer(node, peer, digest.config_version());
+    takePrefixesTold(node, peer, digest);
     takeNews(node, peer, digest, upstream);
     if (peer.zone == node.settings.zone)
         takeReleases(node, digest.released());
@@ -375,9 +384,7 @@
     for (const v1::EngineUse &told : digest.others())
         node.upstream.others[told.target()] = decodeUse(told);
     node.upstream.vmsInTouch = static_cast<int>(digest.vms_in_touch());
-    node.upstream.otherWorkspaces.clear();
-    for (const v1::WorkspaceUse &told : digest.other_workspaces())
-        node.upstream.otherWorkspaces[told.workspace()] = decodeWorkspaceUse(told);
+    node.upstream.otherWorkspaces = decodeWorkspaceUses(digest.other_workspaces(), digest.from());
 }
 
 asio::awaitable<bool> exchangeWith(GatewayNode &node, Endpoint endpoint, bool withUse,
@@ -386,6 +393,7 @@
     PeerState &peer = node.peers.at(endpoint);
     peer.asking = true;
     const std::uint64_t told = node.facts.counter.last;
+    const std::uint64_t prefixTold = node.prefixes.log.last;
     const std::shared_ptr<const v1::Report> report = reportTo(node, peer, withUse);
     const Instant asked = BootClock::now();
     const auto digest = co_await node.links.exchange(endpoint, report, reportTimeout);
@@ -409,9 +417,11 @@
     const std::uint64_t bootBefore = answered.boot;
     takeDigest(node, endpoint, *digest, upstream);
     takeConfirmation(node, *digest, asked);
+    takeSpendNews(node, *digest, upstream, asked);
     if (withUse && bootBefore == digest->from().boot()) {
         answered.toldBoot = bootBefore;
         answered.toldChange = told;
+        answered.toldPrefix = prefixTold;
     }
     co_return true;
 }
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -1,69 +1,32 @@
 #include "Placing.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "EngineOrders.h"
 #include "LeaseKeeping.h"
+#include "PlaceWaiting.h"
+#include "PrefillReserving.h"
 #include "RelayLoops.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
+#include "serving/EngineForecast.h"
 #include "serving/PlainChoice.h"
 
 namespace monsoonbay {
 
 namespace {
 
-/**
- * A call waits for its place for this share of its latency objective at most, and of the time that
- * its caller has left; then it is refused while the caller can still come back. On crowded days
- * what is held longer is mostly answered late or not at all, and keeps others waiting: against two
- * seconds for all, callers' benefit rose from 0.584 to 0.594 of what is owed (Bavaria, mean of 18
- * heavy days, a day's spread 0.05).
- */
-constexpr double objectiveShare = 0.7;
-constexpr double timeLeftShare = 0.35;
-/** For routes that name no objective. */
-constexpr Duration leastPlacePatience = std::chrono::milliseconds(300);
 /** For a call whose patience is nearly over: an engine that is not busy still takes its load. */
 constexpr Duration leastBeginWait = std::chrono::milliseconds(20);
 /** Engines in a row that decline a load at once; then all are taken as busy for a moment. */
 constexpr std::size_t mostDeclines = 6;
-constexpr Duration roomLook = std::chrono::milliseconds(40);
 
 /** Callers of refused calls come back after about a load's time. */
 constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
 /** Without any target: entries are listed again within seconds. */
 constexpr Duration comeBackLater = std::chrono::milliseconds(800);
 
-/** Parts of prompts that are remembered for an engine; about twice what its memory can hold. */
-constexpr std::size_t mostCachedParts = 256;
-
-std::string partKey(const CallRun &run, const PromptPart &part)
-{
-    return run.facts.adapter + "|" + part.id;
-}
-
-/** Tokens at the beginning of the call's prompt that own calls have had read there before. */
-double cachedTokens(const CallRun &run, const TargetRuntime &runtime)
-{
-    double tokens = 0;
-    for (const PromptPart &part : run.facts.prompt) {
-        if (runtime.cachedParts.count(partKey(run, part)) == 0)
-            return tokens;
-        tokens += part.tokens;
-    }
-    return tokens;
-}
-
-void rememberParts(const CallRun &run, TargetRuntime &runtime)
-{
-    // What an engine keeps is not known exactly; starting anew now and then only costs estimates.
-    if (runtime.cachedParts.size() > mostCachedParts)
-        runtime.cachedParts.clear();
-    for (const PromptPart &part : run.facts.prompt)
-        runtime.cachedParts.insert(partKey(run, part));
-}
-
 bool isUsable(GatewayNode &node, const std::string &target, const TargetUse &all, Instant now)
 {
     return !isEjected(runtimeOf(node, target).health, now) && !isFailing(all);
@@ -80,13 +43,45 @@
         view.usable = true;
 }
 
-/** Slots of an engine that could take another adapter, as far as is known here. */
-int idleSlotsAt(GatewayNode &node, const TargetEntry &entry, const TargetUse &use, int capacity)
+/** How long the call has for a load to begin. */
+Duration beginPatience(const CallRun &run)
+{
+    return std::max(run.place.usualBy - BootClock::now(), leastBeginWait);
+}
+
+bool wasDeclined(const CallRun &run, const std::string &target)
+{
+    return std::find(run.unloadable.begin(), run.unloadable.end(), target) != run.unloadable.end();
+}
+
+/** True if a load for the call may be asked for there. */
+/** Nothing where engines are not chosen by forecast. */
+std::optional<Duration> quickestObjective(const CallRun &run)
+{
+    if (!run.node.settings.placement.forecast)
+        return std::nullopt;
+    return run.routes->quickestObjective(run.service);
+}
+
+bool mayAskLoadFor(const CallRun &run, const std::string &target)
 {
-    const auto desk = node.desks.find(entry.id);
-    if (desk != node.desks.end() && desk->second->desk.sequence >= 0 && mayOrderNow(node, entry.id))
-        return idleSlots(desk->second->desk, BootClock::now());
-    return capacity - use.busySlots;
+    if (wasDeclined(run, target))
+        return false;
+    // Its holder has to hear that the adapter is not there, whatever it said before.
+    return run.missedAt == target ? isOrderable(run.node, target)
+                                  : mayAskLoad(run.node, target, beginPatience(run));
+}
+
+/** Time until the call's adapter is there by a load under way; below 0: none is waited for. */
+double incomingMs(const CallRun &run, const std::string &target, double loadMs)
+{
+    if (!run.node.settings.placement.awaitLoads)
+        return -1;
+    if (run.facts.adapter.empty() || wasDeclined(run, target))
+        return -1;
+    const auto incoming =
+        loadUnderWay(run.node, target, run.facts.adapter, fromSeconds(loadMs / 1000));
+    return incoming ? 1000 * toSeconds(*incoming) : -1;
 }
 
 /** Targets of the call's service that take calls of this VM now. */
@@ -112,6 +107,23 @@
     return first == Instant{} ? comeBackLater : first - now;
 }
 
+/** Age of what this VM knows of the load of engines, for the choice. */
+Duration loadAge(const CallRun &run, Instant now)
+{
+    const bool real = quickestObjective(run).has_value();
+    return real ? knownLoadAge(run.node, now) : loadNewsAge(run.node);
+}
+
+/** The weights of the choice, by the pace that own calls have shown. */
+EngineWeights weightsNow(const CallRun &run)
+{
+    EngineWeights weights = run.node.settings.weights;
+    const auto pace = run.node.prefillPaces.find(run.service);
+    if (pace != run.node.prefillPaces.end() && quickestObjective(run))
+        weights.promptTokensPerMs = prefillPace(pace->second, weights.promptTokensPerMs);
+    return weights;
+}
+
 std::vector<EngineView> engineViews(CallRun &run, const ServiceSpec &spec)
 {
     GatewayNode &node = run.node;
@@ -120,7 +132,9 @@
     const int capacity = model != nullptr ? adapterCapacity(*spec.engine, *model) : 0;
     // See calls_do_not_follow_old_news_all_to_the_same_engine: with 195 VMs it takes late calls
     // from 20 to 18 in 100 on a heavy day (one play each).
-    std::uniform_real_distribution<double> doubt(0, 1000 * toSeconds(loadNewsAge(node)));
+    const Duration age = quickestObjective(run) ? knownLoadAge(node, now) : loadNewsAge(node);
+    std::uniform_real_distribution<double> doubt(0, 1000 * toSeconds(age));
+    const bool asked = asksHolders(node, *run.route);
     std::vector<EngineView> views;
     for (const TargetRecord *listed : takingTargets(run, now)) {
         const TargetEntry &entry = listed->entry;
@@ -132,10 +146,13 @@
         view.slots = spec.engine->slots;
         view.kvTokens = spec.engine->kvTokens;
         view.resident = &runtime.resident;
-        view.waitingTokens = use.waitingTokens;
+        const std::optional<double> counted =
+            asked ? countedTokens(node, entry.id, now) : std::nullopt;
+        view.waitingTokens = counted.value_or(use.waitingTokens);
         view.heldTokens = use.heldTokens;
         view.runs = use.runs;
-        view.cachedTokens = cachedTokens(run, runtime);
+        view.quickRuns = use.quickRuns;
+        view.cachedTokens = cachedInEngine(run, entry, use, spec.engine->kvTokens);
         view.usable = isUsable(node, entry.id, use, now);
         view.hasModel = runtime.models.count(run.facts.model) > 0;
         const EngineRecord *record = node.facts.engines.find(entry.id);
@@ -143,42 +160,42 @@
             && hasHostCopy(runtime.copies, run.facts.adapter, HostMemory{record->copiesKept});
         view.loadMs = record == nullptr ? 0 : view.warm ? record->copyMs : record->fetchMs;
         view.fetchMs = record == nullptr ? 0 : record->fetchMs;
+        view.incomingMs = incomingMs(run, entry.id, view.loadMs);
         view.idleSlots = idleSlotsAt(node, entry, use, capacity);
-        view.hasHolder = isOrderable(node, entry.id)
-            && std::find(run.unloadable.begin(), run.unloadable.end(), entry.id)
-                == run.unloadable.end();
-        view.doubtMs = doubt(node.random);
+        view.hasHolder = mayAskLoadFor(run, entry.id);
+        view.doubtMs = counted ? 0 : doubt(node.random);
         views.push_back(std::move(view));
     }
     keepSomeUsable(views);
     return views;
 }
 
-Duration placePatience(const CallRun &run)
-{
-    const double objective = toSeconds(run.route->latencyObjective) * objectiveShare;
-    const double left = toSeconds(timeLeft(run)) * timeLeftShare;
-    return std::min(std::max(fromSeconds(objective), leastPlacePatience), fromSeconds(left));
-}
-
 /**
  * Where the call goes next. An engine that refused it because its load was not done yet is about to
- * have the adapter; anywhere else it would be loaded anew, and the holder would not learn of it.
+ * have the adapter; anywhere else it would be loaded anew, and the holder would not learn of it. A
+ * load that is under way serves all who want the adapter, if they can wait for it.
  */
 EngineChoice nextEngine(const CallRun &run, const std::vector<EngineView> &views,
-                        const EngineNeed &need)
+                        const EngineNeed &need, const EngineWeights &weights)
 {
     for (std::size_t index = 0; index < views.size(); ++index) {
         const EngineView &view = views[index];
         if (view.id == run.missedAt && view.usable && view.hasHolder && !hasAdapter(view, need))
             return {EngineStep::Load, index};
     }
-    return chooseEngine(views, need, run.tried, run.node.settings.weights);
+    const EngineChoice choice = chooseEngine(views, need, run.tried, weights);
+    if (choice.step != EngineStep::Load && choice.step != EngineStep::Full)
+        return choice;
+    const double patienceMs = 1000 * toSeconds(beginPatience(run));
+    const auto incoming = incomingEngine(views, need, run.tried, weights, patienceMs);
+    return incoming ? EngineChoice{EngineStep::Load, *incoming} : choice;
 }
 
 asio::awaitable<Placement> placeOnEngine(CallRun &run, const ServiceSpec &spec)
 {
     GatewayNode &node = run.node;
+    if (run.prefixes.empty())
+        run.prefixes = promptPrefixes(run.facts.adapter, run.facts.prompt, run.facts.promptTokens);
     EngineNeed need;
     need.adapter = run.facts.adapter;
     need.version = versionInForce(node, need.adapter);
@@ -186,21 +203,27 @@
     need.outputTokens = run.facts.maxOutputTokens;
     need.objectives.firstEventMs = 1000 * toSeconds(run.route->latencyObjective);
     need.objectives.pauseMs = 1000 * toSeconds(run.route->gapObjective);
-    const Instant refuseAt = BootClock::now() + placePatience(run);
+    if (const auto quickest = quickestObjective(run))
+        need.quickestMs = 1000 * toSeconds(*quickest);
+    beginPlacing(run);
     Placement placement;
     while (!run.cancelled()) {
         const std::vector<EngineView> views = engineViews(run, spec);
-        const EngineChoice choice = nextEngine(run, views, need);
+        need.newsAgeMs = 1000 * toSeconds(loadAge(run, BootClock::now()));
+        need.mayCopyEarly = run.unloadable.empty();
+        const EngineWeights weights = weightsNow(run);
+        const EngineChoice choice = nextEngine(run, views, need, weights);
         if (choice.step == EngineStep::None) {
             placement.refusal = ownAnswer(503, "no engine can be reached", comeBackWhenTaken(run));
             co_return placement;
         }
-        if (BootClock::now() >= refuseAt && choice.step != EngineStep::Send) {
+        if (BootClock::now() >= run.place.by && choice.step != EngineStep::Send) {
             const bool anyOrderable =
-                std::any_of(views.begin(), views.end(),
-                            [](const EngineView &view) { return view.usable && view.hasHolder; });
+                std::any_of(views.begin(), views.end(), [&node](const EngineView &view) {
+                    return view.usable && isOrderable(node, view.id);
+                });
             placement.refusal = anyOrderable
-                ? ownAnswer(503, "no engine has room", comeBackSoon)
+                ? refuseForRoom(run, "no engine has room")
                 : ownAnswer(503, "no engine may be ordered", comeBackLater);
             co_return placement;
         }
@@ -209,16 +232,28 @@
             choice.step == EngineStep::Full || (choice.step == EngineStep::Load && noneTakesIt);
         if (wait) {
             run.unloadable.clear();
-            co_await node.engineChanged.wait(roomLook);
-            continue;
+            std::optional<OwnAnswer> refusal = co_await waitForPlace(run, spec);
+            if (!refusal)
+                continue;
+            placement.refusal = std::move(*refusal);
+            co_return placement;
         }
         const std::string id = views[choice.engine].id;
+        run.forecastAt = BootClock::now();
+        run.forecast = fromSeconds(
+            forecastMs(views[choice.engine], need, weights, choice.step == EngineStep::Send)
+            / 1000);
         if (choice.step == EngineStep::Load) {
-            ++run.loads;
             const bool missed = run.missedAt == id;
+            const bool bearable =
+                missed || co_await reservePrefill(run, views[choice.engine], PrefillStep::Load);
+            if (!bearable)
+                continue;
+            ++run.loads;
             LoadPatience patience;
             patience.whole = timeLeft(run);
-            patience.begin = std::max(refuseAt - BootClock::now(), leastBeginWait);
+            patience.begin = beginPatience(run);
+            patience.rank = run.route->priority;
             const bool loaded = co_await askLoad(node, id, run.facts.model, need.adapter,
                                                  need.version, missed, patience);
             if (missed)
@@ -228,11 +263,17 @@
                 continue;
             }
         }
+        const PrefillStep sendStep =
+            choice.step == EngineStep::Send ? PrefillStep::Send : PrefillStep::SendLoaded;
+        const bool reserved = co_await reservePrefill(run, views[choice.engine], sendStep);
+        if (!reserved)
+            continue;
         const auto record = node.book.records.find(id);
         const bool mayTake = record != node.book.records.end() && mayTakeWork(record->second);
         if (!mayTake || !takesCalls(node, id, BootClock::now()))
             continue;
         placement.target = record->second.entry;
+        notePlaced(run);
         co_return placement;
     }
     placement.refusal = ownAnswer(503, "the time ran out before an engine was found", comeBackSoon);
@@ -285,12 +326,17 @@
     , target(target)
     , runtime(runtimeOf(run.node, target))
     , adapter(run.facts.adapter)
-    , waiting(run.facts.promptTokens - cachedTokens(run, this->runtime))
+    , prompt(run, target, BootClock::now())
+    , waiting(run.facts.promptTokens - run.cachedTokens)
     , held(run.facts.promptTokens + run.facts.maxOutputTokens)
+    , quick(quickestObjective(run) == run.route->latencyObjective ? 1 : 0)
+    , waitingBefore(totalLoad(run.node, target).waitingTokens)
+    , sentAt(BootClock::now())
 {
     this->runtime.own.runs += 1;
     this->runtime.own.waitingTokens += this->waiting;
     this->runtime.own.heldTokens += this->held;
+    this->runtime.own.quickRuns += this->quick;
     if (this->adapter.empty())
         return;
     if (++this->runtime.ownAdapterRuns[this->adapter] == 1)
@@ -302,6 +348,7 @@
     this->runtime.own.waitingTokens -= this->waiting;
     this->runtime.own.runs -= 1;
     this->runtime.own.heldTokens -= this->held;
+    this->runtime.own.quickRuns -= this->quick;
     if (this->adapter.empty())
         return;
     const auto runs = this->runtime.ownAdapterRuns.find(this->adapter);
@@ -315,9 +362,17 @@
 {
     if (this->waiting == 0)
         return;
+    const Instant now = BootClock::now();
+    GatewayNode &node = this->run.node;
+    notePrefill(node.prefillPaces[this->run.service],
+                {this->waiting, this->waitingBefore, now - this->sentAt}, now);
+    if (this->run.forecast > Duration::zero()) {
+        const double missed = toSeconds(now - this->run.forecastAt - this->run.forecast);
+        node.metrics.record(Timing::ForecastError, std::abs(missed));
+    }
     this->runtime.own.waitingTokens -= this->waiting;
     this->waiting = 0;
-    rememberParts(this->run, this->runtime);
+    this->prompt.noteFirstEvent(BootClock::now());
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/Placing.h
+++ b/libs/gateway/src/Placing.h
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "CallRun.h"
+#include "PrefixSharing.h"
 
 namespace monsoonbay {
 
@@ -34,8 +35,12 @@
     std::string target;
     TargetRuntime &runtime;
     std::string adapter;
+    PromptReading prompt;
     double waiting;
     double held;
+    int quick; ///< 1 for a call of a route with the least objective
+    double waitingBefore; ///< tokens of other calls, as far as known
+    Instant sentAt;
 };
 
 } // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/tests/LoadNews.cpp
@@ -0,0 +1,107 @@
+#include "EngineOrders.h"
+#include "GatewayNode.h"
+#include "NewsCodec.h"
+#include "PeerExchange.h"
+#include "SharedEngines.h"
+
+#include <criterion/criterion.h>
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+template <typename Message> Message overTheWire(const Message &message)
+{
+    Message read;
+    cr_assert(read.ParseFromString(message.SerializeAsString()));
+    return read;
+}
+
+GatewaySettings settingsOfVm()
+{
+    GatewaySettings settings;
+    settings.placement.keepDeclines = true;
+    settings.placement.awaitLoads = true;
+    return settings;
+}
+
+} // namespace
+
+// Guards against a time or reason that gets lost between two VMs, or a VM of the former version
+// whose answer, without them, is taken for "at once".
+Test(load_news, a_decline_tells_reason_and_time)
+{
+    const LoadDecline decline{DeclineReason::QueueTooLong, 142'300us};
+    gateway::v1::LoadReply reply;
+    reply.set_outcome(gateway::v1::LOAD_OUTCOME_NO_SLOT);
+    encodeDecline(decline, reply);
+    const gateway::v1::LoadReply read = overTheWire(reply);
+    cr_assert(read.outcome() == gateway::v1::LOAD_OUTCOME_NO_SLOT);
+    const LoadDecline told = decodeDecline(read);
+    cr_assert(told.reason == DeclineReason::QueueTooLong);
+    cr_assert(told.retryIn == 143ms, "rounded up");
+    const LoadDecline former = decodeDecline(overTheWire(gateway::v1::LoadReply()));
+    cr_assert(former == LoadDecline());
+    cr_assert(markAfter(former, Instant{} + 1s).until > Instant{} + 1s);
+}
+
+// Guards against a rank that gets lost on its way to the holder, which orders loads by it.
+Test(load_news, a_request_tells_the_rank_of_its_call)
+{
+    gateway::v1::LoadRequest request;
+    encodeRank(2, request);
+    cr_assert_eq(decodeRank(overTheWire(request)), 2);
+    cr_assert_eq(decodeRank(gateway::v1::LoadRequest()), 0);
+}
+
+// Guards against a mark by the former holder of an engine that keeps calls from the new one.
+Test(load_news, a_new_holder_is_asked_at_once)
+{
+    GatewayNode node(settingsOfVm());
+    EngineRecord record;
+    record.holder = {"10.0.0.2", 7380};
+    record.holderLive = true;
+    record.revision = {1, 1, 1};
+    takeEngineRecord(node, "e", record);
+    LoadMark &mark = runtimeOf(node, "e").loadMark;
+    mark = markAfter({DeclineReason::NoSlot, 800ms}, BootClock::now());
+    ++record.revision.count;
+    takeEngineRecord(node, "e", record);
+    cr_assert(mark != LoadMark(), "other news of the same holder");
+    cr_assert(!mayAskLoad(node, "e", 300ms));
+    record.holder = {"10.0.0.3", 7380};
+    ++record.revision.generation;
+    takeEngineRecord(node, "e", record);
+    cr_assert(mark == LoadMark());
+}
+
+// Symptom would be a second load of an adapter that another engine was ordered to load moments ago.
+// Guards against the name of the adapter not reaching other VMs, or reaching them without a time.
+Test(load_news, loads_under_way_are_told_with_the_engine)
+{
+    GatewayNode node(settingsOfVm());
+    EngineRecord record;
+    record.holder = {"10.0.0.2", 7380};
+    record.holderLive = true;
+    record.revision = {1, 1, 1};
+    record.fetchMs = 300;
+    record.incoming = {"m/a", "m/b"};
+    gateway::v1::EngineState state;
+    encodeEngine("e", record, state);
+    const EngineRecord read = decodeEngine(overTheWire(state));
+    cr_assert(read == record);
+    cr_assert(!loadUnderWay(node, "e", "m/a", 300ms));
+    addPeer(node, record.holder, {"vm-2", "zone-a", 1});
+    takeEngineRecord(node, "e", read);
+    const auto left = loadUnderWay(node, "e", "m/a", 300ms);
+    cr_assert(left && *left > 0ms && *left <= 300ms);
+    cr_assert(!loadUnderWay(node, "e", "m/c", 300ms));
+    node.loadsAsked[{"e", "m/c"}] = std::make_shared<LoadAsk>(node.context);
+    cr_assert(loadUnderWay(node, "e", "m/c", 120ms) == Duration(120ms), "asked by this VM");
+    // The holder is gone: nobody tells when the load is done.
+    record.holderLive = false;
+    ++record.revision.count;
+    takeEngineRecord(node, "e", record);
+    cr_assert(!loadUnderWay(node, "e", "m/a", 300ms));
+}
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -21,6 +21,7 @@
     MemberGone = 2002,
     MemberSilent = 2004,
     RelayChanged = 2005,
+    UseMalformed = 2006,
     VmListUnreadable = 2003,
     TargetClaimed = 3001,
     TargetLost = 3002,
@@ -69,6 +70,9 @@
     CallAnswered = 7044,
     CallFoundHarmful = 7045,
     CallOverLimit = 7046,
+    SpendNoted = 7050,
+    SpendNoteFailed = 7051,
+    UseCountedAtStart = 7052,
 };
 
 enum class EventLevel : std::uint8_t { Info, Warning, Error };
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -25,17 +25,46 @@
 using Axis = bh::axis::regular<double, bh::axis::transform::log>;
 using Histogram = decltype(bh::make_histogram(Axis(binCount, leastSeconds, mostSeconds)));
 
-constexpr std::array<std::string_view, counterCount> counterNames{
-    "requests_received", "requests_answered", "requests_refused",
-    "requests_failed",   "requests_stalled",  "bounces",
-    "resumes",           "retries",           "pieces_dropped",
-    "wrong_answers",     "key_replays",       "loads_done",
-    "loads_failed",      "peer_sent_bytes",   "peer_messages_sent",
-    "engine_calls",      "tokens_streamed",   "keys_refused",
-    "over_limit"};
+constexpr std::array<std::string_view, counterCount> counterNames{"requests_received",
+                                                                  "requests_answered",
+                                                                  "requests_refused",
+                                                                  "requests_failed",
+                                                                  "requests_stalled",
+                                                                  "bounces",
+                                                                  "resumes",
+                                                                  "retries",
+                                                                  "pieces_dropped",
+                                                                  "wrong_answers",
+                                                                  "key_replays",
+                                                                  "loads_done",
+                                                                  "loads_failed",
+                                                                  "peer_sent_bytes",
+                                                                  "peer_messages_sent",
+                                                                  "engine_calls",
+                                                                  "tokens_streamed",
+                                                                  "keys_refused",
+                                                                  "over_limit",
+                                                                  "over_limit_small",
+                                                                  "over_limit_rank_0",
+                                                                  "over_limit_rank_1",
+                                                                  "over_limit_rank_2",
+                                                                  "cached_tokens",
+                                                                  "prefixes_missing",
+                                                                  "loads_shared",
+                                                                  "loads_joined",
+                                                                  "loads_declined_other",
+                                                                  "loads_declined_no_slot",
+                                                                  "loads_declined_queue",
+                                                                  "loads_declined_engine_silent",
+                                                                  "loads_declined_model_missing",
+                                                                  "loads_declined_not_holder"};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Count)> gaugeNames{
+    "calls_waiting"};
 
 constexpr std::array<std::string_view, timingCount> timingNames{
-    "load_stall_seconds", "first_piece_seconds", "between_pieces_seconds", "refusal_seconds"};
+    "load_stall_seconds", "first_piece_seconds",    "between_pieces_seconds",
+    "refusal_seconds",    "forecast_error_seconds", "spend_note_age_seconds"};
 
 struct Shard
 {
@@ -107,6 +136,11 @@
     return this->counters[static_cast<std::size_t>(counter)].load(std::memory_order_relaxed);
 }
 
+void Metrics::set(Gauge gauge, std::uint64_t value) noexcept
+{
+    this->gauges[static_cast<std::size_t>(gauge)].store(value, std::memory_order_relaxed);
+}
+
 void Metrics::record(Timing timing, double seconds)
 {
     const std::size_t index = std::hash<std::thread::id>{}(std::this_thread::get_id()) % shardCount;
@@ -136,6 +170,11 @@
              << "monsoonbay_" << counterNames[index] << "_total "
              << this->value(static_cast<Counter>(index)) << "\n";
     }
+    for (std::size_t index = 0; index < gaugeNames.size(); ++index) {
+        text << "# TYPE monsoonbay_" << gaugeNames[index] << " gauge\n"
+             << "monsoonbay_" << gaugeNames[index] << " "
+             << this->gauges[index].load(std::memory_order_relaxed) << "\n";
+    }
     for (std::size_t index = 0; index < timingCount; ++index) {
         const Merged all = this->impl->merged(index);
         const std::string name = "monsoonbay_" + std::string(timingNames[index]);
--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -1,6 +1,9 @@
 #include "quota/Admission.h"
 
 #include <algorithm>
+#include <numeric>
+
+#include "quota/ClassShares.h"
 
 namespace monsoonbay {
 
@@ -27,31 +30,30 @@
 constexpr double mostGrowth = 8;
 
 constexpr Duration soonest = std::chrono::milliseconds(500);
-
-/** The part of the limits that the VMs in touch may use. */
-double shareInTouch(const FleetUse &fleet)
-{
-    const int known = std::max({fleet.vmsKnown, fleet.vmsInTouch, 1});
-    return static_cast<double>(std::max(fleet.vmsInTouch, 1)) / known;
-}
-
-/** Units that all VMs may use in a window, some of the tolerance among them. */
-double usableInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy)
-{
-    return grantedInWindow(limit, policy) * (1 + excessUsed * policy.excess)
-        + slackUsed * policy.slack;
-}
+constexpr double retryJitter = 0.25; ///< of the wait
 
 /** Units a second that all VMs in touch together may let run now. */
 double admittedPerSecond(const WorkspaceLimit &limit, const QuotaPolicy &policy,
                          const FleetUse &fleet) noexcept
 {
-    const double room =
-        shareInTouch(fleet) * usableInWindow(limit, policy) - static_cast<double>(fleet.use.whole);
-    // No faster than use is heard of: until then, what was let run elsewhere has been told.
-    const double fill =
-        std::max(fillShare * toSeconds(policy.window), 2 * toSeconds(fleet.newsAge));
-    return std::max(room / fill, 0.0);
+    const double room = shareInTouch(fleet) * fleet.allowed * usableInWindow(limit, policy)
+        - static_cast<double>(fleet.use.whole);
+    return std::max(room / secondsToFill(policy, fleet), 0.0);
+}
+
+/**
+ * Units of a call by which growth is told from chance. Beside large calls, a small one's own units
+ * would make every large call look like growth.
+ */
+double typicalUnits(const WorkspaceUse &use, std::int64_t units)
+{
+    const auto classes = std::count_if(use.callsByClass.begin(), use.callsByClass.end(),
+                                       [](std::int64_t calls) { return calls > 0; });
+    if (classes < 2)
+        return static_cast<double>(units);
+    const std::int64_t calls =
+        std::accumulate(use.callsByClass.begin(), use.callsByClass.end(), std::int64_t{0});
+    return static_cast<double>(use.askedInWindow) / static_cast<double>(calls);
 }
 
 // Units a second that all VMs in touch are asked for now; what they told of it is older. Where
@@ -63,22 +65,58 @@
     const double here = askedBefore(own, policy, Duration::zero(), now);
     const double before = askedBefore(own, policy, fleet.newsAge, now);
     const double others = std::max(static_cast<double>(fleet.use.askedPerSecond) - here, 0.0);
-    const double few = fewCalls * static_cast<double>(units) / toSeconds(policy.window);
+    const double few = fewCalls * typicalUnits(fleet.use, units) / toSeconds(policy.window);
     const double growth = (here + few) / (before + few);
     return here + others * std::clamp(growth, 1 / mostGrowth, mostGrowth);
 }
 
+/** `asked` is divided as the VMs told; what they told without classes is of the last one. */
+ClassDemand classDemandOf(const WorkspaceUse &use, double asked)
+{
+    const std::int64_t told =
+        std::accumulate(use.askedByClass.begin(), use.askedByClass.end(), std::int64_t{0});
+    const std::int64_t whole = std::max<std::int64_t>({use.askedPerSecond, told, 1});
+    ByClass parts = use.askedByClass;
+    parts.back() += whole - told;
+    ClassDemand demand;
+    for (std::size_t index = 0; index < callClasses; ++index) {
+        demand.units[index] =
+            asked * static_cast<double>(parts[index]) / static_cast<double>(whole);
+        demand.calls[index] = static_cast<double>(use.callsByClass[index]);
+    }
+    return demand;
+}
+
 } // namespace
 
-// Every VM lets the same share of calls run, the share that keeps all of them together within the
-// limit: so none has to know what its part is, and news that are some tenths of a second old only
-// shift that share a little. The carry spreads what is let run evenly, whatever the calls' sizes;
-// it is drawn for each VM, or all would let their first call run at the same time.
+double shareInTouch(const FleetUse &fleet) noexcept
+{
+    const int known = std::max({fleet.vmsKnown, fleet.vmsInTouch, 1});
+    return static_cast<double>(std::max(fleet.vmsInTouch, 1)) / known;
+}
+
+// No faster than use is heard of: until then, what was let run elsewhere has been told.
+double secondsToFill(const QuotaPolicy &policy, const FleetUse &fleet) noexcept
+{
+    return std::max(fillShare * toSeconds(policy.window), 2 * toSeconds(fleet.newsAge));
+}
+
+double usableInWindow(const WorkspaceLimit &limit, const QuotaPolicy &policy) noexcept
+{
+    return grantedInWindow(limit, policy) * (1 + excessUsed * policy.excess)
+        + slackUsed * policy.slack;
+}
+
+// Every VM lets the same share of calls of a class run, the shares that keep all of them together
+// within the limit: so none has to know what its part is, and news that are some tenths of a second
+// old only shift a share a little. The carry spreads what is let run evenly, whatever the calls'
+// sizes; it is drawn for each VM, or all would let their first call run at the same time. Each
+// class has its own, so that small calls do not wait for the spacing of large ones.
 QuotaVerdict admitCall(SpendRecord &own, const WorkspaceLimit &limit, const QuotaPolicy &policy,
-                       const FleetUse &fleet, std::int64_t units, Instant now)
+                       const FleetUse &fleet, std::int64_t units, Instant now, CallClass callClass)
 {
     if (!isLimited(limit))
-        return {true, {}};
+        return {true, {}, 1};
     const double asked = std::max(askedNow(own, policy, fleet, units, now), 1.0);
     // What was let run since the others told of it counts as used already.
     FleetUse ahead = fleet;
@@ -91,16 +129,24 @@
     const auto cost = static_cast<double>(units);
     // Where one call is more than the part of these VMs, the share alone decides: it then lets run
     // as many of such calls, over all parts, as fit together.
-    const bool fits = static_cast<double>(ahead.use.whole) + cost <= most
+    const bool fits = static_cast<double>(ahead.use.whole) + cost <= most * fleet.allowed
         || (cost > most && cost <= mostInWindow(limit, policy));
-    own.carry += fits ? std::min(rate / asked, 1.0) : 0;
-    if (own.carry >= 1) {
-        own.carry -= 1;
-        return {true, {}};
+    const ClassDemand demand = classDemandOf(fleet.use, asked);
+    const double share = sharesOf(demand, std::min(rate / asked, 1.0))[indexOf(callClass)];
+    double &carried = own.carried[indexOf(callClass)];
+    carried += fits ? share : 0;
+    if (own.carry + carried >= 1) {
+        carried -= 1;
+        return {true, {}, share};
     }
-    const double surplus = rate > 0 ? asked / rate - 1 : toSeconds(policy.window);
+    const double surplus = share > 0 ? 1 / share - 1 : toSeconds(policy.window);
     const Duration wait = fromSeconds(surplus * toSeconds(soonest));
-    return {false, std::clamp<Duration>(wait, soonest, policy.window / 2)};
+    return {false, std::clamp<Duration>(wait, soonest, policy.window / 2), share};
+}
+
+Duration spreadRetry(Duration wait, double draw) noexcept
+{
+    return fromSeconds(toSeconds(wait) * (1 + retryJitter * draw));
 }
 
 // As much as may have been used, but for what lets the rate go on from the first moment.
--- a/libs/serving/include/serving/EngineBoard.h
+++ b/libs/serving/include/serving/EngineBoard.h
@@ -25,12 +25,15 @@
     double waitingTokens = 0; ///< prompt tokens sent by all VMs that have no first event yet
     double heldTokens = 0; ///< tokens in memory for all running calls
     int runs = 0; ///< calls under way, of all VMs
+    int quickRuns = 0; ///< those of the route with the least objective among them
     double cachedTokens = 0; ///< of this call's prompt that the engine need not read again
     bool usable = true; ///< neither leaving nor ejected
     bool hasModel = true; ///< the base model is there; without it nothing runs
     bool warm = false; ///< it held the adapter lately and loads it fast again
     double loadMs = 0; ///< expected time of a load of the adapter there
     double fetchMs = 0; ///< expected time of a load from the weight store
+    double incomingMs =
+        -1; ///< until a load of the adapter there is done; below 0: none is waited for
     int idleSlots = 1; ///< adapter slots that no call uses now
     bool hasHolder = false; ///< some VM may order it now
     double doubtMs = 0; ///< drawn for this call, up to the age of what is known of the load there
@@ -53,6 +56,10 @@
     double promptTokens = 0;
     double outputTokens = 0;
     EngineObjectives objectives;
+    /** Least objective for the first event among the service's routes; 0: all have the same. */
+    double quickestMs = 0;
+    double newsAgeMs = 0; ///< age of what is known of the engines' load
+    bool mayCopyEarly = true; ///< false once an engine has declined a load for this call
 };
 
 enum class EngineStep : std::uint8_t {
@@ -70,6 +77,13 @@
     auto operator<=>(const EngineChoice &) const = default;
 };
 
+/** What long prompts leave to calls with a shorter objective; see ForecastChoice.h. */
+enum class LongPrompts : std::uint8_t {
+    Alone, ///< nothing: their own forecast decides
+    FewerQuick, ///< among engines that meet their objective, those where fewer such calls run
+    Apart, ///< one engine in four, while others meet their objective
+};
+
 /**
  * Figures that the choice weighs by. What a place away from an adapter's home costs is a load from
  * the weight store, now or later, so these waits are measured by the expected time of one. As
@@ -106,10 +120,14 @@
     double spillLoads = 1.7;
     /** Part of the engine's memory that may be filled by running calls. */
     double memoryShare = 0.9;
+    LongPrompts longPrompts = LongPrompts::Alone;
 
     auto operator<=>(const EngineWeights &) const = default;
 };
 
+/** Slots that have to be idle for a second copy: with fewer, it would keep out another adapter. */
+constexpr int idleSlotsForCopy = 2;
+
 /** Expected wait at this engine before the call's own prompt is read, ms. */
 double expectedWaitMs(const EngineView &engine, const EngineWeights &weights) noexcept;
 
@@ -117,10 +135,21 @@
 double expectedCostMs(const EngineView &engine, const EngineNeed &need,
                       const EngineWeights &weights);
 
+/** What running streams are expected to lose by the call at this engine, as a cost in ms. */
+double expectedPausesMs(const EngineView &engine, const EngineNeed &need,
+                        const EngineWeights &weights, bool there) noexcept;
+
+/** True if the engine has a request slot and memory left for the call. */
+bool hasRoom(const EngineView &engine, const EngineNeed &need,
+             const EngineWeights &weights) noexcept;
+
 /** True if the engine has the adapter in the version that the call needs. */
 bool hasAdapter(const EngineView &engine, const EngineNeed &need);
 
-/** Chooses among `engines`, leaving out the ids in `tried`. */
+/**
+ * Chooses among `engines`, leaving out the ids in `tried`; by ForecastChoice.h where the routes of
+ * the service have different objectives.
+ */
 EngineChoice chooseEngine(const std::vector<EngineView> &engines, const EngineNeed &need,
                           const std::vector<std::string> &tried, const EngineWeights &weights);
 
