--- a/libs/serving/benchmark/Choices.cpp
+++ b/libs/serving/benchmark/Choices.cpp
@@ -30,13 +30,13 @@
         view.slots = 64;
         view.kvTokens = 232000;
         view.resident = &resident[index];
-        view.waitingTokens = random() % 30000;
+        view.waitingTokens = static_cast<double>(random() % 30000);
         view.runs = static_cast<int>(random() % 12);
         view.hasHolder = true;
         view.fetchMs = 288;
         view.loadMs = view.fetchMs;
         view.idleSlots = 4;
-        view.doubtMs = random() % 300;
+        view.doubtMs = static_cast<double>(random() % 300);
     }
     EngineNeed need;
     need.promptTokens = 826;
