Loads in order and longer patience only where the queue for places is on

Cause: at the holder a call waited for loads that come before its own, also when those could not begin for want of a slot, and others could. Long prompts also waited longer than before. Both belong to the queue for places now, and are off where it is.

--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -364,8 +364,8 @@
             publishDesk(node, target);
         const DeskChoice choice = nextDeskStep(held.desk, key, request.version(), now);
         const bool orders = choice.step == DeskStep::Load || choice.step == DeskStep::Unload;
-        const bool othersFirst =
-            orders && held.desk.slots.count(key) == 0 && loadsAhead(held.queue, held.desk, key) > 0;
+        const bool othersFirst = node.settings.placement.queue && orders
+            && held.desk.slots.count(key) == 0 && loadsAhead(held.queue, held.desk, key) > 0;
         if (othersFirst) {
             co_await held.changed.wait(turnLook);
             continue;
--- a/libs/gateway/src/PlaceWaiting.cpp
+++ b/libs/gateway/src/PlaceWaiting.cpp
@@ -154,7 +154,8 @@
     run.prefillAsked.clear();
     run.place.since = BootClock::now();
     run.place.usualBy = run.place.since + patience.usual;
-    run.place.by = run.place.since + patience.whole;
+    const bool waitsOn = run.node.settings.placement.queue;
+    run.place.by = run.place.since + (waitsOn ? patience.whole : patience.usual);
 }
 
 void notePlaced(CallRun &run)
