The least objective of a service and loads asked for are looked up, not searched

Each call that is placed at an engine went through all routes, thousands on large configurations, to find the least objective of its service, which the route table keeps by service already; and a load asked for was searched for in a map keyed by engine and adapter. No change of behaviour.

--- a/libs/gateway/src/EngineOrders.cpp
+++ b/libs/gateway/src/EngineOrders.cpp
@@ -299,10 +299,7 @@
                                      const std::string &adapter, Duration loadTime)
 {
     const auto incoming = incomingIn(runtimeOf(node, target).incoming, adapter, BootClock::now());
-    const bool asked =
-        std::any_of(node.loadsAsked.begin(), node.loadsAsked.end(), [&](const auto &ask) {
-            return ask.first.first == target && ask.first.second == adapter;
-        });
+    const bool asked = node.loadsAsked.count({target, adapter}) > 0;
     if ((!incoming && !asked) || !isOrderable(node, target))
         return std::nullopt;
     return incoming ? incoming : loadTime;
--- a/libs/gateway/src/PlaceWaiting.cpp
+++ b/libs/gateway/src/PlaceWaiting.cpp
@@ -125,21 +125,6 @@
     return room;
 }
 
-Duration leastObjective(const CallRun &run)
-{
-    Duration least{};
-    for (const Route &route : run.routes->config().routes) {
-        const bool serves =
-            std::any_of(route.services.begin(), route.services.end(),
-                        [&run](const ServiceShare &share) { return share.service == run.service; });
-        if (!serves || route.latencyObjective <= Duration::zero())
-            continue;
-        if (least == Duration::zero() || route.latencyObjective < least)
-            least = route.latencyObjective;
-    }
-    return least;
-}
-
 } // namespace
 
 void beginPlacing(CallRun &run)
@@ -148,7 +133,7 @@
     facts.objective = run.route->latencyObjective;
     facts.timeLeft = timeLeft(run);
     facts.promptMs = run.facts.promptTokens / run.node.settings.weights.promptTokensPerMs;
-    facts.leastObjective = leastObjective(run);
+    facts.leastObjective = run.routes->leastObjective(run.service);
     const PlacePatience patience = placePatience(facts);
     run.place = PlaceTimes();
     run.prefillAsked.clear();
--- a/libs/serving/include/serving/ServingConfig.h
+++ b/libs/serving/include/serving/ServingConfig.h
@@ -55,6 +55,9 @@
     /** Null if there is no such workspace. */
     const Workspace *findWorkspace(const std::string &name) const;
 
+    /** Least objective for the first event among the routes to a service; zero: none names one. */
+    Duration leastObjective(const std::string &service) const;
+
     /**
      * Least objective for the first event among the routes to a service that name one; nothing if
      * they all name the same.
--- a/libs/serving/src/ServingConfig.cpp
+++ b/libs/serving/src/ServingConfig.cpp
@@ -79,6 +79,12 @@
     return found == this->workspaceByName.end() ? nullptr : &this->whole.workspaces[found->second];
 }
 
+Duration RouteTable::leastObjective(const std::string &service) const
+{
+    const auto found = this->objectivesByService.find(service);
+    return found == this->objectivesByService.end() ? Duration::zero() : found->second.least;
+}
+
 std::optional<Duration> RouteTable::quickestObjective(const std::string &service) const
 {
     const auto found = this->objectivesByService.find(service);
