--- a/libs/gateway/src/PlaceWaiting.cpp
+++ b/libs/gateway/src/PlaceWaiting.cpp
@@ -6,6 +6,7 @@
 #include "LeaseKeeping.h"
 #include "SharedEngines.h"
 #include "TargetWords.h"
+#include "core/Jitter.h"
 
 namespace monsoonbay {
 
@@ -170,7 +171,7 @@
     std::uniform_real_distribution<double> draw(0, 1);
     const Duration comeBack = std::max(run.place.forecast, comeBackSoon);
     OwnAnswer answer =
-        ownAnswer(503, std::move(reason), spreadOut(comeBack, draw(run.node.random)));
+        ownAnswer(503, std::move(reason), withJitter(comeBack, draw(run.node.random)));
     answer.forecast = run.place.forecast;
     return answer;
 }
--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -4,6 +4,7 @@
 #include "RelayLoops.h"
 #include "SpendNotes.h"
 #include "ZoneView.h"
+#include "core/Jitter.h"
 #include "observe/Events.h"
 #include "quota/Admission.h"
 
@@ -138,7 +139,7 @@
         node.metrics.add(refusedOf(callClass));
         const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
         return ownAnswer(429, "the workspace has used up its limit",
-                         spreadRetry(verdict.retryAfter, draw));
+                         withJitter(verdict.retryAfter, draw));
     }
     noteSpent(record, policy, units, now);
     run.units = units;
--- a/libs/quota/include/quota/Admission.h
+++ b/libs/quota/include/quota/Admission.h
@@ -38,9 +38,6 @@
                        const FleetUse &fleet, std::int64_t units, Instant now,
                        CallClass callClass = CallClass::Rank2);
 
-/** `wait` and up to a quarter, by `draw` in [0, 1): callers refused together come back apart. */
-Duration spreadRetry(Duration wait, double draw) noexcept;
-
 /** The part of the limits that the VMs in touch may use. */
 double shareInTouch(const FleetUse &fleet) noexcept;
 
--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -30,7 +30,6 @@
 constexpr double mostGrowth = 8;
 
 constexpr Duration soonest = std::chrono::milliseconds(500);
-constexpr double retryJitter = 0.25; ///< of the wait
 
 /** Units a second that all VMs in touch together may let run now. */
 double admittedPerSecond(const WorkspaceLimit &limit, const QuotaPolicy &policy,
@@ -144,11 +143,6 @@
     return {false, std::clamp<Duration>(wait, soonest, policy.window / 2), share};
 }
 
-Duration spreadRetry(Duration wait, double draw) noexcept
-{
-    return fromSeconds(toSeconds(wait) * (1 + retryJitter * draw));
-}
-
 // As much as may have been used, but for what lets the rate go on from the first moment.
 WorkspaceUse useBeforeStart(const WorkspaceLimit &limit, const QuotaPolicy &policy, int vmsKnown,
                             Duration sinceStart) noexcept
--- a/libs/serving/include/serving/PlaceQueue.h
+++ b/libs/serving/include/serving/PlaceQueue.h
@@ -105,7 +105,4 @@
 Duration expectedPlace(const PlaceQueue &queue, const WaitingCall &call, const PlaceRoom &room,
                        Duration loadTime, Instant now);
 
-/** A time after which a caller may come back, `draw` (0 to 1) spread over a quarter. */
-Duration spreadOut(Duration time, double draw) noexcept;
-
 } // namespace monsoonbay
--- a/libs/serving/src/PlaceQueue.cpp
+++ b/libs/serving/src/PlaceQueue.cpp
@@ -30,9 +30,6 @@
 /** With calls waiting for less than this, their pace says little. */
 constexpr double leastBusySeconds = 0.2;
 
-/** Jitter of times after which callers come back. */
-constexpr double spread = 0.25;
-
 Duration share(Duration duration, double part) noexcept
 {
     return fromSeconds(toSeconds(duration) * part);
@@ -174,9 +171,4 @@
     return std::max(byEngines, fromSeconds(perPlace * static_cast<double>(ahead)));
 }
 
-Duration spreadOut(Duration time, double draw) noexcept
-{
-    return share(time, 1 + spread * draw);
-}
-
 } // namespace monsoonbay
