One order of homes for the choice by cost and the choice by forecast

Both went through the engines for the least cost, the warm copy and the first home by the same steps; HomeOrder.h does it for a cost and a condition that the caller gives. No change of behaviour: serving tests pass, the benchmark of both choices shows no difference beyond its noise.

--- a/libs/serving/src/EngineBoard.cpp
+++ b/libs/serving/src/EngineBoard.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "HomeOrder.h"
 #include "serving/ForecastChoice.h"
 
 namespace monsoonbay {
@@ -39,42 +40,16 @@
     return best;
 }
 
-// Each adapter has an order of homes that all VMs agree on without a message. Loading at the first
-// home that is not far behind the least busy engine keeps an adapter's calls, its host copies and
-// the cached beginnings of its prompts together, also when it comes back later. An engine that held
-// the adapter lately goes first: loading it there is fast and fetches no weights.
 std::optional<std::size_t> firstHome(const std::vector<EngineView> &engines, const EngineNeed &need,
                                      const EngineWeights &weights,
                                      const std::vector<bool> &eligible)
 {
-    double least = std::numeric_limits<double>::infinity();
-    for (std::size_t index = 0; index < engines.size(); ++index) {
-        if (eligible[index])
-            least = std::min(least, expectedCostMs(engines[index], need, weights));
-    }
     const auto warm = leastCost(engines, need, weights, [&](const EngineView &engine) {
         return engine.warm && eligible[static_cast<std::size_t>(&engine - engines.data())];
     });
-    if (warm
-        && expectedCostMs(engines[*warm], need, weights)
-            <= least + weights.warmLoads * engines[*warm].fetchMs)
-        return warm;
-    const std::uint64_t key = stableHash(need.adapter);
-    std::optional<std::size_t> best;
-    std::uint64_t bestScore = 0;
-    for (std::size_t index = 0; index < engines.size(); ++index) {
-        if (!eligible[index])
-            continue;
-        if (expectedCostMs(engines[index], need, weights)
-            > least + weights.spillLoads * engines[index].fetchMs)
-            continue;
-        const std::uint64_t score = rendezvousScore(key, engines[index].hash);
-        if (best && score <= bestScore)
-            continue;
-        best = index;
-        bestScore = score;
-    }
-    return best;
+    return firstHomeOf(
+        engines, need, weights, warm, [&](std::size_t index) { return eligible[index]; },
+        [&](std::size_t index) { return expectedCostMs(engines[index], need, weights); });
 }
 
 } // namespace
--- a/libs/serving/src/ForecastChoice.cpp
+++ b/libs/serving/src/ForecastChoice.cpp
@@ -1,10 +1,10 @@
 #include "serving/ForecastChoice.h"
 
 #include <algorithm>
-#include <limits>
 
 #include <boost/container/small_vector.hpp>
 
+#include "HomeOrder.h"
 #include "serving/EngineForecast.h"
 
 namespace monsoonbay {
@@ -143,7 +143,7 @@
     return best;
 }
 
-// The order of homes of EngineBoard.cpp, among the engines that meet the objective with the load if
+// The order of homes of HomeOrder.h, among the engines that meet the objective with the load if
 // there are any. A home or a copy may be that many loads behind the least busy engine only as long
 // as this does not make the call late: for an objective of 500 ms one load is half of it.
 std::optional<std::size_t> firstHome(const std::vector<EngineView> &engines, const Figures &figures,
@@ -160,31 +160,14 @@
         return engine.use == EngineUse::Load && (engine.meets || !anyMeets)
             && (weights.longPrompts != LongPrompts::Apart || !anyOpen || engine.yielding == 0);
     };
-    double least = std::numeric_limits<double>::infinity();
-    for (const EngineFigures &engine : figures) {
-        if (isCandidate(engine))
-            least = std::min(least, engine.cost);
-    }
-    const auto warm = leastCost(engines, figures, EngineUse::Load,
-                                [](const EngineView &engine) { return engine.warm; });
-    if (warm && isCandidate(figures[*warm])
-        && figures[*warm].cost <= least + weights.warmLoads * engines[*warm].fetchMs)
-        return warm;
-    const std::uint64_t key = stableHash(need.adapter);
-    std::optional<std::size_t> best;
-    std::uint64_t bestScore = 0;
-    for (std::size_t index = 0; index < engines.size(); ++index) {
-        if (!isCandidate(figures[index]))
-            continue;
-        if (figures[index].cost > least + weights.spillLoads * engines[index].fetchMs)
-            continue;
-        const std::uint64_t score = rendezvousScore(key, engines[index].hash);
-        if (best && score <= bestScore)
-            continue;
-        best = index;
-        bestScore = score;
-    }
-    return best;
+    auto warm = leastCost(engines, figures, EngineUse::Load,
+                          [](const EngineView &engine) { return engine.warm; });
+    if (warm && !isCandidate(figures[*warm]))
+        warm.reset();
+    return firstHomeOf(
+        engines, need, weights, warm,
+        [&](std::size_t index) { return isCandidate(figures[index]); },
+        [&](std::size_t index) { return figures[index].cost; });
 }
 
 /**
--- /dev/null
+++ b/libs/serving/src/HomeOrder.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+#include "serving/EngineBoard.h"
+
+namespace monsoonbay {
+
+/**
+ * The first home of an adapter among the engines, by index, that `isCandidate`; `warm` goes before
+ * all if it costs little more than the least.
+ *
+ * Each adapter has an order of homes that all VMs agree on without a message. Loading at the first
+ * home that is not far behind the least busy engine keeps an adapter's calls, its host copies and
+ * the cached beginnings of its prompts together, also when it comes back later. An engine that held
+ * the adapter lately goes first: loading it there is fast and fetches no weights.
+ */
+template <typename Candidate, typename Cost>
+std::optional<std::size_t> firstHomeOf(const std::vector<EngineView> &engines,
+                                       const EngineNeed &need, const EngineWeights &weights,
+                                       std::optional<std::size_t> warm, Candidate isCandidate,
+                                       Cost costOf)
+{
+    double least = std::numeric_limits<double>::infinity();
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        if (isCandidate(index))
+            least = std::min(least, costOf(index));
+    }
+    if (warm && costOf(*warm) <= least + weights.warmLoads * engines[*warm].fetchMs)
+        return warm;
+    const std::uint64_t key = stableHash(need.adapter);
+    std::optional<std::size_t> best;
+    std::uint64_t bestScore = 0;
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        if (!isCandidate(index))
+            continue;
+        if (costOf(index) > least + weights.spillLoads * engines[index].fetchMs)
+            continue;
+        const std::uint64_t score = rendezvousScore(key, engines[index].hash);
+        if (best && score <= bestScore)
+            continue;
+        best = index;
+        bestScore = score;
+    }
+    return best;
+}
+
+} // namespace monsoonbay
