Work of ways that are off is not done for each call

With forecasts off the load of a target was summed up and the pace of reading sampled for each send, though nothing used them, and a view of the engine was copied to ask its holder where nobody is asked. Where they are on nothing changes. Gateway tests pass.

--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -328,7 +328,8 @@
     , waiting(run.facts.promptTokens - run.cachedTokens)
     , held(run.facts.promptTokens + run.facts.maxOutputTokens)
     , quick(quickestObjective(run) == run.route->latencyObjective ? 1 : 0)
-    , waitingBefore(totalLoad(run.node, target).waitingTokens)
+    , waitingBefore(run.node.settings.placement.forecast ? totalLoad(run.node, target).waitingTokens
+                                                         : 0)
     , sentAt(BootClock::now())
 {
     this->runtime.own.runs += 1;
@@ -362,8 +363,9 @@
         return;
     const Instant now = BootClock::now();
     GatewayNode &node = this->run.node;
-    notePrefill(node.prefillPaces[this->run.service],
-                {this->waiting, this->waitingBefore, now - this->sentAt}, now);
+    if (node.settings.placement.forecast)
+        notePrefill(node.prefillPaces[this->run.service],
+                    {this->waiting, this->waitingBefore, now - this->sentAt}, now);
     if (this->run.forecast > Duration::zero()) {
         const double missed = toSeconds(now - this->run.forecastAt - this->run.forecast);
         node.metrics.record(Timing::ForecastError, std::abs(missed));
--- a/libs/gateway/src/PrefillReserving.cpp
+++ b/libs/gateway/src/PrefillReserving.cpp
@@ -141,7 +141,7 @@
     return waitingTokens(told->second, pace, now);
 }
 
-asio::awaitable<bool> reservePrefill(CallRun &run, EngineView engine, PrefillStep step)
+asio::awaitable<bool> reservePrefill(CallRun &run, const EngineView &engine, PrefillStep step)
 {
     GatewayNode &node = run.node;
     if (!asksHolders(node, *run.route))
--- a/libs/gateway/src/PrefillReserving.h
+++ b/libs/gateway/src/PrefillReserving.h
@@ -30,9 +30,9 @@
 /**
  * True if the call goes on with that engine; for a send, its tokens count there from now on. False:
  * another engine may be better; what was learnt shows in countedTokens(). Where nobody can be asked
- * it is always true.
+ * it is always true. The view has to stay until the result is there.
  */
-asio::awaitable<bool> reservePrefill(CallRun &run, EngineView engine, PrefillStep step);
+asio::awaitable<bool> reservePrefill(CallRun &run, const EngineView &engine, PrefillStep step);
 
 /** Answers another VM that asks for an engine. */
 gateway::v1::PrefillReply takePrefillRequest(GatewayNode &node,
