--- /dev/null
+++ b/libs/serving/tests/EngineViews.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+
+#include "serving/EngineBoard.h"
+
+namespace monsoonbay {
+
+/** An idle engine that may be ordered; a load from the weight store takes `fetchMs` there. */
+inline EngineView idleEngine(const std::string &id, const ResidentVersions *resident,
+                             double fetchMs)
+{
+    EngineView view;
+    view.id = id;
+    view.hash = stableHash(id);
+    view.slots = 8;
+    view.kvTokens = 100000;
+    view.idleSlots = 4;
+    view.hasHolder = true;
+    view.fetchMs = fetchMs;
+    view.loadMs = view.fetchMs;
+    view.resident = resident;
+    return view;
+}
+
+} // namespace monsoonbay
--- a/libs/serving/tests/Engines.cpp
+++ b/libs/serving/tests/Engines.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include "EngineViews.h"
 #include "serving/EngineBoard.h"
 
 using namespace monsoonbay;
@@ -13,17 +14,7 @@
 
 EngineView engine(const std::string &id, const ResidentVersions *resident = nullptr)
 {
-    EngineView view;
-    view.id = id;
-    view.hash = stableHash(id);
-    view.slots = 8;
-    view.kvTokens = 100000;
-    view.idleSlots = 4;
-    view.hasHolder = true;
-    view.fetchMs = 265;
-    view.loadMs = view.fetchMs;
-    view.resident = resident;
-    return view;
+    return idleEngine(id, resident, 265);
 }
 
 EngineNeed need(double promptTokens = 1000)
--- a/libs/serving/tests/Forecasts.cpp
+++ b/libs/serving/tests/Forecasts.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 #include "EngineDay.h"
+#include "EngineViews.h"
 #include "serving/EngineForecast.h"
 #include "serving/NewsAge.h"
 #include "serving/ServingConfig.h"
@@ -24,17 +25,7 @@
 
 EngineView engine(const std::string &id, const ResidentVersions *resident = nullptr)
 {
-    EngineView view;
-    view.id = id;
-    view.hash = stableHash(id);
-    view.slots = 8;
-    view.kvTokens = 100000;
-    view.idleSlots = 4;
-    view.hasHolder = true;
-    view.fetchMs = 288;
-    view.loadMs = view.fetchMs;
-    view.resident = resident;
-    return view;
+    return idleEngine(id, resident, 288);
 }
 
 /** A short call of a service that also takes long prompts. */
