Spend notes: one constant for whole percentages, one function for units that have left

The hundred stood in three files and twice as a number, and a public function only called a private one of the same arguments. No change of behaviour.

--- a/libs/gateway/src/SpendNotes.cpp
+++ b/libs/gateway/src/SpendNotes.cpp
@@ -15,13 +15,18 @@
 
 constexpr Duration wantedLook = std::chrono::milliseconds(50);
 constexpr Duration unlimitedLook = std::chrono::milliseconds(250);
-constexpr std::uint32_t allPercent = 100;
 
 bool isLimitedWorkspace(const Workspace &workspace)
 {
     return isLimited(workspace.limit);
 }
 
+/** A percentage as another VM told it. */
+int decodePercent(std::uint32_t told)
+{
+    return static_cast<int>(std::min<std::uint32_t>(told, allPercent));
+}
+
 UnitsByAge decodeUnits(const google::protobuf::RepeatedField<std::uint64_t> &told)
 {
     UnitsByAge units{};
@@ -210,7 +215,7 @@
     for (const v1::ZoneNote &note : news.notes_at_start()) {
         SpendNote &zone = told.zones.emplace_back();
         for (const v1::NotedSpend &entry : note.workspaces())
-            zone[entry.workspace()] = {static_cast<int>(std::min(entry.percent(), allPercent)),
+            zone[entry.workspace()] = {decodePercent(entry.percent()),
                                        decodeUnits(entry.units_by_age())};
     }
     const NotesAtStart before = node.spend.atStart;
@@ -231,7 +236,7 @@
     SpendPermits permits;
     permits.at = askedAt - std::chrono::milliseconds(news.noted_ago_ms());
     for (const v1::NotedSpend &told : news.noted_workspaces())
-        permits.percents[told.workspace()] = static_cast<int>(std::min(told.percent(), allPercent));
+        permits.percents[told.workspace()] = decodePercent(told.percent());
     if (!permits.percents.empty())
         node.metrics.record(Timing::NoteAge, toSeconds(BootClock::now() - permits.at));
     node.spend.permits = std::move(permits);
--- a/libs/quota/include/quota/SpendNote.h
+++ b/libs/quota/include/quota/SpendNote.h
@@ -17,10 +17,14 @@
 /** More than that is let run for as long after the request began that wrote the note. */
 constexpr Duration noteFresh = std::chrono::seconds(2);
 
+/** Notes and permits name parts of what may be used in a window in these. */
+constexpr int allPercent = 100;
+
 /** What a note holds of one workspace. */
 struct NotedSpend
 {
-    int percent = 100; ///< of what may be used in a window; use stays below until the next note
+    int percent =
+        allPercent; ///< of what may be used in a window; use stays below until the next note
     UnitsByAge units{}; ///< let run by all VMs in touch, when the note was written
 
     auto operator<=>(const NotedSpend &) const = default;
--- a/libs/quota/src/SpendNote.cpp
+++ b/libs/quota/src/SpendNote.cpp
@@ -17,27 +17,6 @@
  */
 constexpr std::int64_t widthOfAge = 3;
 
-// The reader does not know how long before its start the note was written. After `noteFresh` only
-// what `noteShare` covers was let run, so that no longer time has to be looked at. Within it the
-// sum is least just after a part of the note's time has passed, when one more age may have left
-// before the start.
-std::int64_t leastLeft(const UnitsByAge &units, const QuotaPolicy &policy, Duration after)
-{
-    const Duration part = policy.window / ages;
-    const std::int64_t halves = 2 * after / part;
-    const std::int64_t starts = (noteFresh + part - Duration(1)) / part;
-    std::int64_t least = std::numeric_limits<std::int64_t>::max();
-    for (std::int64_t start = 0; start < starts; ++start) {
-        const std::int64_t oldest = ages - widthOfAge - 1 - start;
-        const std::int64_t twiceYoungest = 2 * ages + 1 - 2 * start - halves;
-        std::int64_t left = 0;
-        for (std::int64_t age = oldest; age >= 0 && 2 * age >= twiceYoungest; --age)
-            left += units[static_cast<std::size_t>(age)];
-        least = std::min(least, left);
-    }
-    return least;
-}
-
 // Each note holds what all VMs in touch let run, and at least one that permitted more than
 // `noteShare` is fresh; which one is not known. Taken together, the units of an old note and of a
 // fresh one would be counted as leaving although the old ones had left before the start.
@@ -51,7 +30,7 @@
         const auto noted = note.find(workspace);
         if (noted == note.end())
             continue;
-        share = std::max(share, noted->second.percent / 100.0);
+        share = std::max(share, static_cast<double>(noted->second.percent) / allPercent);
         left = std::min(left, unitsLeft(noted->second.units, policy, after));
     }
     return std::max(noteShare * usable, share * usable - static_cast<double>(left));
@@ -68,9 +47,25 @@
         own = told;
 }
 
+// The reader does not know how long before its start the note was written. After `noteFresh` only
+// what `noteShare` covers was let run, so that no longer time has to be looked at. Within it the
+// sum is least just after a part of the note's time has passed, when one more age may have left
+// before the start.
 std::int64_t unitsLeft(const UnitsByAge &units, const QuotaPolicy &policy, Duration after) noexcept
 {
-    return leastLeft(units, policy, after);
+    const Duration part = policy.window / ages;
+    const std::int64_t halves = 2 * after / part;
+    const std::int64_t starts = (noteFresh + part - Duration(1)) / part;
+    std::int64_t least = std::numeric_limits<std::int64_t>::max();
+    for (std::int64_t start = 0; start < starts; ++start) {
+        const std::int64_t oldest = ages - widthOfAge - 1 - start;
+        const std::int64_t twiceYoungest = 2 * ages + 1 - 2 * start - halves;
+        std::int64_t left = 0;
+        for (std::int64_t age = oldest; age >= 0 && 2 * age >= twiceYoungest; --age)
+            left += units[static_cast<std::size_t>(age)];
+        least = std::min(least, left);
+    }
+    return least;
 }
 
 WorkspaceUse useAtStart(const std::string &workspace, const WorkspaceLimit &limit,
--- a/libs/quota/src/SpendNoting.cpp
+++ b/libs/quota/src/SpendNoting.cpp
@@ -12,7 +12,6 @@
 
 /** Beyond the use that is expected when a note is no longer fresh; demand may grow meanwhile. */
 constexpr int percentSpare = 4;
-constexpr int allPercent = 100;
 
 /** What both allow. */
 SpendPercents leastOf(const SpendPercents &first, const SpendPercents &second)
@@ -115,7 +114,8 @@
 {
     const auto named = permits.percents.find(workspace);
     const bool counts = named != permits.percents.end() && now - permits.at < noteFresh;
-    return counts ? std::max(named->second / 100.0, noteShare) : noteShare;
+    return counts ? std::max(static_cast<double>(named->second) / allPercent, noteShare)
+                  : noteShare;
 }
 
 } // namespace monsoonbay
