--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -91,14 +91,15 @@
 }
 
 void logOverLimit(const CallRun &run, const Workspace &workspace, const FleetUse &fleet,
-                  std::int64_t units, CallClass callClass, double share)
+                  std::int64_t units, CallClass callClass, const QuotaVerdict &verdict)
 {
     logEvent(EventId::CallOverLimit,
              {{"call", run.facts.attemptId},
               {"workspace", workspace.name},
               {"units", std::to_string(units)},
               {"class", std::string(textOf(callClass))},
-              {"share", std::to_string(share)},
+              {"share", std::to_string(verdict.share)},
+              {"fits", verdict.fits ? "yes" : "no"},
               {"ratePerSecond",
                std::to_string(static_cast<std::int64_t>(workspace.limit.ratePerSecond))},
               {"window", std::to_string(fleet.use.whole)},
@@ -134,7 +135,7 @@
     const QuotaVerdict verdict =
         admitCall(record, workspace->limit, policy, fleet, units, now, callClass);
     if (!verdict.admitted) {
-        logOverLimit(run, *workspace, fleet, units, callClass, verdict.share);
+        logOverLimit(run, *workspace, fleet, units, callClass, verdict);
         node.metrics.add(Counter::OverLimit);
         node.metrics.add(refusedOf(callClass));
         const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
--- a/libs/quota/include/quota/Admission.h
+++ b/libs/quota/include/quota/Admission.h
@@ -26,6 +26,7 @@
     bool admitted = false;
     Duration retryAfter{}; ///< if not: when a call of its class is likely to fit
     double share = 1; ///< of the calls of its class that run at present
+    bool fits = true; ///< into what the VMs in touch may still let run
 
     auto operator<=>(const QuotaVerdict &) const = default;
 };
--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -115,7 +115,7 @@
                        const FleetUse &fleet, std::int64_t units, Instant now, CallClass callClass)
 {
     if (!isLimited(limit))
-        return {true, {}, 1};
+        return {true, {}, 1, true};
     const double asked = std::max(askedNow(own, policy, fleet, units, now), 1.0);
     // What was let run since the others told of it counts as used already.
     FleetUse ahead = fleet;
@@ -136,11 +136,11 @@
     carried += fits ? share : 0;
     if (own.carry + carried >= 1) {
         carried -= 1;
-        return {true, {}, share};
+        return {true, {}, share, fits};
     }
     const double surplus = share > 0 ? 1 / share - 1 : toSeconds(policy.window);
     const Duration wait = fromSeconds(surplus * toSeconds(soonest));
-    return {false, std::clamp<Duration>(wait, soonest, policy.window / 2), share};
+    return {false, std::clamp<Duration>(wait, soonest, policy.window / 2), share, fits};
 }
 
 // As much as may have been used, but for what lets the rate go on from the first moment.
--- a/libs/quota/tests/FleetModel.cpp
+++ b/libs/quota/tests/FleetModel.cpp
@@ -138,15 +138,14 @@
     {
         for (Duration at{}; at < length; at += step)
             this->playStep(at);
-        FleetOutcome outcome;
-        outcome.mostOfBound = this->mostOfBound;
-        outcome.served = this->ran / std::max(this->idealRan, 1.0);
-        outcome.servedInCalm = this->calmRan / std::max(this->calmIdeal, 1.0);
-        outcome.servedCalls = this->allHot.share();
+        this->outcome.mostOfBound = this->mostOfBound;
+        this->outcome.served = this->ran / std::max(this->idealRan, 1.0);
+        this->outcome.servedInCalm = this->calmRan / std::max(this->calmIdeal, 1.0);
+        this->outcome.servedCalls = this->allHot.share();
         for (std::size_t index = 0; index < callClasses; ++index)
-            outcome.servedByClass[index] = this->hotByClass[index].share();
-        outcome.servedAfter = this->ranAfter / std::max(this->askedAfter, 1.0);
-        return outcome;
+            this->outcome.servedByClass[index] = this->hotByClass[index].share();
+        this->outcome.servedAfter = this->ranAfter / std::max(this->askedAfter, 1.0);
+        return this->outcome;
     }
 
 private:
@@ -468,6 +467,23 @@
         this->inWindow += cost;
     }
 
+    void noteRefusal(std::size_t self, std::int64_t units, CallClass callClass,
+                     const FleetUse &seen, const QuotaVerdict &verdict)
+    {
+        const double usable = shareInTouch(seen) * usableInWindow(this->limit, this->day.policy);
+        Refusal refusal;
+        refusal.at = this->now - begin;
+        refusal.vm = self;
+        refusal.callClass = callClass;
+        refusal.units = units;
+        refusal.fits = verdict.fits;
+        refusal.share = verdict.share;
+        refusal.window = static_cast<double>(seen.use.whole) / usable;
+        refusal.allowed = seen.allowed;
+        refusal.vmsInTouch = seen.vmsInTouch;
+        this->outcome.refusals.push_back(refusal);
+    }
+
     void noteHot(CallClass callClass, bool admitted)
     {
         for (Came *came : {&this->allHot, &this->hotByClass[indexOf(callClass)]}) {
@@ -479,10 +495,14 @@
     bool isAdmitted(std::size_t self, std::int64_t units, CallClass callClass)
     {
         Vm &vm = this->vms[self];
-        if (this->division == Division::BySum)
-            return admitCall(vm.record, this->limit, this->day.policy, this->seenBy(self), units,
-                             this->now, callClass)
-                .admitted;
+        if (this->division == Division::BySum) {
+            const FleetUse seen = this->seenBy(self);
+            const QuotaVerdict verdict = admitCall(vm.record, this->limit, this->day.policy, seen,
+                                                   units, this->now, callClass);
+            if (!verdict.admitted)
+                this->noteRefusal(self, units, callClass, seen, verdict);
+            return verdict.admitted;
+        }
         if (vm.level <= 0)
             return false;
         vm.level -= static_cast<double>(units);
@@ -534,6 +554,7 @@
     std::array<Came, callClasses> hotByClass{};
     double ranAfter = 0;
     double askedAfter = 0;
+    FleetOutcome outcome;
 };
 
 } // namespace
--- a/libs/quota/tests/FleetModel.h
+++ b/libs/quota/tests/FleetModel.h
@@ -56,6 +56,20 @@
     std::uint64_t seed = 1;
 };
 
+/** A call that was refused, and what its VM knew. */
+struct Refusal
+{
+    Duration at{}; ///< since the day began
+    std::size_t vm = 0;
+    CallClass callClass = CallClass::Rank2;
+    std::int64_t units = 0;
+    bool fits = true; ///< it was refused for the share of its class alone
+    double share = 0;
+    double window = 0; ///< units counted as used, as a part of what its VMs may use at all
+    double allowed = 0; ///< see FleetUse
+    int vmsInTouch = 1;
+};
+
 struct FleetOutcome
 {
     double mostOfBound = 0; ///< the fullest window, as a part of what the rule allows
@@ -64,6 +78,7 @@
     double servedCalls = 0; ///< part of the calls that were let run in the hot hours
     std::array<double, callClasses> servedByClass{}; ///< the same by class; 0: none came
     double servedAfter = 0; ///< of what was asked for in the window after the last restart
+    std::vector<Refusal> refusals; ///< in order of time
 };
 
 FleetOutcome playDay(const FleetDay &day, Division division);
