A VM that cannot tell its use yet is not counted among those whose use is told

Callers saw: a workspace got 14.5 M tokens in 8 s where 13.2 M are allowed, as most VMs ended at once. After a start a VM tells nothing of what it may have used before until it has read the list of VMs; but it was counted as in touch from its first report on. Others took it for a VM that had used nothing and let its part of the limit run.

Change: a VM counts itself in its reports and digests only once it tells its use: it knows the others and has a configuration (by workspace use is told). Its part stays its own until then.

Measured: the test fails before (2 counted, 1 expected); gateway tests of workspaces green.

--- a/libs/gateway/src/FleetCount.cpp
+++ b/libs/gateway/src/FleetCount.cpp
@@ -48,6 +48,14 @@
     return node.vmsRead || heardForLong;
 }
 
+// Use is told by workspace, so it needs a configuration as well.
+bool tellsUse(const GatewayNode &node, Instant now)
+{
+    if (node.settings.firstStart)
+        return true;
+    return knowsOthers(node, now) && node.routes->config().version > 0;
+}
+
 void countVms(GatewayNode &node, Instant now)
 {
     const std::optional<Instant> confirmed = configConfirmedAt(node);
--- a/libs/gateway/src/FleetCount.h
+++ b/libs/gateway/src/FleetCount.h
@@ -18,6 +18,12 @@
 /** False while a VM that has just started cannot know how many others there are. */
 bool knowsOthers(const GatewayNode &node, Instant now);
 
+/**
+ * This VM tells what it may have used of the limits before its start; one that does not is not
+ * counted among those whose use is told.
+ */
+bool tellsUse(const GatewayNode &node, Instant now);
+
 /** Looks how many are in touch; called all the time. */
 void countVms(GatewayNode &node, Instant now);
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -5,6 +5,7 @@
 #include "ConfigReading.h"
 #include "EngineOrders.h"
 #include "Feeds.h"
+#include "FleetCount.h"
 #include "LeaseKeeping.h"
 #include "NewsCodec.h"
 #include "NewsTelling.h"
@@ -68,7 +69,7 @@
 
 int zoneVms(const GatewayNode &node)
 {
-    int vms = 1;
+    int vms = tellsUse(node, BootClock::now()) ? 1 : 0;
     for (const auto &[reporter, report] : node.reported.reports) {
         if (!reporter.starts_with(zoneReporter))
             vms += report.vms;
@@ -189,7 +190,8 @@
     addUses(workspaces, ownWorkspaceUses(node, BootClock::now()));
     for (const auto &[workspace, use] : workspaces)
         encodeWorkspaceUse(workspace, use, *digest.add_other_workspaces());
-    digest.set_vms_in_touch(static_cast<std::uint32_t>(1 + vmsReported(node.reported)));
+    const int self = tellsUse(node, BootClock::now()) ? 1 : 0;
+    digest.set_vms_in_touch(static_cast<std::uint32_t>(self + vmsReported(node.reported)));
 }
 
 /** For how long this VM has not known its configuration to be the newest, and 1 ms; 0: never. */
--- a/libs/gateway/tests/Workspaces.cpp
+++ b/libs/gateway/tests/Workspaces.cpp
@@ -141,6 +141,21 @@
     cr_assert_leq(served.used(), 10 * 1000 / 70);
 }
 
+// Guards against a limit that is passed after a common restart: VMs that could not tell their use
+// yet were counted as ones that had used nothing, and the others let their parts run.
+Test(workspaces, a_vm_that_cannot_tell_its_use_yet_is_not_counted)
+{
+    Served served(600);
+    served.node.settings.firstStart = false;
+    GatewayNode asker(settingsOf("vm-2", "10.0.0.2"));
+    served.node.vmsRead = false;
+    cr_assert_eq(answerReport(served.node, reportOf(asker, 1)).vms_in_touch(), 1, "the asker");
+    served.node.vmsRead = true;
+    cr_assert_eq(answerReport(served.node, reportOf(asker, 2)).vms_in_touch(), 2);
+    served.node.routes = std::make_shared<RouteTable>(ServingConfig());
+    cr_assert_eq(answerReport(served.node, reportOf(asker, 3)).vms_in_touch(), 1);
+}
+
 Test(workspaces, use_of_other_vms_leaves_less)
 {
     Served served(600);
