Where VMs' parts of a limit are a few calls, large ones no longer wait for a gap that small ones fill

Callers saw: while a third of the VMs heard nobody, long prompts of a workspace at six times its limit were served 0.061 and 0.059 of 0.338 and 0.324; a quarter is the bound.

Cause: a VM on its own may let run one or two long prompts in a window (14,900 units; a prompt is 9,190). Small and urgent calls come first and keep that nearly used up, and a call that did not fit added nothing to its class's share. So the long ones waited for a gap that hardly ever came.

Change: the share alone decides for all calls that are larger than what stays free while more is asked for (a ninth of the part). It follows the room, so use settles at the same level.

--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -22,6 +22,9 @@
  */
 constexpr double fillShare = 0.125;
 
+/** Part of what may be used that stays free while more is asked for: room is given away so fast. */
+constexpr double steadyRoom = fillShare / (1 + fillShare);
+
 /** What is counted as used before a start ends this part of a window after what can have been. */
 constexpr double endShare = 0.125;
 
@@ -126,10 +129,12 @@
     const double rate = admittedPerSecond(limit, policy, ahead);
     const double most = shareInTouch(fleet) * mostInWindow(limit, policy);
     const auto cost = static_cast<double>(units);
-    // Where one call is more than the part of these VMs, the share alone decides: it then lets run
-    // as many of such calls, over all parts, as fit together.
-    const bool fits = static_cast<double>(ahead.use.whole) + cost <= most * fleet.allowed
-        || (cost > most && cost <= mostInWindow(limit, policy));
+    // A call that is larger than what stays free beside smaller ones would hardly ever fit,
+    // whatever its share. There the share alone decides, which is none once everything is used: it
+    // lets run as many of such calls, over all parts, as fit together.
+    const double allowed = most * fleet.allowed;
+    const bool fits = static_cast<double>(ahead.use.whole) + cost <= allowed
+        || (cost > steadyRoom * allowed && cost <= mostInWindow(limit, policy));
     const ClassDemand demand = classDemandOf(fleet.use, asked);
     const double share = sharesOf(demand, std::min(rate / asked, 1.0))[indexOf(callClass)];
     double &carried = own.carried[indexOf(callClass)];
