The share alone decides for a large call only where it is small beside the whole limit

Change: it does so for calls that are larger than what stays free of the part of these VMs, but not of the whole (isDecidedByShare); larger ones have to fit as before.

--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -89,6 +89,18 @@
     return demand;
 }
 
+// Where one call is more than the part of these VMs, the share alone decides: it then lets run as
+// many of such calls, over all parts, as fit together. So it does where a call is larger than what
+// stays free of their part, but not of the whole: beside smaller calls, it would hardly ever fit.
+bool isDecidedByShare(const WorkspaceLimit &limit, const QuotaPolicy &policy, const FleetUse &fleet,
+                      double cost)
+{
+    const double whole = mostInWindow(limit, policy);
+    const double part = shareInTouch(fleet) * whole;
+    const double free = steadyRoom * fleet.allowed;
+    return (cost > part && cost <= whole) || (cost > free * part && cost <= free * whole);
+}
+
 } // namespace
 
 double shareInTouch(const FleetUse &fleet) noexcept
@@ -129,12 +141,9 @@
     const double rate = admittedPerSecond(limit, policy, ahead);
     const double most = shareInTouch(fleet) * mostInWindow(limit, policy);
     const auto cost = static_cast<double>(units);
-    // A call that is larger than what stays free beside smaller ones would hardly ever fit,
-    // whatever its share. There the share alone decides, which is none once everything is used: it
-    // lets run as many of such calls, over all parts, as fit together.
     const double allowed = most * fleet.allowed;
-    const bool fits = static_cast<double>(ahead.use.whole) + cost <= allowed
-        || (cost > steadyRoom * allowed && cost <= mostInWindow(limit, policy));
+    const double room = allowed - static_cast<double>(ahead.use.whole);
+    const bool fits = cost <= room || isDecidedByShare(limit, policy, fleet, cost);
     const ClassDemand demand = classDemandOf(fleet.use, asked);
     const double share = sharesOf(demand, std::min(rate / asked, 1.0))[indexOf(callClass)];
     double &carried = own.carried[indexOf(callClass)];
