A class of few calls is kept further above the least share, as chance takes more of it

Callers saw: beside a burst of short calls, the rarest class of long ones was served 0.161 of 0.840 (300 VMs, 200,000 units a second, twice the limit); a quarter of all is the bound.

Cause: shares were set so that each class gets 0.28 of what all get, whatever number of calls that is. Each of 300 VMs draws for itself, so that 91 calls come to 0.262 in the mean with a deviation of 0.045: the rule aimed one deviation above the bound.

Change: a class counts on its share less two deviations of the number of its calls that a window admits, between 0.55 and 0.9 of it, and that has to be a quarter of all. The number is of a whole window at all VMs, also where a VM has just started or hears few.

--- a/libs/quota/include/quota/ClassShares.h
+++ b/libs/quota/include/quota/ClassShares.h
@@ -11,6 +11,7 @@
 {
     std::array<double, callClasses> units{}; ///< per second
     std::array<double, callClasses> calls{}; ///< in the window; zeros: not known
+    int vms = 0; ///< that admit calls, each by itself; 0: not known
 
     auto operator<=>(const ClassDemand &) const = default;
 };
--- a/libs/quota/src/Admission.cpp
+++ b/libs/quota/src/Admission.cpp
@@ -72,19 +72,25 @@
     return here + others * std::clamp(growth, 1 / mostGrowth, mostGrowth);
 }
 
-/** `asked` is divided as the VMs told; what they told without classes is of the last one. */
-ClassDemand classDemandOf(const WorkspaceUse &use, double asked)
+// `asked` is divided as the VMs told; what they told without classes is of the last one. The calls
+// are those of a whole window at all VMs, heard or not: others of the workspace's calls fare alike.
+ClassDemand classDemandOf(const QuotaPolicy &policy, const FleetUse &fleet, double asked)
 {
+    const WorkspaceUse &use = fleet.use;
+    const double inWindow = asked * toSeconds(policy.window) / shareInTouch(fleet);
+    const double times =
+        inWindow / static_cast<double>(std::max<std::int64_t>(use.askedInWindow, 1));
     const std::int64_t told =
         std::accumulate(use.askedByClass.begin(), use.askedByClass.end(), std::int64_t{0});
     const std::int64_t whole = std::max<std::int64_t>({use.askedPerSecond, told, 1});
     ByClass parts = use.askedByClass;
     parts.back() += whole - told;
     ClassDemand demand;
+    demand.vms = std::max(fleet.vmsKnown, fleet.vmsInTouch);
     for (std::size_t index = 0; index < callClasses; ++index) {
         demand.units[index] =
             asked * static_cast<double>(parts[index]) / static_cast<double>(whole);
-        demand.calls[index] = static_cast<double>(use.callsByClass[index]);
+        demand.calls[index] = times * static_cast<double>(use.callsByClass[index]);
     }
     return demand;
 }
@@ -144,7 +150,7 @@
     const double allowed = most * fleet.allowed;
     const double room = allowed - static_cast<double>(ahead.use.whole);
     const bool fits = cost <= room || isDecidedByShare(limit, policy, fleet, cost);
-    const ClassDemand demand = classDemandOf(fleet.use, asked);
+    const ClassDemand demand = classDemandOf(policy, fleet, asked);
     const double share = sharesOf(demand, std::min(rate / asked, 1.0))[indexOf(callClass)];
     double &carried = own.carried[indexOf(callClass)];
     carried += fits ? share : 0;
--- a/libs/quota/src/ClassShares.cpp
+++ b/libs/quota/src/ClassShares.cpp
@@ -1,6 +1,7 @@
 #include "quota/ClassShares.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace monsoonbay {
@@ -11,11 +12,17 @@
 constexpr double leastShare = 0.5;
 
 /**
- * Least share of a class against the share of all calls, counted by calls. A quarter is required;
- * the rest is for errors of the demand. The even share is one of units: many small calls raise the
- * share of all calls far beyond it.
+ * Least share of a class against the share of all calls, counted by calls. The even share is one of
+ * units: many small calls raise the share of all calls far beyond it.
  */
-constexpr double leastOfCalls = 0.28;
+constexpr double leastOfCalls = 0.25;
+
+/** Standard deviations of the number of calls admitted that a class is kept above that. */
+constexpr double deviationsKept = 2;
+
+/** Part of a share that is counted on; the rest is for chance and for errors of the demand. */
+constexpr double leastCounted = 0.55;
+constexpr double mostCounted = 0.9;
 
 constexpr int halvings = 10;
 
@@ -40,6 +47,22 @@
     return shares;
 }
 
+// A VM spaces the calls that it admits evenly, so that it is half a call off at most by chance.
+double deviationOf(double calls, double share, int vms)
+{
+    const double drawn = calls * share * (1 - share);
+    return std::sqrt(vms > 0 ? std::min(drawn, 0.25 * vms) : drawn);
+}
+
+/** What a class counts on of its share; fewer calls vary by more. */
+double shareCountedOn(const ClassDemand &demand, const ClassShares &shares, std::size_t index)
+{
+    const double calls = demand.calls[index];
+    const double admitted = std::max(calls * shares[index], 1.0);
+    const double deviation = deviationOf(calls, shares[index], demand.vms) / admitted;
+    return shares[index] * std::clamp(1 - deviationsKept * deviation, leastCounted, mostCounted);
+}
+
 bool isServedEnough(const ClassDemand &demand, const ClassShares &shares)
 {
     double calls = 0;
@@ -49,7 +72,7 @@
         calls += demand.calls[index];
         admitted += demand.calls[index] * shares[index];
         if (demand.units[index] > 0)
-            fewest = std::min(fewest, shares[index]);
+            fewest = std::min(fewest, shareCountedOn(demand, shares, index));
     }
     return fewest * calls >= leastOfCalls * admitted;
 }
