A count of VMs that is too high for a moment after a start is not kept for a minute

Cause: until the first span of two seconds is over, a VM took the most that it had heard at any moment for the number of VMs, and believed a lower number only a minute later.

Change: before the first count that holds for a whole span, the list alone counts.

--- a/libs/quota/src/FleetSize.cpp
+++ b/libs/quota/src/FleetSize.cpp
@@ -36,7 +36,7 @@
 void noteVms(FleetSize &size, const VmCount &count, Instant now) noexcept
 {
     if (size.heardAt == Instant{})
-        size.known = std::max({size.known, count.inTouch, count.listed});
+        size.known = std::max(size.known, count.listed);
     if (size.spanFrom == Instant{}) {
         size.begunAt = now;
         size.spanFrom = now;
--- a/libs/quota/tests/Limits.cpp
+++ b/libs/quota/tests/Limits.cpp
@@ -259,6 +259,17 @@
     cr_assert_eq(size.known, 73, "added ones count");
 }
 
+// Guards against refusing nearly all calls for a minute after a common restart: a count that was
+// too high for a moment, before the first span was over, stayed.
+Test(limits, vms_counted_too_often_at_the_start_are_not_believed)
+{
+    FleetSize size;
+    Instant now = start;
+    noteFor(size, {889, 70, true}, 1500ms, now);
+    noteFor(size, {70, 70, true}, 10s, now);
+    cr_assert_eq(size.known, 70);
+}
+
 Test(limits, the_list_counts_until_the_first_ones_are_heard)
 {
     FleetSize size;
