A note tells when what was counted at a start leaves the window

Callers saw, in the model: when all VMs end twice within a window, a workspace at its usual rate (0.56 of its limit) got a tenth to a third of its calls in the 8 s after the second start.

Cause: what a start counts as used, half of a window at least, was in the percentage of the next notes, but not among the units by age that leave it. The second start counted it for a whole window more.

Evidence: refusals by half seconds after the second start all show 0.9 to 1 of a window as used, with most of it counted at the first.

Change: units noted hold what the start counts to the end of its window, at the age of the start (addUnitsBeforeStart): they were let run before it, so they leave at the latest with that window. What leaves earlier is not told, as it may have been used again.

--- a/libs/gateway/src/SpendNotes.cpp
+++ b/libs/gateway/src/SpendNotes.cpp
@@ -55,6 +55,10 @@
     const auto own = node.spending.find(workspace);
     if (own != node.spending.end())
         units = unitsByAge(own->second, policy, now);
+    const Workspace *limited = node.routes->findWorkspace(workspace);
+    if (limited != nullptr && !node.settings.firstStart && knowsOthers(node, now))
+        addUnitsBeforeStart(units, workspace, limited->limit, policy, node.spend.atStart,
+                            vmsKnown(node, now), node.bootedAt, now);
     if (scope == UnitsOf::ThisVm)
         return units;
     for (const auto &[reporter, report] : node.reported.reports) {
--- a/libs/quota/include/quota/SpendNote.h
+++ b/libs/quota/include/quota/SpendNote.h
@@ -60,4 +60,12 @@
                         const QuotaPolicy &policy, const NotesAtStart &notes, int vmsKnown,
                         Instant startedAt, Instant now);
 
+/**
+ * Adds to `sum`, for a note, what useAtStart() counts to the end: units that were let run before
+ * the start and leave the window with it, at the latest.
+ */
+void addUnitsBeforeStart(UnitsByAge &sum, const std::string &workspace, const WorkspaceLimit &limit,
+                         const QuotaPolicy &policy, const NotesAtStart &notes, int vmsKnown,
+                         Instant startedAt, Instant now);
+
 } // namespace monsoonbay
--- a/libs/quota/src/SpendNote.cpp
+++ b/libs/quota/src/SpendNote.cpp
@@ -83,4 +83,17 @@
     return use;
 }
 
+// A note that did not tell when this leaves would have the next start count it for a whole window
+// more. What has left before the window is over may have been used again since, so it is not told.
+void addUnitsBeforeStart(UnitsByAge &sum, const std::string &workspace, const WorkspaceLimit &limit,
+                         const QuotaPolicy &policy, const NotesAtStart &notes, int vmsKnown,
+                         Instant startedAt, Instant now)
+{
+    if (now < startedAt || now - startedAt >= policy.window)
+        return;
+    const WorkspaceUse last = useAtStart(workspace, limit, policy, notes, vmsKnown, startedAt,
+                                         startedAt + policy.window - Duration(1));
+    sum[static_cast<std::size_t>((now - startedAt) / (policy.window / ages))] += last.whole;
+}
+
 } // namespace monsoonbay
--- a/libs/quota/tests/FleetModel.cpp
+++ b/libs/quota/tests/FleetModel.cpp
@@ -337,7 +337,10 @@
             snapshot.vms.push_back({this->ownUse(vm), vm.up, vm.group});
             if (!vm.up)
                 continue;
-            const UnitsByAge units = unitsByAge(vm.record, this->day.policy, this->now);
+            UnitsByAge units = unitsByAge(vm.record, this->day.policy, this->now);
+            if (vm.started != Instant{})
+                addUnitsBeforeStart(units, name, this->limit, this->day.policy, vm.notes,
+                                    this->day.vms, vm.started, this->now);
             for (std::size_t zone = 0; zone < this->zones.size(); ++zone) {
                 if (this->vms[this->zones[zone].relay].group == vm.group)
                     addUnits(snapshot.units[zone], units, this->day.policy, Duration::zero());
--- a/libs/quota/tests/SpendNotes.cpp
+++ b/libs/quota/tests/SpendNotes.cpp
@@ -169,6 +169,35 @@
     cr_assert_eq(countedAtStart(readNotes({{"a", noted}}), 8s), 0.0);
 }
 
+// Guards against use of before one start that the next one counts for a whole window more.
+Test(spend_notes, what_was_counted_at_a_start_leaves_with_its_window)
+{
+    const FleetDay day = dayOf(1);
+    NotedSpend noted;
+    noted.percent = 90;
+    addUnitsBeforeStart(noted.units, "a", day.limit, day.policy, readNotes({}), 1, start,
+                        start + 2s);
+    const double usable = usableInWindow(day.limit, day.policy);
+    cr_assert_float_eq(static_cast<double>(noted.units[4]) / usable, 0.5, 0.001);
+    cr_assert_float_eq(countedAtStart(readNotes({{"a", noted}}), 3s), 0.9, 0.001);
+    cr_assert_float_eq(countedAtStart(readNotes({{"a", noted}}), 7500ms), 0.5, 0.001);
+    UnitsByAge later{};
+    addUnitsBeforeStart(later, "a", day.limit, day.policy, readNotes({}), 1, start, start + 8s);
+    cr_assert_eq(later, UnitsByAge{});
+}
+
+// Guards against refusing most calls of a workspace that asks for what it usually does when all VMs
+// end a second time before the window of the first time is over.
+Test(spend_notes, usual_demand_is_served_after_a_second_restart)
+{
+    for (const int vms : {7, 83, 300}) {
+        FleetDay day = dayOf(vms);
+        day.restarts = {14s, 19s};
+        day.apart = 500ms;
+        cr_expect_geq(playDay(day, Division::BySum).servedAfter, 0.75, "%d VMs", vms);
+    }
+}
+
 // Guards against the units of an old note, of a zone that the store rejects, which have left the
 // window before the start and would be subtracted beside those of a fresh one.
 Test(spend_notes, units_of_two_zones_notes_are_not_added)
