--- a/libs/quota/tests/FleetModel.cpp
+++ b/libs/quota/tests/FleetModel.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 #include <deque>
 
+#include "Refusals.h"
 #include "quota/SpendNoting.h"
 
 namespace monsoonbay {
@@ -564,7 +566,10 @@
 
 FleetOutcome playDay(const FleetDay &day, Division division)
 {
-    return Fleet(day, division).play();
+    FleetOutcome outcome = Fleet(day, division).play();
+    if (std::getenv("PRINT_REFUSALS") != nullptr)
+        printRefusals(day, outcome.refusals);
+    return outcome;
 }
 
 } // namespace monsoonbay
--- a/libs/quota/tests/FleetModel.h
+++ b/libs/quota/tests/FleetModel.h
@@ -81,6 +81,11 @@
     std::vector<Refusal> refusals; ///< in order of time
 };
 
+/**
+ * With PRINT_REFUSALS in the environment, prints on standard error how many calls of each class
+ * were refused in each half of a second, at how many VMs, for which reason and with which
+ * knowledge.
+ */
 FleetOutcome playDay(const FleetDay &day, Division division);
 
 } // namespace monsoonbay
--- a/libs/quota/tests/Limits.cpp
+++ b/libs/quota/tests/Limits.cpp
@@ -187,6 +187,31 @@
     }
 }
 
+// Guards against a bound that large deployments pass, and against calls below their limit that they
+// refuse: news are 1.2 s old at 300 VMs and 2.4 s at 840.
+Test(limits, at_300_and_840_vms_the_limit_holds_and_usual_demand_is_let_run)
+{
+    FleetDay day = daysOf(200000).front();
+    for (const int vms : {300, 840}) {
+        day.vms = vms;
+        day.callersAt = vms;
+        day.newsAge = vms == 300 ? 1200ms : 2400ms;
+        day.hot = 1;
+        cr_expect_geq(playDay(day, Division::BySum).served, 0.97, "%d VMs", vms);
+        day.hot = 7.5;
+        mostStaysWithin(day);
+    }
+}
+
+// Guards against a bound that is passed by single calls of half a window and more.
+Test(limits, calls_of_any_size_stay_within_the_limit)
+{
+    FleetDay day = daysOf(29000).front();
+    day.hot = 6;
+    day.seed = 34;
+    cr_expect_leq(playDay(day, Division::BySum).mostOfBound, 1.0);
+}
+
 Test(limits, a_lowered_limit_binds_within_a_window)
 {
     for (const double rate : {200000.0, 887000.0}) {
--- /dev/null
+++ b/libs/quota/tests/Refusals.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <vector>
+
+#include "FleetModel.h"
+
+namespace monsoonbay {
+
+/** Prints a row for each class and half of a second on standard error. */
+void printRefusals(const FleetDay &day, const std::vector<Refusal> &refusals);
+
+} // namespace monsoonbay
