A repeat counts from when it is sent, not from when it was granted

What callers saw: nothing at once. A target in trouble could get repeats of more than one window at once: rights were taken when a repeat was decided, and the calls waited for a place up to 4.2 s more.

Cause: the budget's window held a right by the moment at which it was granted; the bound is on arrivals. A right that was used 4 s later had left the window 4 s too early, and another one was granted beside it.

The new test retries/repeats_that_wait_stay_within_the_bound failed before this change: 11 arrivals in ten seconds, 10 allowed.

Change: the right moves to the moment of the send. At each grant the window holds all that was sent and all that still waits, so what arrives within a window never passes what was granted against it.

--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -56,6 +56,7 @@
     std::vector<PromptPrefix> prefixes; ///< of its prompt, if it goes to engines
     double cachedTokens = 0; ///< of its prompt, believed to be at the engine it was sent to last
     int sends = 0;
+    std::optional<Instant> repeatTakenAt; ///< right to a further send that is still to be used
     Duration placing{}; ///< time spent on finding targets, loads included
     int loads = 0; ///< adapter loads that were waited for
     Duration forecast{}; ///< expected from the choice of the engine to the first event; zero: none
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -235,8 +235,24 @@
         const bool ran = end == SendEnd::Failed || end == SendEnd::Broken;
         if (ran && this->runsStarted >= this->run.route->maxAttempts)
             return false;
-        return takeRepeat(this->node.retryBudgets[this->run.service], this->node.settings.retries,
-                          slackSharing(this->node, BootClock::now()), BootClock::now());
+        const Instant now = BootClock::now();
+        const bool taken =
+            takeRepeat(this->node.retryBudgets[this->run.service], this->node.settings.retries,
+                       slackSharing(this->node, now), now);
+        if (taken)
+            this->run.repeatTakenAt = now;
+        return taken;
+    }
+
+    /** The call is sent to a target now. */
+    void noteSend()
+    {
+        ++this->run.sends;
+        if (!this->run.repeatTakenAt)
+            return;
+        noteRepeatSent(this->node.retryBudgets[this->run.service], this->node.settings.retries,
+                       *this->run.repeatTakenAt, BootClock::now());
+        this->run.repeatTakenAt.reset();
     }
 
     asio::awaitable<SendEnd> sendTo(const TargetEntry &target)
@@ -265,7 +281,7 @@
         facts.expectedVersion = versionInForce(this->node, this->run.facts.adapter);
         facts.urgency = priorityOf(this->run);
         facts.resumeAfter = this->relay.lastId();
-        ++this->run.sends;
+        this->noteSend();
         const bool mayHaveRunBefore = this->run.mayHaveRun;
         this->run.mayHaveRun = true;
         if (mayHaveRunBefore)
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -47,6 +47,13 @@
 bool takeRepeat(ServiceRetryBudget &budget, const RetryPolicy &policy, const SlackSharing &sharing,
                 Instant now);
 
+/**
+ * A repeat that was taken at `takenAt` is sent now, after a wait for a place: it counts from now
+ * on, as the target that gets it counts it.
+ */
+void noteRepeatSent(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant takenAt,
+                    Instant now);
+
 /** Repeats that this VM has taken in the window, as of the last call or repeat. */
 std::uint32_t repeatsTaken(const ServiceRetryBudget &budget) noexcept;
 
--- a/libs/serving/src/ServiceRetryBudget.cpp
+++ b/libs/serving/src/ServiceRetryBudget.cpp
@@ -47,6 +47,18 @@
     return true;
 }
 
+// Left at the moment at which it was taken, it would be forgotten before a window has passed since
+// it was sent, and another one be granted beside it.
+void noteRepeatSent(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant takenAt,
+                    Instant now)
+{
+    std::uint32_t &newest = advance(budget.repeats, policy.window, now);
+    const std::int64_t age = ageOf(budget.repeats, policy.window, takenAt);
+    if (age <= budget.repeats.inWindow)
+        --budget.repeats.part(budget.repeats.newest - age);
+    ++newest;
+}
+
 std::uint32_t repeatsTaken(const ServiceRetryBudget &budget) noexcept
 {
     return sumOf(budget.repeats);
--- a/libs/serving/tests/Retries.cpp
+++ b/libs/serving/tests/Retries.cpp
@@ -1,4 +1,5 @@
 #include <deque>
+#include <map>
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -89,6 +90,32 @@
     }));
 }
 
+// Guards against repeats that wait for a place and are counted when they were granted, not sent.
+Test(retries, repeats_that_wait_stay_within_the_bound)
+{
+    cr_assert(rc::check("bound", [] {
+        RetryPolicy policy;
+        policy.slack = *rc::gen::inRange(4, 30);
+        ServiceRetryBudget budget;
+        std::multimap<Instant, Instant> waiting; // by when it is sent: when it was granted
+        std::deque<Instant> sent;
+        Instant now = Instant{} + 100s;
+        for (int step = 0; step < 400; ++step) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 120));
+            while (!waiting.empty() && waiting.begin()->first <= now) {
+                noteRepeatSent(budget, policy, waiting.begin()->second, now);
+                waiting.erase(waiting.begin());
+                sent.push_back(now);
+            }
+            if (takeRepeat(budget, policy, among(1), now))
+                waiting.emplace(now + std::chrono::milliseconds(*rc::gen::inRange(0, 4200)), now);
+            while (!sent.empty() && now - sent.front() > policy.window)
+                sent.pop_front();
+            RC_ASSERT(static_cast<double>(sent.size()) <= policy.slack);
+        }
+    }));
+}
+
 Test(retries, the_share_comes_back_after_the_window)
 {
     RetryPolicy policy;
