call-bounced tells what the connection came to, and how others fare at the target

Change: three fields of the event; one function gives what all other VMs take of a target, which totalLoad() summed by itself.

Measured: gateway (65), serving (140) and observe (7) tests pass.

--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -209,10 +209,14 @@
     void logBounced(const std::string &target, SendEnd end, bool again)
     {
         const ServiceRetryBudget &budget = this->node.retryBudgets[this->run.service];
+        const TargetUse others = othersAt(this->node, target);
         logEvent(EventId::CallBounced,
                  {{"call", this->run.facts.attemptId},
                   {"target", target},
                   {"end", std::to_string(static_cast<int>(end))},
+                  {"error", this->sendError ? this->sendError.message() : ""},
+                  {"othersGood", std::to_string(others.goods)},
+                  {"othersFailed", std::to_string(others.faults)},
                   {"sends", std::to_string(this->run.sends)},
                   {"again", again ? "yes" : "no"},
                   {"repeats", std::to_string(repeatsTaken(budget))},
@@ -261,6 +265,7 @@
         UseGuard use(this->run, target.id);
         TargetExchange exchange(this->node, target, this->run.facts.attemptId);
         const bool connected = co_await exchange.connect();
+        this->sendError = exchange.error();
         if (!connected) {
             noteEnd(this->run, target, SendOutcome::Unreachable);
             co_return SendEnd::Unreachable;
@@ -288,6 +293,7 @@
             takeUnitsAgain(this->run);
         ++this->runsStarted;
         const bool headed = co_await exchange.send(requestFor(this->run, facts));
+        this->sendError = exchange.error();
         if (!headed) {
             if (!this->run.cancelled())
                 this->noteBroken(target);
@@ -314,6 +320,7 @@
             end = co_await this->passStream(exchange, use);
         else
             end = co_await this->passWhole(exchange);
+        this->sendError = exchange.error();
         if (end == SendEnd::Done)
             noteEnd(this->run, target, SendOutcome::Good);
         else if (end == SendEnd::Failed)
@@ -431,6 +438,7 @@
     StreamRelay relay;
     KeptAnswer kept;
     OwnAnswer refusal;
+    boost::system::error_code sendError; ///< of the last send
     int runsStarted = 0;
 };
 
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -167,32 +167,26 @@
     return found;
 }
 
-namespace {
-
-/** Calls `visit` for what this VM, those that report to it and all others take of a target. */
-template <typename Visit>
-void visitUses(const GatewayNode &node, const std::string &target, Visit visit)
+TargetUse othersAt(const GatewayNode &node, const std::string &target)
 {
-    const auto own = node.targets.find(target);
-    if (own != node.targets.end())
-        visit(own->second->own);
+    TargetUse others;
     const auto below = node.reported.total.find(target);
     if (below != node.reported.total.end())
-        visit(below->second);
+        addUse(others, below->second);
     const auto above = node.upstream.others.find(target);
     if (above != node.upstream.others.end())
-        visit(above->second);
+        addUse(others, above->second);
+    return others;
 }
 
-} // namespace
-
 TargetUse totalLoad(const GatewayNode &node, const std::string &target)
 {
-    TargetUse total;
-    visitUses(node, target, [&total](const TargetUse &use) { addUse(total, use); });
+    TargetUse total = othersAt(node, target);
     const auto own = node.targets.find(target);
-    if (own != node.targets.end())
-        addHealth(total, own->second->health, BootClock::now());
+    if (own == node.targets.end())
+        return total;
+    addUse(total, own->second->own);
+    addHealth(total, own->second->health, BootClock::now());
     return total;
 }
 
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -397,6 +397,9 @@
 /** Load of all gateways' calls at one target; without the adapters. */
 TargetUse totalLoad(const GatewayNode &node, const std::string &target);
 
+/** The same of all other gateways' calls, and how they ended lately. */
+TargetUse othersAt(const GatewayNode &node, const std::string &target);
+
 bool isReady(const GatewayNode &node) noexcept;
 
 /** Sleeps; returns early if the gateway stops. */
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -87,6 +87,11 @@
     this->unusable = true;
 }
 
+const boost::system::error_code &TargetExchange::error() const noexcept
+{
+    return this->lastError;
+}
+
 int TargetExchange::status() const
 {
     return static_cast<int>(this->parser->get().result_int());
@@ -109,6 +114,7 @@
         ConnectResult result =
             co_await connectTo(this->node.context, this->endpoint, connectPatience);
         this->link = std::move(result.connection);
+        this->lastError = result.error;
     }
     co_return this->link != nullptr;
 }
@@ -149,6 +155,7 @@
                                                            *this->parser, quietly);
     if (error) {
         this->unusable = true;
+        this->lastError = error;
         co_return false;
     }
     this->answerFacts = this->node.platform->readAnswer(this->status(), this->parser->get());
@@ -168,6 +175,7 @@
         piece.append(this->space.data(), filled);
         if (error && error != http::error::need_buffer) {
             this->unusable = true;
+            this->lastError = error;
             co_return BodyRead::Broken;
         }
         if (!piece.empty() && !this->parser->is_done())
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -35,6 +35,9 @@
     /** Takes an idle connection or makes one; false: the target cannot be reached. */
     asio::awaitable<bool> connect();
 
+    /** Why the last attempt to connect, send or read failed; no error: none has. */
+    const boost::system::error_code &error() const noexcept;
+
     /** Sends the request and reads the head of its answer; false: lost, it may have run. */
     asio::awaitable<bool> send(std::shared_ptr<HttpRequest> request);
 
@@ -65,6 +68,7 @@
     std::array<char, 8192> space{};
     bool whole = false;
     bool unusable = false;
+    boost::system::error_code lastError;
 };
 
 } // namespace monsoonbay
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -156,7 +156,8 @@
     EventRow{EventId::CallBounced, "call-bounced", EventLevel::Info,
              "a send to a target did not end in an answer for the caller; `repeats` and "
              "`vmsCounted` tell what this VM has used of the retry budget and among how many it "
-             "divides it",
+             "divides it, `error` what the connection came to, `othersGood` and `othersFailed` in "
+             "tenths how calls of other VMs ended there lately",
              "none if it is rare"},
     EventRow{EventId::StreamCut, "stream-cut", EventLevel::Warning,
              "a stream was broken off after it had begun",
