--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -28,6 +28,8 @@
     Endpoint operators;
     Endpoint peers; ///< where other VMs reach this one
     std::optional<Endpoint> peersListen; ///< where it listens for them, if not there
+    /** Where it takes calls that other VMs forward; these do so at the same port. Nothing: none. */
+    std::optional<Endpoint> forwards;
     bool firstStart = false; ///< the whole system starts for the first time
     std::vector<Endpoint> seeds; ///< peers to begin with
     Endpoint store; ///< the platform's metadata store
--- /dev/null
+++ b/libs/gateway/src/CallAnswer.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+
+#include "CallRun.h"
+#include "StreamRelay.h"
+#include "TargetExchange.h"
+
+namespace monsoonbay {
+
+/** How one send of a call ended. */
+enum class SendEnd : std::uint8_t {
+    Done, ///< the caller has its whole answer
+    Unreachable, ///< nothing was sent
+    NotRun, ///< the target says it has not run the call
+    Failed, ///< the target answered with an error of its own
+    Broken, ///< the answer was lost, cut off or spoiled
+    CallerLost, ///< the caller does not take the answer
+    Refused, ///< the call ends here with CallAnswer::refusal, nothing was sent or it has not run
+};
+
+/** An answer that was read whole, to be passed on unless a better one can be had. */
+struct KeptAnswer
+{
+    bool there = false;
+    HttpReply reply;
+};
+
+/** The answer to one call, over all its sends. */
+struct CallAnswer
+{
+    explicit CallAnswer(CallRun &run)
+        : relay(run)
+    { }
+
+    StreamRelay relay;
+    KeptAnswer kept;
+    OwnAnswer refusal;
+    int runsStarted = 0;
+};
+
+/** The request as it goes to a target, or to another VM. */
+std::shared_ptr<HttpRequest> requestFor(const CallRun &run, const SendFacts &facts);
+
+/** What a target is told beside the request, but for its id. */
+SendFacts sendFactsOf(const CallRun &run, const CallAnswer &answer);
+
+/** The call is sent now, to a target or another VM. */
+void noteSend(CallRun &run);
+
+/** Reads a whole answer; false if it broke off. */
+asio::awaitable<bool> readWhole(TargetExchange &exchange, std::string &body);
+
+/** Passes the answer on whose head has been read; `pieceCame` is called for each piece of a stream.
+ */
+asio::awaitable<SendEnd> passAnswer(CallRun &run, CallAnswer &answer, TargetExchange &exchange,
+                                    const std::function<void()> &pieceCame);
+
+/**
+ * The last word to the caller. A stream that has begun can only be broken off, so that it does not
+ * look complete; a target's own error goes through unchanged; and "not run" is said only if no
+ * target may have run the call.
+ */
+asio::awaitable<void> giveUp(CallRun &run, CallAnswer &answer, OwnAnswer last);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/CallRun.cpp
+++ b/libs/gateway/src/CallRun.cpp
@@ -30,13 +30,27 @@
     , arrivedAt(BootClock::now())
 { }
 
-CallIdentity identityOf(const CallRun &run)
+std::string callerAddressOf(const CallRun &run)
 {
+    if (run.forwarded)
+        return run.forwarded->callerAddress;
     boost::system::error_code ignored; // of a caller that has gone; it is told apart all the same
-    const auto address = run.caller.socket().remote_endpoint(ignored).address();
+    return run.caller.socket().remote_endpoint(ignored).address().to_string();
+}
+
+bool hasBody(const CallRun &run)
+{
+    if (run.forwarded)
+        return run.forwarded->hasBody;
+    return !run.request->body().empty() || run.request->has_content_length()
+        || run.request->chunked();
+}
+
+CallIdentity identityOf(const CallRun &run)
+{
     const std::string_view method(run.request->method_string().data(),
                                   run.request->method_string().size());
-    return identifyCall(method, run.host, run.path, run.request->body(), address.to_string());
+    return identifyCall(method, run.host, run.path, run.request->body(), callerAddressOf(run));
 }
 
 Duration timeLeft(const CallRun &run)
@@ -88,7 +102,7 @@
         });
 }
 
-asio::awaitable<bool> writeAnswer(CallRun &run, HttpReply reply)
+asio::awaitable<bool> writeAnswer(CallRun &run, HttpReply reply, ForwardOutcome outcome)
 {
     run.answerBegun = true;
     http::response<http::string_body> response(static_cast<http::status>(reply.status),
@@ -98,6 +112,8 @@
     if (!reply.contentType.empty())
         response.set(http::field::content_type, reply.contentType);
     run.closeAfter = run.closeAfter || run.node.shuttingDown;
+    if (run.forwarded)
+        writeForwardOutcome(response, outcome);
     response.keep_alive(run.request->keep_alive() && !run.closeAfter);
     response.body() = std::move(reply.body);
     response.prepare_payload();
@@ -141,8 +157,10 @@
               {"workspace", run.workspace},
               {"key", run.key ? shortText(*run.key) : std::string()},
               {"configVersion", std::to_string(run.routes->config().version)}});
-    run.node.metrics.add(refused ? Counter::RequestsRefused : Counter::RequestsFailed);
-    co_await writeAnswer(run, std::move(reply));
+    if (!run.forwarded)
+        run.node.metrics.add(refused ? Counter::RequestsRefused : Counter::RequestsFailed);
+    co_await writeAnswer(run, std::move(reply),
+                         run.mayHaveRun ? ForwardOutcome::MayHaveRun : ForwardOutcome::NotRun);
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -6,6 +6,7 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "ForwardedCall.h"
 #include "GatewayNode.h"
 #include "serving/CallFacts.h"
 #include "serving/PromptPrefixes.h"
@@ -47,8 +48,11 @@
     Instant unitsTakenAt{};
     Instant arrivedAt;
     Instant deadline;
+    std::optional<ForwardedCall> forwarded; ///< by another VM
 
     std::vector<std::string> tried; ///< targets that were sent to, or could not be reached
+    int unreached = 0; ///< of these, that other VMs reach
+    bool noPeer = false; ///< no other VM takes it
     std::vector<std::string> unloadable; ///< engines that will not load the adapter now
     PlaceTimes place;
     std::vector<std::string> prefillAsked; ///< engines whose holder was asked what waits there
@@ -83,6 +87,12 @@
 /** Whether it is the same work as another call; see CallIdentity. */
 CallIdentity identityOf(const CallRun &run);
 
+/** Where the call's own caller is; empty if it has gone. */
+std::string callerAddressOf(const CallRun &run);
+
+/** True if the caller sent a body, if only an empty one. */
+bool hasBody(const CallRun &run);
+
 /** A piece of the answer goes to the caller now. */
 void notePiece(CallRun &run);
 
@@ -109,7 +119,11 @@
 /** Answers by ourselves and logs why. */
 asio::awaitable<void> answerOwn(CallRun &run, OwnAnswer answer);
 
-/** Writes a whole answer to the caller; false if the caller cannot be reached. */
-asio::awaitable<bool> writeAnswer(CallRun &run, HttpReply reply);
+/**
+ * Writes a whole answer to the caller; false if the caller cannot be reached. A VM that forwarded
+ * the call learns `outcome`.
+ */
+asio::awaitable<bool> writeAnswer(CallRun &run, HttpReply reply,
+                                  ForwardOutcome outcome = ForwardOutcome::FromTarget);
 
 } // namespace monsoonbay
--- a/libs/gateway/src/CallerFront.cpp
+++ b/libs/gateway/src/CallerFront.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "Forwarding.h"
+#include "PeerForwarding.h"
 
 namespace monsoonbay {
 
@@ -31,6 +32,9 @@
 /** For what a refused caller still sends; long enough for some megabytes on the users' links. */
 constexpr Duration drainPatience = std::chrono::milliseconds(1000);
 
+/** What another VM adds to the header of a call that it forwards, with long names. */
+constexpr std::uint32_t forwardedHeaderBytes = 2048;
+
 constexpr std::string_view expectContinue = "100-continue";
 
 struct CallerConnection
@@ -116,8 +120,9 @@
 
 struct CallerFront::Impl
 {
-    explicit Impl(GatewayNode &node)
+    Impl(GatewayNode &node, CallOrigin origin)
         : node(node)
+        , origin(origin)
         , acceptor(node.context)
     { }
 
@@ -152,7 +157,7 @@
             connection.buffer.commit(bytes);
         }
         connection.busy = true;
-        parser.header_limit(limits.maxHeaderBytes);
+        parser.header_limit(limits.maxHeaderBytes + this->addedHeaderBytes());
         parser.body_limit(limits.maxBodyBytes);
         stream.expires_after(limits.headerTimeout);
         auto [headError, headBytes] =
@@ -161,6 +166,9 @@
             co_await refuseRequest(connection, headError);
             co_return false;
         }
+        const bool taken = co_await this->judge(connection, parser.get());
+        if (!taken)
+            co_return false;
         if (parser.get()[http::field::expect] == expectContinue)
             co_await sendContinue(connection);
         stream.expires_after(bodyTimeout);
@@ -174,6 +182,28 @@
         co_return true;
     }
 
+    std::uint32_t addedHeaderBytes() const
+    {
+        return this->origin == CallOrigin::OtherVms ? forwardedHeaderBytes : 0;
+    }
+
+    /** False: a forwarded call is not taken, and the other VM has been told why. */
+    asio::awaitable<bool> judge(CallerConnection &connection, const RequestHead &head)
+    {
+        if (this->origin == CallOrigin::Callers)
+            co_return true;
+        const ForwardRefusal refusal = judgeForwarded(this->node, readForwardedCall(head));
+        if (refusal == ForwardRefusal::None)
+            co_return true;
+        http::response<http::string_body> response(http::status::service_unavailable, 11);
+        writeForwardRefusal(response, refusal);
+        response.keep_alive(false);
+        response.prepare_payload();
+        connection.stream.expires_after(bodyTimeout);
+        co_await http::async_write(connection.stream, response, quietly);
+        co_return false;
+    }
+
     asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
     {
         CallerConnection connection(std::move(socket));
@@ -202,28 +232,35 @@
             std::make_shared<CallRun>(this->node, connection.stream, std::move(request));
         run->host = hostOf(*run->request);
         run->path = std::string(run->request->target());
+        const int forwarded = this->origin == CallOrigin::OtherVms ? 1 : 0;
+        if (forwarded > 0) {
+            run->forwarded = readForwardedCall(*run->request);
+            eraseForwardedCall(*run->request);
+        }
         ++this->node.callsInFlight;
+        this->node.forwardedInFlight += forwarded;
         co_await serveCall(run);
         --this->node.callsInFlight;
+        this->node.forwardedInFlight -= forwarded;
         co_return run->answerBegun && !run->closeAfter && !run->callerGone
             && run->request->keep_alive();
     }
 
     GatewayNode &node;
+    CallOrigin origin;
     tcp::acceptor acceptor;
     std::unordered_set<CallerConnection *> open;
     bool stopping = false;
     bool closing = false;
 };
 
-CallerFront::CallerFront(GatewayNode &node)
-    : impl(std::make_shared<Impl>(node))
+CallerFront::CallerFront(GatewayNode &node, const Endpoint &address, CallOrigin origin)
+    : impl(std::make_shared<Impl>(node, origin))
 {
-    const Endpoint &callers = node.settings.callers;
-    const tcp::endpoint address(asio::ip::make_address(callers.address), callers.port);
-    this->impl->acceptor.open(address.protocol());
+    const tcp::endpoint listened(asio::ip::make_address(address.address), address.port);
+    this->impl->acceptor.open(listened.protocol());
     this->impl->acceptor.set_option(tcp::acceptor::reuse_address(true));
-    this->impl->acceptor.bind(address);
+    this->impl->acceptor.bind(listened);
     this->impl->acceptor.listen(backlog);
     spawn(node, "accept", this->impl->acceptLoop(this->impl));
 }
--- a/libs/gateway/src/CallerFront.h
+++ b/libs/gateway/src/CallerFront.h
@@ -4,12 +4,18 @@
 
 namespace monsoonbay {
 
-/** Takes callers' connections and serves the calls on them. */
+/** Whose calls come to an address. */
+enum class CallOrigin : std::uint8_t {
+    Callers,
+    OtherVms, ///< which forward them; see PeerForwarding.h
+};
+
+/** Takes connections and serves the calls on them. */
 class CallerFront
 {
 public:
     /** Throws std::system_error if the address cannot be listened on. */
-    explicit CallerFront(GatewayNode &node);
+    CallerFront(GatewayNode &node, const Endpoint &address, CallOrigin origin);
     ~CallerFront();
 
     CallerFront(const CallerFront &) = delete;
--- /dev/null
+++ b/libs/gateway/src/ForwardedCall.cpp
@@ -0,0 +1,121 @@
+#include "ForwardedCall.h"
+
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace monsoonbay {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char *callHeader = "Monsoonbay-Forwarded";
+constexpr const char *refusalHeader = "Monsoonbay-Refusal";
+constexpr const char *outcomeHeader = "Monsoonbay-Outcome";
+constexpr std::array allRefusals{ForwardRefusal::Malformed, ForwardRefusal::Stopping,
+                                 ForwardRefusal::LinksLost, ForwardRefusal::OtherConfig,
+                                 ForwardRefusal::Busy};
+constexpr std::string_view notRun = "not-run";
+constexpr std::string_view mayHaveRun = "may-have-run";
+
+ForwardedCall callOf(const Json &json)
+{
+    ForwardedCall call;
+    call.configVersion = json.at("configVersion").get<std::int64_t>();
+    call.service = json.at("service").get<std::string>();
+    call.workspace = json.at("workspace").get<std::string>();
+    if (json.contains("key"))
+        call.key = KeyDigest{json["key"].get<std::array<std::uint64_t, 4>>()};
+    call.units = json.at("units").get<std::int64_t>();
+    call.callerAddress = json.at("callerAddress").get<std::string>();
+    call.waited = std::chrono::milliseconds(json.at("waitedMs").get<std::int64_t>());
+    call.runs = json.at("runs").get<int>();
+    call.hasBody = json.at("hasBody").get<bool>();
+    return call;
+}
+
+} // namespace
+
+std::string_view refusalName(ForwardRefusal refusal) noexcept
+{
+    switch (refusal) {
+    case ForwardRefusal::None:
+        return "none";
+    case ForwardRefusal::Malformed:
+        return "malformed";
+    case ForwardRefusal::Stopping:
+        return "stopping";
+    case ForwardRefusal::LinksLost:
+        return "links lost";
+    case ForwardRefusal::OtherConfig:
+        return "other configuration";
+    case ForwardRefusal::Busy:
+        return "busy";
+    }
+    return "";
+}
+
+void writeForwardRefusal(ResponseHead &head, ForwardRefusal refusal)
+{
+    head.set(refusalHeader, refusalName(refusal));
+}
+
+ForwardRefusal readForwardRefusal(const ResponseHead &head)
+{
+    const auto value = head[refusalHeader];
+    for (const ForwardRefusal refusal : allRefusals) {
+        if (value == refusalName(refusal))
+            return refusal;
+    }
+    return ForwardRefusal::None;
+}
+
+void writeForwardedCall(RequestHead &head, const ForwardedCall &call)
+{
+    Json json{{"configVersion", call.configVersion},
+              {"service", call.service},
+              {"workspace", call.workspace},
+              {"units", call.units},
+              {"callerAddress", call.callerAddress},
+              {"waitedMs", toMillis(call.waited)},
+              {"runs", call.runs},
+              {"hasBody", call.hasBody}};
+    if (call.key)
+        json["key"] = call.key->words;
+    // A header holds ASCII alone.
+    head.set(callHeader, json.dump(-1, ' ', true));
+}
+
+std::optional<ForwardedCall> readForwardedCall(const RequestHead &head)
+{
+    const auto value = head[callHeader];
+    const Json json = Json::parse(value.begin(), value.end(), nullptr, false);
+    try {
+        return callOf(json);
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+void eraseForwardedCall(RequestHead &head)
+{
+    head.erase(callHeader);
+}
+
+void writeForwardOutcome(ResponseHead &head, ForwardOutcome outcome)
+{
+    head.erase(outcomeHeader);
+    if (outcome != ForwardOutcome::FromTarget)
+        head.set(outcomeHeader, outcome == ForwardOutcome::NotRun ? notRun : mayHaveRun);
+}
+
+ForwardOutcome readForwardOutcome(const ResponseHead &head)
+{
+    const auto value = head[outcomeHeader];
+    if (value.empty())
+        return ForwardOutcome::FromTarget;
+    return value == notRun ? ForwardOutcome::NotRun : ForwardOutcome::MayHaveRun;
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/src/ForwardedCall.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "access/KeyTable.h"
+#include "core/Time.h"
+#include "gateway/PlatformPort.h"
+
+namespace monsoonbay {
+
+/** What a VM tells another one of a call that it forwards; in a header of the request. */
+struct ForwardedCall
+{
+    std::int64_t configVersion = 0; ///< by which the call is handled
+    std::string service;
+    std::string workspace; ///< empty: nobody's call
+    std::optional<KeyDigest> key; ///< nothing: the route needs none
+    std::int64_t units = 0; ///< of the workspace's limit; taken by the VM that forwards it
+    std::string callerAddress;
+    Duration waited{}; ///< since the call arrived at the VM that forwards it
+    int runs = 0; ///< that may have begun before
+    bool hasBody = false; ///< the caller sent one, if only an empty one
+
+    auto operator<=>(const ForwardedCall &) const = default;
+};
+
+/** Why a VM does not take a forwarded call. */
+enum class ForwardRefusal : std::uint8_t {
+    None, ///< it takes it
+    Malformed, ///< the header cannot be read
+    Stopping,
+    LinksLost, ///< it does not reach the targets itself
+    OtherConfig, ///< its configuration is another one
+    Busy, ///< it has enough forwarded calls
+};
+
+std::string_view refusalName(ForwardRefusal refusal) noexcept;
+
+/** What a VM's own answer to a forwarded call says of the call. */
+enum class ForwardOutcome : std::uint8_t {
+    FromTarget, ///< nothing: the answer is a target's
+    NotRun, ///< it has not run there and never will
+    MayHaveRun,
+};
+
+void writeForwardRefusal(ResponseHead &head, ForwardRefusal refusal);
+
+/** None: the answer names no reason that is known. */
+ForwardRefusal readForwardRefusal(const ResponseHead &head);
+
+void writeForwardedCall(RequestHead &head, const ForwardedCall &call);
+
+/** Nothing: the request bears no such header, or one that cannot be read. */
+std::optional<ForwardedCall> readForwardedCall(const RequestHead &head);
+
+void eraseForwardedCall(RequestHead &head);
+
+/** Sets what an own answer says; removes what a target may have set in its place. */
+void writeForwardOutcome(ResponseHead &head, ForwardOutcome outcome);
+
+ForwardOutcome readForwardOutcome(const ResponseHead &head);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -2,28 +2,23 @@
 
 #include <algorithm>
 
+#include "CallAnswer.h"
 #include "CallerAccess.h"
 #include "FleetCount.h"
 #include "HarmfulWatch.h"
-#include "PassedHeaders.h"
+#include "LinkWatch.h"
+#include "PeerForwarding.h"
 #include "Placing.h"
 #include "PrefixSharing.h"
-#include "StreamRelay.h"
 #include "TargetEnds.h"
-#include "TargetExchange.h"
 #include "TargetWords.h"
 #include "WorkspaceQuota.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
 
-namespace http = boost::beast::http;
-
 namespace {
 
-/** Taken off what the caller will wait, so that a target never works past the caller's patience. */
-constexpr Duration timeMargin = std::chrono::milliseconds(10);
-
 /** With less than this left a further send cannot be answered in time. */
 constexpr Duration leastTimeForRetry = std::chrono::milliseconds(60);
 
@@ -32,60 +27,6 @@
 
 constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
 
-/** How one send ended. */
-enum class SendEnd : std::uint8_t {
-    Done, ///< the caller has its whole answer
-    Unreachable, ///< nothing was sent
-    NotRun, ///< the target says it has not run the call
-    Failed, ///< the target answered with an error of its own
-    Broken, ///< the answer was lost, cut off or spoiled
-    CallerLost, ///< the caller does not take the answer
-    KeyRefused, ///< nothing was sent: the key is not honoured any more
-};
-
-/** An answer that was read whole, to be passed on unless a better one can be had. */
-struct KeptAnswer
-{
-    bool there = false;
-    HttpReply reply;
-};
-
-std::shared_ptr<HttpRequest> requestFor(const CallRun &run, const SendFacts &facts)
-{
-    auto request = std::make_shared<HttpRequest>();
-    request->version(11);
-    request->method_string(run.request->method_string());
-    request->target(run.request->target());
-    for (const HttpHeader &header : passedHeaders(*run.request))
-        request->insert(header.name, header.value);
-    run.node.platform->writeSend(*request, facts);
-    request->body() = run.request->body();
-    const bool hasBody =
-        !request->body().empty() || run.request->has_content_length() || run.request->chunked();
-    if (hasBody)
-        request->content_length(request->body().size());
-    return request;
-}
-
-bool isEventStream(const ResponseHead &head)
-{
-    return head[http::field::content_type].starts_with("text/event-stream");
-}
-
-/** Reads a whole answer; false if it broke off. */
-asio::awaitable<bool> readWhole(TargetExchange &exchange, std::string &body)
-{
-    std::string piece;
-    while (true) {
-        const BodyRead end = co_await exchange.read(piece);
-        body += piece;
-        if (end == BodyRead::End)
-            co_return true;
-        if (end == BodyRead::Broken)
-            co_return false;
-    }
-}
-
 void noteEnd(CallRun &run, const TargetEntry &target, SendOutcome outcome)
 {
     if (run.callerGone)
@@ -145,8 +86,11 @@
     explicit CallServing(CallRun &run)
         : run(run)
         , node(run.node)
-        , relay(run)
-    { }
+        , answer(run)
+    {
+        if (run.forwarded)
+            this->answer.runsStarted = run.forwarded->runs;
+    }
 
     asio::awaitable<void> serve()
     {
@@ -154,13 +98,19 @@
             const bool refused = co_await this->refuseHarmful();
             if (refused)
                 co_return;
+            if (goesByPeer(this->run)) {
+                const bool over = co_await this->sendByPeer();
+                if (over)
+                    co_return;
+                continue;
+            }
             const Instant placingFrom = BootClock::now();
             Placement placement = co_await placeCall(this->run);
             this->run.placing += BootClock::now() - placingFrom;
             if (this->run.callerGone)
                 co_return;
             if (!placement.target) {
-                co_await this->giveUp(std::move(placement.refusal));
+                co_await giveUp(this->run, this->answer, std::move(placement.refusal));
                 co_return;
             }
             // Others may have learnt of it while a place was looked for.
@@ -175,8 +125,8 @@
                 noteAnswered(this->run, target);
                 noteAnsweredCall(this->run);
             }
-            if (end == SendEnd::KeyRefused) {
-                co_await this->giveUp(std::move(this->refusal));
+            if (end == SendEnd::Refused) {
+                co_await giveUp(this->run, this->answer, this->answer.refusal);
                 co_return;
             }
             const bool over = end == SendEnd::Done || end == SendEnd::CallerLost;
@@ -186,8 +136,8 @@
             this->logBounced(target.id, end, again);
             if (again)
                 continue;
-            OwnAnswer answer = ownAnswer(503, "the target did not take the call", comeBackSoon);
-            co_await this->giveUp(std::move(answer));
+            OwnAnswer last = ownAnswer(503, "the target did not take the call", comeBackSoon);
+            co_await giveUp(this->run, this->answer, std::move(last));
             co_return;
         }
     }
@@ -199,10 +149,30 @@
         const HarmfulCall *harmful = harmfulCall(this->run);
         if (harmful == nullptr)
             co_return false;
-        OwnAnswer answer = ownAnswer(
+        OwnAnswer last = ownAnswer(
             503, std::to_string(harmful->ends) + " targets ended while they ran this call",
             std::max<Duration>(forgottenAt(*harmful) - BootClock::now(), comeBackSoon));
-        co_await this->giveUp(std::move(answer));
+        co_await giveUp(this->run, this->answer, std::move(last));
+        co_return true;
+    }
+
+    /** True if the call is over. */
+    asio::awaitable<bool> sendByPeer()
+    {
+        const SendEnd end = co_await forwardCall(this->run, this->answer);
+        this->run.connection.reset();
+        if (end == SendEnd::Refused && !this->run.callerGone)
+            co_await giveUp(this->run, this->answer, this->answer.refusal);
+        const bool over =
+            end == SendEnd::Refused || end == SendEnd::Done || end == SendEnd::CallerLost;
+        if (over || this->run.callerGone)
+            co_return true;
+        const bool again = this->mayTryAgain(end);
+        this->logBounced("another VM", end, again);
+        if (again)
+            co_return false;
+        OwnAnswer last = ownAnswer(503, "the other VM lost the call", comeBackSoon);
+        co_await giveUp(this->run, this->answer, std::move(last));
         co_return true;
     }
 
@@ -237,7 +207,7 @@
         if (this->run.mayHaveRun && !mayRepeat(*this->run.route))
             return false;
         const bool ran = end == SendEnd::Failed || end == SendEnd::Broken;
-        if (ran && this->runsStarted >= this->run.route->maxAttempts)
+        if (ran && this->answer.runsStarted >= this->run.route->maxAttempts)
             return false;
         const Instant now = BootClock::now();
         const bool taken =
@@ -248,17 +218,6 @@
         return taken;
     }
 
-    /** The call is sent to a target now. */
-    void noteSend()
-    {
-        ++this->run.sends;
-        if (!this->run.repeatTakenAt)
-            return;
-        noteRepeatSent(this->node.retryBudgets[this->run.service], this->node.settings.retries,
-                       *this->run.repeatTakenAt, BootClock::now());
-        this->run.repeatTakenAt.reset();
-    }
-
     asio::awaitable<SendEnd> sendTo(const TargetEntry &target)
     {
         // Counted from here on: the engine's holder may otherwise give the slot away meanwhile.
@@ -267,7 +226,7 @@
         const bool connected = co_await exchange.connect();
         this->sendError = exchange.error();
         if (!connected) {
-            noteEnd(this->run, target, SendOutcome::Unreachable);
+            this->noteUnreachable(target);
             co_return SendEnd::Unreachable;
         }
         this->run.connection = exchange.connection();
@@ -275,63 +234,66 @@
             co_return SendEnd::Unreachable;
         std::optional<OwnAnswer> keyRefusal = refuseKeyNow(this->run);
         if (keyRefusal) {
-            this->refusal = std::move(*keyRefusal);
-            co_return SendEnd::KeyRefused;
+            this->answer.refusal = std::move(*keyRefusal);
+            co_return SendEnd::Refused;
         }
-        SendFacts facts;
+        SendFacts facts = sendFactsOf(this->run, this->answer);
         facts.targetId = target.id;
-        facts.workspace = this->run.workspace;
-        if (this->run.facts.timeLeft)
-            facts.timeLeft = std::max(timeLeft(this->run) - timeMargin, Duration::zero());
-        facts.expectedVersion = versionInForce(this->node, this->run.facts.adapter);
-        facts.urgency = priorityOf(this->run);
-        facts.resumeAfter = this->relay.lastId();
-        this->noteSend();
+        noteSend(this->run);
         const bool mayHaveRunBefore = this->run.mayHaveRun;
         this->run.mayHaveRun = true;
         if (mayHaveRunBefore)
             takeUnitsAgain(this->run);
-        ++this->runsStarted;
+        ++this->answer.runsStarted;
         const bool headed = co_await exchange.send(requestFor(this->run, facts));
         this->sendError = exchange.error();
         if (!headed) {
             if (!this->run.cancelled())
-                this->noteBroken(target);
+                this->noteBroken(exchange, target);
             co_return SendEnd::Broken;
         }
+        noteLinkReached(this->node, target.id);
         takeTargetWords(this->node, target.id, exchange.facts());
         if (exchange.facts().notRun) {
             this->run.mayHaveRun = mayHaveRunBefore;
             if (mayHaveRunBefore)
                 giveUnitsBack(this->run);
-            --this->runsStarted;
+            --this->answer.runsStarted;
             co_await this->takeNotRun(exchange, target);
             co_return SendEnd::NotRun;
         }
-        const bool streaming = exchange.status() < 300 && isEventStream(exchange.head());
         const bool spoiled = exchange.status() < 300 && !exchange.facts().authentic;
         if (spoiled) {
             exchange.abandon();
             noteEnd(this->run, target, SendOutcome::Broken);
             co_return SendEnd::Broken;
         }
-        SendEnd end = SendEnd::Broken;
-        if (streaming)
-            end = co_await this->passStream(exchange, use);
-        else
-            end = co_await this->passWhole(exchange);
+        const std::function<void()> pieceCame = [&use] {
+            use.noteFirstEvent();
+        };
+        const SendEnd end = co_await passAnswer(this->run, this->answer, exchange, pieceCame);
         this->sendError = exchange.error();
         if (end == SendEnd::Done)
             noteEnd(this->run, target, SendOutcome::Good);
         else if (end == SendEnd::Failed)
             noteEnd(this->run, target, SendOutcome::Failed);
         else if (end == SendEnd::Broken && !this->run.cancelled())
-            this->noteBroken(target);
+            this->noteBroken(exchange, target);
         co_return end;
     }
 
-    void noteBroken(const TargetEntry &target)
+    void noteUnreachable(const TargetEntry &target)
+    {
+        noteEnd(this->run, target, SendOutcome::Unreachable);
+        noteLinkFailed(this->node, target.id);
+        if (isLinkToBlame(this->node, target.id, BootClock::now()))
+            ++this->run.unreached;
+    }
+
+    void noteBroken(const TargetExchange &exchange, const TargetEntry &target)
     {
+        if (exchange.error() == asio::error::timed_out)
+            noteLinkFailed(this->node, target.id);
         noteEnd(this->run, target, SendOutcome::Broken);
         noteLostCall(this->run, target.id);
     }
@@ -359,87 +321,10 @@
         noteEnd(this->run, target, SendOutcome::Refused);
     }
 
-    asio::awaitable<SendEnd> passWhole(TargetExchange &exchange)
-    {
-        HttpReply reply;
-        reply.status = exchange.status();
-        reply.contentType.clear();
-        reply.headers = passedHeaders(exchange.head());
-        const bool whole = co_await readWhole(exchange, reply.body);
-        if (!whole)
-            co_return SendEnd::Broken;
-        if (reply.status >= 500 && !this->relay.begun()) {
-            this->kept.there = true;
-            this->kept.reply = std::move(reply);
-            co_return SendEnd::Failed;
-        }
-        if (this->relay.begun())
-            co_return SendEnd::Broken;
-        const bool written = co_await writeAnswer(this->run, std::move(reply));
-        co_return written ? SendEnd::Done : SendEnd::CallerLost;
-    }
-
-    asio::awaitable<SendEnd> passStream(TargetExchange &exchange, UseGuard &use)
-    {
-        this->relay.restart();
-        std::string piece;
-        while (true) {
-            const BodyRead end = co_await exchange.read(piece);
-            if (!piece.empty()) {
-                use.noteFirstEvent();
-                const bool passed = co_await this->relay.pass(exchange, std::move(piece));
-                if (!passed) {
-                    exchange.abandon();
-                    this->run.closeAfter = true;
-                    co_return SendEnd::CallerLost;
-                }
-            }
-            if (end == BodyRead::Broken)
-                co_return SendEnd::Broken;
-            if (end == BodyRead::Some)
-                continue;
-            const bool finished = co_await this->relay.finish(exchange);
-            if (!finished)
-                this->run.closeAfter = true;
-            co_return finished ? SendEnd::Done : SendEnd::CallerLost;
-        }
-    }
-
-    // The last word to the caller. A stream that has begun can only be broken off, so that it does
-    // not look complete; a target's own error goes through unchanged; and "not run" is said only
-    // if no target may have run the call.
-    asio::awaitable<void> giveUp(OwnAnswer answer)
-    {
-        if (this->relay.begun()) {
-            this->run.closeAfter = true;
-            logEvent(EventId::StreamCut,
-                     {{"call", this->run.facts.attemptId},
-                      {"timedOut", this->run.timedOut ? "yes" : "no"},
-                      {"sends", std::to_string(this->run.sends)}});
-            co_return;
-        }
-        if (this->kept.there) {
-            HttpReply reply = std::move(this->kept.reply);
-            this->node.metrics.add(Counter::RequestsFailed);
-            co_await writeAnswer(this->run, std::move(reply));
-            co_return;
-        }
-        if (this->run.mayHaveRun) {
-            answer.status = this->run.timedOut ? 504 : 502;
-            answer.reason = this->run.timedOut ? "the time ran out; the call may have run"
-                                               : "the answer was lost; the call may have run";
-            answer.retryAfter = Duration::zero();
-        }
-        co_await answerOwn(this->run, std::move(answer));
-    }
-
     CallRun &run;
     GatewayNode &node;
-    StreamRelay relay;
-    KeptAnswer kept;
-    OwnAnswer refusal;
+    CallAnswer answer;
     boost::system::error_code sendError; ///< of the last send
-    int runsStarted = 0;
 };
 
 void startDeadline(const CallRunPtr &run, asio::steady_timer &timer)
@@ -470,6 +355,48 @@
         co_await run.node.started.wait(limit - BootClock::now());
 }
 
+/** How long the caller waits counts from when it said so: to this VM, or to one before. */
+void setDeadline(CallRun &run)
+{
+    const Instant received = run.arrivedAt;
+    if (run.forwarded)
+        run.arrivedAt -= run.forwarded->waited;
+    run.deadline = run.arrivedAt + run.route->timeout;
+    if (run.facts.timeLeft)
+        run.deadline = std::min(run.deadline, received + *run.facts.timeLeft);
+}
+
+asio::awaitable<std::optional<OwnAnswer>> takeFromCaller(CallRun &run)
+{
+    GatewayNode &node = run.node;
+    std::optional<OwnAnswer> refused = co_await refuseCaller(run);
+    if (refused)
+        node.metrics.add(Counter::KeysRefused);
+    if (!refused)
+        refused = takeUnits(run);
+    if (refused)
+        co_return refused;
+    const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
+    run.service = pickService(*run.route, draw);
+    noteCall(node.retryBudgets[run.service], node.settings.retries, run.arrivedAt);
+    node.metrics.add(Counter::RequestsReceived);
+    co_return std::nullopt;
+}
+
+// The VM that the call came to first has looked at its key, taken its units, and counts it for
+// retries and in the metrics.
+std::optional<OwnAnswer> takeForwarded(CallRun &run)
+{
+    const ForwardedCall &call = *run.forwarded;
+    if (run.routes->config().version != call.configVersion)
+        return ownAnswer(503, "another configuration came into force", comeBackSoon);
+    run.service = call.service;
+    run.workspace = call.workspace;
+    run.key = call.key;
+    run.units = call.units;
+    return refuseKeyNow(run);
+}
+
 } // namespace
 
 asio::awaitable<void> serveCall(CallRunPtr run)
@@ -490,28 +417,24 @@
         co_await answerOwn(*run, std::move(answer));
         co_return;
     }
-    const Duration callerPatience = run->facts.timeLeft.value_or(run->route->timeout);
-    run->deadline = run->arrivedAt + std::min(run->route->timeout, callerPatience);
-    std::optional<OwnAnswer> refused = co_await refuseCaller(*run);
-    if (refused)
-        node.metrics.add(Counter::KeysRefused);
-    if (!refused)
-        refused = takeUnits(*run);
+    setDeadline(*run);
+    std::optional<OwnAnswer> refused;
+    if (run->forwarded)
+        refused = takeForwarded(*run);
+    else
+        refused = co_await takeFromCaller(*run);
     if (refused) {
         co_await answerOwn(*run, std::move(*refused));
         co_return;
     }
-    const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
-    run->service = pickService(*run->route, draw);
-    noteCall(node.retryBudgets[run->service], node.settings.retries, run->arrivedAt);
-    node.metrics.add(Counter::RequestsReceived);
 
     asio::steady_timer timer(node.context);
     startDeadline(run, timer);
     watchCaller(run);
     CallServing serving(*run);
     co_await serving.serve();
-    if (!run->mayHaveRun)
+    // Those of a forwarded call were taken by the VM that it came to first.
+    if (!run->mayHaveRun && !run->forwarded)
         giveUnitsBack(*run);
     run->ended = true;
     timer.cancel();
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -58,7 +58,7 @@
 {
     explicit Impl(const GatewaySettings &settings)
         : node(settings)
-        , front(node)
+        , front(node, settings.callers, CallOrigin::Callers)
         , readiness(
               node.context, settings.readiness,
               [this](HttpExchange &exchange) { return answerReadiness(this->node, exchange); })
@@ -88,6 +88,8 @@
             this->node.context, settings.peersListen.value_or(settings.peers), std::move(handlers));
         if (!settings.peersListen)
             this->node.settings.peers.port = this->peersPort;
+        if (settings.forwards)
+            this->forwards.emplace(this->node, *settings.forwards, CallOrigin::OtherVms);
         spawn(this->node, "follow platform", followPlatform(this->node));
         spawn(this->node, "lease", leaseLoop(this->node));
         spawn(this->node, "extend lease", extendLoop(this->node));
@@ -116,6 +118,10 @@
             co_await pauseFor(this->node, shutdownLook);
         this->front.stopAccepting();
         this->front.closeIdle();
+        if (this->forwards) {
+            this->forwards->stopAccepting();
+            this->forwards->closeIdle();
+        }
         while (this->node.connections > 0 && BootClock::now() < limit)
             co_await pauseFor(this->node, shutdownLook);
         co_await leaveLease(this->node);
@@ -130,6 +136,7 @@
 
     GatewayNode node;
     CallerFront front;
+    std::optional<CallerFront> forwards; ///< for calls that other VMs forward
     HttpServer readiness;
     HttpServer operators;
     std::uint16_t peersPort = 0; ///< that is listened on
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -44,6 +44,7 @@
 #include "serving/ServingConfig.h"
 #include "serving/TargetBook.h"
 #include "serving/TargetHealth.h"
+#include "serving/TargetLinks.h"
 #include "serving/UseLedger.h"
 #include "serving/ZoneRelay.h"
 #include "transfer/DocumentShelf.h"
@@ -75,6 +76,7 @@
 {
     std::uint64_t hash = 0;
     TargetHealth health;
+    LinkSight link;
     TargetPool pool;
     LostCalls lost;
     Instant wantsNothingUntil{}; ///< by its own word to this VM
@@ -140,6 +142,13 @@
     Instant loadFailedAt{}; ///< it did not answer when asked for a load
 };
 
+/** What this VM keeps of another one that it may forward calls to. */
+struct ForwardPeer
+{
+    TargetPool pool;
+    Instant notBefore{}; ///< it took none; it is not offered any until then
+};
+
 /** A load that a call of this VM has asked for. */
 struct LoadAsk
 {
@@ -303,6 +312,9 @@
     std::unordered_map<std::string, std::unique_ptr<TargetRuntime>> targets;
     std::unordered_map<std::string, ServiceRetryBudget> retryBudgets; ///< by service
 
+    std::unordered_map<std::string, ServiceLinks> serviceLinks; ///< by service
+    std::map<Endpoint, ForwardPeer> forwardPeers; ///< by where they take forwarded calls
+
     std::map<Endpoint, PeerState> peers;
     std::uint64_t reportSequence = 0;
     UseLedger reported; ///< by VMs that report here, and by the relays of other zones
@@ -355,6 +367,7 @@
     bool leaseLeft = false; ///< it has left those that order engines, and does not come back
     bool stopped = false;
     int callsInFlight = 0;
+    int forwardedInFlight = 0; ///< of these, that other VMs forwarded
     int connections = 0;
 };
 
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -143,27 +143,12 @@
     const Json root = reader.parseObject(json);
     if (reader.problems.empty()) {
         GatewaySettings &settings = parsed.value;
-        reader.onlyKeys(root, "", {"vm",
-                                   "zone",
-                                   "platform",
-                                   "callers",
-                                   "readiness",
-                                   "operators",
-                                   "peers",
-                                   "peersListen",
-                                   "seeds",
-                                   "store",
-                                   "partitions",
-                                   "heartbeatMs",
-                                   "shutdownMs",
-                                   "retries",
-                                   "access",
-                                   "quota",
-                                   "lease",
-                                   "placement",
-                                   "logLinesPerSecond",
-                                   "capacity",
-                                   "firstStart"});
+        reader.onlyKeys(root, "", {"vm",          "zone",       "platform",  "callers",
+                                   "readiness",   "operators",  "peers",     "peersListen",
+                                   "forwards",    "seeds",      "store",     "partitions",
+                                   "heartbeatMs", "shutdownMs", "retries",   "access",
+                                   "quota",       "lease",      "placement", "logLinesPerSecond",
+                                   "capacity",    "firstStart"});
         settings.vm = reader.text(root, "", "vm");
         settings.zone = reader.text(root, "", "zone");
         settings.firstStart = reader.boolean(root, "", "firstStart", settings.firstStart);
@@ -175,6 +160,8 @@
         settings.peers = requiredEndpoint(reader, root, "peers");
         if (root.contains("peersListen"))
             settings.peersListen = requiredEndpoint(reader, root, "peersListen");
+        if (root.contains("forwards"))
+            settings.forwards = requiredEndpoint(reader, root, "forwards");
         settings.seeds = readSeeds(reader, root, settings.peers.port);
         settings.store = requiredEndpoint(reader, root, "store");
         settings.partitions =
--- /dev/null
+++ b/libs/gateway/src/LinkWatch.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+
+#include "GatewayNode.h"
+
+namespace monsoonbay {
+
+/**
+ * Whether this VM has lost its own links to the targets of a service, while other VMs reach them.
+ * It is judged by connections of this VM and by what others tell of their calls; see
+ * serving/TargetLinks.h. Nothing is sent for it while links are sound.
+ */
+
+/** A connection to the target failed, or was given up as silent. */
+void noteLinkFailed(GatewayNode &node, const std::string &target);
+
+/** The target accepted a connection or answered. */
+void noteLinkReached(GatewayNode &node, const std::string &target);
+
+bool areLinksLost(const GatewayNode &node, const std::string &service);
+
+/** True if engines that this VM may order cannot be reached for so long that another VM should. */
+bool areEngineLinksLost(const GatewayNode &node, Instant now);
+
+/** True if this VM does not reach the target, though others do. */
+bool isLinkToBlame(const GatewayNode &node, const std::string &target, Instant now);
+
+/** True if what this VM sees of the target tells of its links; others must not hear of it. */
+bool isSightDoubtful(const GatewayNode &node, const std::string &target);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -7,6 +7,7 @@
 #include "Feeds.h"
 #include "FleetCount.h"
 #include "LeaseKeeping.h"
+#include "LinkWatch.h"
 #include "NewsCodec.h"
 #include "NewsTelling.h"
 #include "PrefixSharing.h"
@@ -48,7 +49,8 @@
     const Instant now = BootClock::now();
     for (const auto &[target, runtime] : node.targets) {
         TargetUse use = runtime->own;
-        addHealth(use, runtime->health, now);
+        if (!isSightDoubtful(node, target))
+            addHealth(use, runtime->health, now);
         use.busySlots = busySlots(node, target);
         if (!isUnused(use))
             uses[target] = use;
--- /dev/null
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -0,0 +1,228 @@
+#include "PeerForwarding.h"
+
+#include <algorithm>
+
+#include <boost/beast/http/status.hpp>
+#include <nlohmann/json.hpp>
+
+#include "CallerAccess.h"
+#include "LinkWatch.h"
+#include "observe/Events.h"
+
+namespace monsoonbay {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/** One hop between two VMs and back takes a few ms; a frozen one does not answer. */
+constexpr Duration offerPatience = std::chrono::milliseconds(150);
+
+/** With half of all VMs cut off, one call in sixteen meets no other one. */
+constexpr int mostOffers = 4;
+
+/** A VM that is cut off, stopping or silent stays so for a while. */
+constexpr Duration afterRefusal = std::chrono::milliseconds(1000);
+/** One that has many calls, or reads its configuration, soon has room again. */
+constexpr Duration afterBusy = std::chrono::milliseconds(100);
+
+/** A call takes another way after this many targets that only this VM does not reach. */
+constexpr int leastUnreached = 2;
+
+/** Forwarded calls that a VM takes beside a few, for each of its own. */
+constexpr int forwardedForEachOwn = 3;
+constexpr int forwardedAtLeast = 16;
+
+constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
+
+/** Where another VM takes forwarded calls: at the same port as this one. */
+Endpoint forwardsOf(const GatewayNode &node, const Endpoint &peer)
+{
+    return {peer.address, node.settings.forwards->port};
+}
+
+Duration restAfter(ForwardRefusal refusal)
+{
+    const bool brief = refusal == ForwardRefusal::Busy || refusal == ForwardRefusal::OtherConfig;
+    return brief ? afterBusy : afterRefusal;
+}
+
+/** Some VM that may take a call, drawn evenly; nothing: there is none. */
+std::optional<Endpoint> drawPeer(GatewayNode &node, const std::vector<Endpoint> &tried)
+{
+    const Instant now = BootClock::now();
+    std::optional<Endpoint> drawn;
+    std::size_t seen = 0;
+    for (const auto &[endpoint, peer] : node.peers) {
+        if (peer.name.empty() || peer.stopping)
+            continue;
+        const Endpoint forwards = forwardsOf(node, endpoint);
+        if (std::find(tried.begin(), tried.end(), forwards) != tried.end())
+            continue;
+        const auto known = node.forwardPeers.find(forwards);
+        if (known != node.forwardPeers.end() && known->second.notBefore > now)
+            continue;
+        ++seen;
+        if (std::uniform_int_distribution<std::size_t>(1, seen)(node.random) == 1)
+            drawn = forwards;
+    }
+    return drawn;
+}
+
+ForwardedCall forwardedCallOf(const CallRun &run, const CallAnswer &answer)
+{
+    ForwardedCall call;
+    call.configVersion = run.routes->config().version;
+    call.service = run.service;
+    call.workspace = run.workspace;
+    call.key = run.key;
+    call.units = run.units;
+    call.callerAddress = callerAddressOf(run);
+    call.waited = BootClock::now() - run.arrivedAt;
+    call.runs = answer.runsStarted;
+    call.hasBody = hasBody(run);
+    return call;
+}
+
+/** The request, so that the receiver cannot run it before all of it was sent. */
+std::shared_ptr<HttpRequest> offerFor(const CallRun &run, const CallAnswer &answer)
+{
+    std::shared_ptr<HttpRequest> request = requestFor(run, sendFactsOf(run, answer));
+    request->erase(http::field::content_length);
+    request->chunked(true);
+    request->set(http::field::expect, "100-continue");
+    writeForwardedCall(*request, forwardedCallOf(run, answer));
+    return request;
+}
+
+/** The answer of the other VM itself, as this one gives it on. */
+OwnAnswer ownAnswerOf(const TargetExchange &exchange, const std::string &body)
+{
+    const nlohmann::json problem = nlohmann::json::parse(body, nullptr, false);
+    const bool named = problem.is_object() && problem.contains("title");
+    OwnAnswer own =
+        ownAnswer(exchange.status(), named ? problem.value("title", std::string()) : "not taken",
+                  Duration::zero());
+    const auto seconds = exchange.head()[http::field::retry_after];
+    if (!seconds.empty())
+        own.retryAfter = fromSeconds(std::strtod(std::string(seconds).c_str(), nullptr));
+    return own;
+}
+
+void noteOffer(GatewayNode &node, const CallRun &run, const Endpoint &peer, OfferEnd end,
+               ForwardRefusal refusal)
+{
+    ForwardPeer &known = node.forwardPeers[peer];
+    if (end == OfferEnd::Taken) {
+        known.notBefore = Instant{};
+        node.metrics.add(Counter::CallsForwarded);
+    } else {
+        known.notBefore = BootClock::now() + restAfter(refusal);
+        node.metrics.add(Counter::ForwardsRefused);
+    }
+    const bool silent = end == OfferEnd::Silent;
+    logEvent(EventId::CallForwarded,
+             {{"call", run.facts.attemptId},
+              {"service", run.service},
+              {"why", areLinksLost(node, run.service) ? "links lost" : "targets not reached"},
+              {"peer", peer.text()},
+              {"taken", end == OfferEnd::Taken ? "yes" : "no"},
+              {"refusal", std::string(silent ? "silent" : refusalName(refusal))}});
+}
+
+/** Passes on the answer of a VM that has taken the call. */
+asio::awaitable<SendEnd> passForwarded(CallRun &run, CallAnswer &answer, TargetExchange &exchange)
+{
+    const bool mayHaveRunBefore = run.mayHaveRun;
+    noteSend(run);
+    ++answer.runsStarted;
+    run.mayHaveRun = true;
+    const bool headed = co_await exchange.sendOffered();
+    if (!headed)
+        co_return SendEnd::Broken;
+    const ForwardOutcome outcome = readForwardOutcome(exchange.head());
+    if (outcome == ForwardOutcome::FromTarget) {
+        const bool spoiled = exchange.status() < 300 && !exchange.facts().authentic;
+        if (spoiled) {
+            exchange.abandon();
+            co_return SendEnd::Broken;
+        }
+        const std::function<void()> pieceCame = [] {
+        };
+        co_return co_await passAnswer(run, answer, exchange, pieceCame);
+    }
+    std::string body;
+    const bool whole = co_await readWhole(exchange, body);
+    if (!whole || outcome == ForwardOutcome::MayHaveRun)
+        co_return SendEnd::Broken;
+    run.mayHaveRun = mayHaveRunBefore;
+    --answer.runsStarted;
+    answer.refusal = ownAnswerOf(exchange, body);
+    co_return SendEnd::Refused;
+}
+
+} // namespace
+
+bool goesByPeer(const CallRun &run)
+{
+    if (run.forwarded || !run.node.settings.forwards)
+        return false;
+    if (areLinksLost(run.node, run.service))
+        return true;
+    return run.unreached >= leastUnreached && !run.noPeer;
+}
+
+asio::awaitable<SendEnd> forwardCall(CallRun &run, CallAnswer &answer)
+{
+    GatewayNode &node = run.node;
+    answer.refusal = ownAnswer(
+        503, "this VM does not reach the targets, and no other VM takes calls", comeBackSoon);
+    std::vector<Endpoint> tried;
+    for (int offer = 0; offer < mostOffers && !run.cancelled(); ++offer) {
+        const std::optional<Endpoint> peer = drawPeer(node, tried);
+        if (!peer)
+            break;
+        tried.push_back(*peer);
+        TargetExchange exchange(node, *peer, run.facts.attemptId);
+        OfferEnd end = OfferEnd::Silent;
+        const bool connected = co_await exchange.connect();
+        if (connected && !run.cancelled()) {
+            run.connection = exchange.connection();
+            end = co_await exchange.offer(offerFor(run, answer), offerPatience);
+        }
+        if (run.cancelled())
+            co_return SendEnd::Refused;
+        const ForwardRefusal refusal =
+            end == OfferEnd::Answered ? readForwardRefusal(exchange.head()) : ForwardRefusal::None;
+        noteOffer(node, run, *peer, end, refusal);
+        if (end != OfferEnd::Taken)
+            continue;
+        std::optional<OwnAnswer> keyRefusal = refuseKeyNow(run);
+        if (keyRefusal) {
+            exchange.abandon();
+            answer.refusal = std::move(*keyRefusal);
+            co_return SendEnd::Refused;
+        }
+        co_return co_await passForwarded(run, answer, exchange);
+    }
+    run.noPeer = true;
+    co_return areLinksLost(node, run.service) ? SendEnd::Refused : SendEnd::Unreachable;
+}
+
+ForwardRefusal judgeForwarded(const GatewayNode &node, const std::optional<ForwardedCall> &call)
+{
+    if (!call)
+        return ForwardRefusal::Malformed;
+    if (node.shuttingDown)
+        return ForwardRefusal::Stopping;
+    if (areLinksLost(node, call->service))
+        return ForwardRefusal::LinksLost;
+    if (call->configVersion != node.routes->config().version)
+        return ForwardRefusal::OtherConfig;
+    const int own = node.callsInFlight - node.forwardedInFlight;
+    if (node.forwardedInFlight >= forwardedAtLeast + forwardedForEachOwn * own)
+        return ForwardRefusal::Busy;
+    return ForwardRefusal::None;
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/src/PeerForwarding.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "CallAnswer.h"
+#include "ForwardedCall.h"
+
+namespace monsoonbay {
+
+/**
+ * A VM that has lost its links to targets while others reach them forwards its calls to these, over
+ * one hop. A forwarded call is never forwarded again.
+ */
+
+/** True if the call is to go by another VM rather than to a target. */
+bool goesByPeer(const CallRun &run);
+
+/** Has another VM serve the call; Unreachable if none takes it and own targets may be tried. */
+asio::awaitable<SendEnd> forwardCall(CallRun &run, CallAnswer &answer);
+
+/** Whether this VM takes a call that another one forwards. */
+ForwardRefusal judgeForwarded(const GatewayNode &node, const std::optional<ForwardedCall> &call);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/StreamRelay.cpp
+++ b/libs/gateway/src/StreamRelay.cpp
@@ -78,6 +78,8 @@
     http::response<http::empty_body> head(static_cast<http::status>(exchange.status()), 11);
     for (const HttpHeader &header : passedHeaders(exchange.head()))
         head.insert(header.name, header.value);
+    if (this->run.forwarded)
+        writeForwardOutcome(head, ForwardOutcome::FromTarget);
     this->run.closeAfter = this->run.closeAfter || this->run.node.shuttingDown;
     head.keep_alive(this->run.request->keep_alive() && !this->run.closeAfter);
     head.chunked(true);
--- a/libs/gateway/src/TargetEnds.cpp
+++ b/libs/gateway/src/TargetEnds.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "HarmfulWatch.h"
+#include "LinkWatch.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -70,6 +71,10 @@
         co_return;
     TargetRuntime &runtime = *found->second;
     runtime.lost.looking = false;
+    if (result.connection)
+        noteLinkReached(node, target);
+    else
+        noteLinkFailed(node, target);
     if (result.error == asio::error::connection_refused) {
         noteEnd(node, target, firstLoss, 0, "refused connection");
         co_return;
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -5,10 +5,13 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "LinkWatch.h"
+
 namespace monsoonbay {
 
 namespace http = boost::beast::http;
@@ -62,6 +65,12 @@
     , attemptId(std::move(attemptId))
 { }
 
+TargetExchange::TargetExchange(GatewayNode &node, const Endpoint &peer, std::string attemptId)
+    : node(node)
+    , endpoint(peer)
+    , attemptId(std::move(attemptId))
+{ }
+
 TargetExchange::~TargetExchange()
 {
     if (!this->link)
@@ -74,7 +83,13 @@
         return;
     }
     const Duration keepAlive = keepAliveOf(this->parser->get());
-    giveBack(runtimeOf(this->node, this->targetId).pool, this->link, keepAlive, BootClock::now());
+    giveBack(this->pool(), this->link, keepAlive, BootClock::now());
+}
+
+TargetPool &TargetExchange::pool()
+{
+    return this->targetId.empty() ? this->node.forwardPeers[this->endpoint].pool
+                                  : runtimeOf(this->node, this->targetId).pool;
 }
 
 TargetConnectionPtr TargetExchange::connection() const noexcept
@@ -109,12 +124,14 @@
 
 asio::awaitable<bool> TargetExchange::connect()
 {
-    this->link = takeIdle(runtimeOf(this->node, this->targetId).pool, BootClock::now());
+    this->link = takeIdle(this->pool(), BootClock::now());
     if (!this->link) {
         ConnectResult result =
             co_await connectTo(this->node.context, this->endpoint, connectPatience);
         this->link = std::move(result.connection);
         this->lastError = result.error;
+        if (this->link && !this->targetId.empty())
+            noteLinkReached(this->node, this->targetId);
     }
     co_return this->link != nullptr;
 }
@@ -125,6 +142,46 @@
         spawn(this->node, "write request", writeRequest(this->link, request, this->written));
     else
         co_await writeRequest(this->link, request, this->written);
+    co_return co_await this->readOwnHead();
+}
+
+asio::awaitable<OfferEnd> TargetExchange::offer(std::shared_ptr<HttpRequest> request,
+                                                Duration patience)
+{
+    this->offered = std::move(request);
+    this->rest.emplace(*this->offered);
+    asio::steady_timer limit(this->node.context, patience);
+    limit.async_wait(
+        [weak = std::weak_ptr<TargetConnection>(this->link)](boost::system::error_code cancelled) {
+            const TargetConnectionPtr late = weak.lock();
+            if (!cancelled && late)
+                closeConnection(*late);
+        });
+    auto [error, bytes] =
+        co_await http::async_write_header(this->link->socket, *this->rest, quietly);
+    bool headed = false;
+    if (!error)
+        headed = co_await this->readHead();
+    limit.cancel();
+    if (!headed || !this->link->socket.is_open()) {
+        this->unusable = true;
+        co_return OfferEnd::Silent;
+    }
+    if (this->parser->get().result() == http::status::continue_)
+        co_return OfferEnd::Taken;
+    this->unusable = true;
+    co_return OfferEnd::Answered;
+}
+
+asio::awaitable<bool> TargetExchange::sendOffered()
+{
+    auto [error, bytes] = co_await http::async_write(this->link->socket, *this->rest, quietly);
+    *this->written = !error;
+    co_return co_await this->readOwnHead();
+}
+
+asio::awaitable<bool> TargetExchange::readOwnHead()
+{
     for (int foreign = 0; foreign <= mostForeignAnswers; ++foreign) {
         const bool read = co_await this->readHead();
         if (!read)
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -7,6 +7,7 @@
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 
 #include "GatewayNode.h"
 #include "transport/HttpServer.h"
@@ -20,11 +21,20 @@
     Broken, ///< it ended before it was complete
 };
 
-/** One call to a target on one connection. */
+/** What became of a call that was offered to another VM. */
+enum class OfferEnd : std::uint8_t {
+    Taken, ///< it waits for the rest of the request
+    Answered, ///< it does not take the call; head() tells why
+    Silent, ///< it did not answer in time, or the connection broke; it never runs the call
+};
+
+/** One call to a target, or to another VM, on one connection. */
 class TargetExchange
 {
 public:
     TargetExchange(GatewayNode &node, const TargetEntry &target, std::string attemptId);
+    /** To a VM that takes forwarded calls there. */
+    TargetExchange(GatewayNode &node, const Endpoint &peer, std::string attemptId);
 
     /** Gives the connection back if it can serve another call, else closes it. */
     ~TargetExchange();
@@ -41,6 +51,15 @@
     /** Sends the request and reads the head of its answer; false: lost, it may have run. */
     asio::awaitable<bool> send(std::shared_ptr<HttpRequest> request);
 
+    /**
+     * Sends the head of the request alone and waits for the word to go on. Until sendOffered() is
+     * called the receiver lacks the end of the request, and cannot run it.
+     */
+    asio::awaitable<OfferEnd> offer(std::shared_ptr<HttpRequest> request, Duration patience);
+
+    /** Sends the rest of a request that was taken; then as send(). */
+    asio::awaitable<bool> sendOffered();
+
     /** Reads what has arrived of the body. */
     asio::awaitable<BodyRead> read(std::string &piece);
 
@@ -55,14 +74,20 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    using Serializer = boost::beast::http::request_serializer<boost::beast::http::string_body>;
+
     asio::awaitable<bool> readHead();
+    asio::awaitable<bool> readOwnHead();
+    TargetPool &pool();
 
     GatewayNode &node;
-    std::string targetId;
+    std::string targetId; ///< empty: another VM
     Endpoint endpoint;
     std::string attemptId;
     TargetConnectionPtr link;
     std::shared_ptr<bool> written = std::make_shared<bool>(false);
+    std::shared_ptr<HttpRequest> offered;
+    std::optional<Serializer> rest; ///< of the request that is offered
     std::optional<Parser> parser;
     AnswerFacts answerFacts;
     std::array<char, 8192> space{};
--- /dev/null
+++ b/libs/gateway/tests/ForwardedCalls.cpp
@@ -0,0 +1,129 @@
+#include "ForwardedCall.h"
+#include "GatewayNode.h"
+#include "LinkWatch.h"
+#include "PeerForwarding.h"
+
+#include <criterion/criterion.h>
+
+using namespace monsoonbay;
+
+namespace {
+
+namespace http = boost::beast::http;
+
+ForwardedCall someCall()
+{
+    ForwardedCall call;
+    call.configVersion = 12;
+    call.service = "engines";
+    call.workspace = "färjan \"north\"";
+    call.key = digestOfKey("key-1");
+    call.units = 1460;
+    call.callerAddress = "10.9.0.3";
+    call.waited = std::chrono::milliseconds(35);
+    call.runs = 1;
+    call.hasBody = true;
+    return call;
+}
+
+} // namespace
+
+Test(forwarded_calls, what_is_written_is_read)
+{
+    RequestHead head;
+    ForwardedCall call = someCall();
+    writeForwardedCall(head, call);
+    cr_assert(readForwardedCall(head) == call);
+    call.key.reset();
+    call.workspace.clear();
+    writeForwardedCall(head, call);
+    cr_assert(readForwardedCall(head) == call);
+    eraseForwardedCall(head);
+    cr_assert(!readForwardedCall(head));
+}
+
+Test(forwarded_calls, a_header_that_cannot_be_read_is_no_call)
+{
+    for (const char *value : {"", "{}", "[1]", "{\"service\":3}", "\xff", "{\"configVersion\":"}) {
+        RequestHead head;
+        head.set("Monsoonbay-Forwarded", value);
+        cr_assert(!readForwardedCall(head), "%s", value);
+        cr_assert_eq(judgeForwarded(GatewayNode(GatewaySettings()), readForwardedCall(head)),
+                     ForwardRefusal::Malformed);
+    }
+}
+
+// Guards against a target that says in a VM's name that a call has not run.
+Test(forwarded_calls, a_target_cannot_set_what_a_vm_says)
+{
+    ResponseHead head;
+    head.set("Monsoonbay-Outcome", "not-run");
+    writeForwardOutcome(head, ForwardOutcome::FromTarget);
+    cr_assert_eq(readForwardOutcome(head), ForwardOutcome::FromTarget);
+    for (const ForwardOutcome outcome : {ForwardOutcome::NotRun, ForwardOutcome::MayHaveRun}) {
+        writeForwardOutcome(head, outcome);
+        cr_assert_eq(readForwardOutcome(head), outcome);
+    }
+}
+
+// Guards against calls that go in a circle, or by a configuration that the other VM does not have.
+Test(forwarded_calls, a_vm_that_cannot_serve_a_call_does_not_take_it)
+{
+    GatewayNode node((GatewaySettings()));
+    ForwardedCall call = someCall();
+    cr_assert_eq(judgeForwarded(node, call), ForwardRefusal::OtherConfig);
+    call.configVersion = node.routes->config().version;
+    cr_assert_eq(judgeForwarded(node, call), ForwardRefusal::None);
+    node.serviceLinks["other"].lost = true;
+    cr_assert_eq(judgeForwarded(node, call), ForwardRefusal::None);
+    node.serviceLinks["engines"].lost = true;
+    cr_assert_eq(judgeForwarded(node, call), ForwardRefusal::LinksLost);
+    node.serviceLinks.clear();
+    node.forwardedInFlight = 100;
+    node.callsInFlight = 110;
+    cr_assert_eq(judgeForwarded(node, call), ForwardRefusal::Busy);
+    node.shuttingDown = true;
+    cr_assert_eq(judgeForwarded(node, call), ForwardRefusal::Stopping);
+}
+
+namespace {
+
+/** A VM with these targets of one service; `goods`: good answers that others tell of each. */
+void listTargets(GatewayNode &node, int targets, int goods)
+{
+    node.book.lastRead = BootClock::now();
+    for (int index = 0; index < targets; ++index) {
+        TargetEntry entry;
+        entry.id = "t" + std::to_string(index);
+        entry.service = "engines";
+        noteListed(node.book, entry);
+        node.upstream.others[entry.id].goods = goods;
+    }
+}
+
+} // namespace
+
+// Guards against a cut VM whose own failures tell other VMs that sound targets fail.
+Test(link_watch, a_vm_that_lost_its_links_knows_it_and_keeps_its_sights_to_itself)
+{
+    GatewayNode node((GatewaySettings()));
+    listTargets(node, 5, 30);
+    noteLinkFailed(node, "t0");
+    cr_assert(!areLinksLost(node, "engines"));
+    cr_assert(isLinkToBlame(node, "t0", BootClock::now()));
+    noteLinkFailed(node, "t1");
+    cr_assert(areLinksLost(node, "engines"));
+    cr_assert(isSightDoubtful(node, "t4"));
+    cr_assert(!areLinksLost(node, "other"));
+}
+
+// Guards against a hop for each call while targets are down for all VMs.
+Test(link_watch, targets_that_fail_for_others_too_are_not_the_links_fault)
+{
+    GatewayNode node((GatewaySettings()));
+    listTargets(node, 5, 0);
+    for (const char *target : {"t0", "t1", "t2", "t3", "t4"})
+        noteLinkFailed(node, target);
+    cr_assert(!areLinksLost(node, "engines"));
+    cr_assert(!isLinkToBlame(node, "t0", BootClock::now()));
+}
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -42,6 +42,8 @@
     LoadsDeclinedSilent, ///< the engine does not answer
     LoadsDeclinedModel,
     LoadsDeclinedHolder, ///< the VM that was asked may not order the engine
+    CallsForwarded, ///< that another VM has taken
+    ForwardsRefused, ///< offers of a call that another VM did not take
     Count, ///< number of counters, not one of them
 };
 
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -159,6 +159,16 @@
              "divides it, `error` what the connection came to, `othersGood` and `othersFailed` in "
              "tenths how calls of other VMs ended there lately",
              "none if it is rare"},
+    EventRow{EventId::CallForwarded, "call-forwarded", EventLevel::Info,
+             "a call was offered to another VM, as this one does not reach the targets; `refusal` "
+             "tells why it was not taken",
+             "none if links-lost tells of a cut; else look at the links of this VM"},
+    EventRow{EventId::LinksLost, "links-lost", EventLevel::Warning,
+             "this VM does not reach the targets of a service that others reach; its calls go by "
+             "other VMs",
+             "look at the links between this VM and the targets"},
+    EventRow{EventId::LinksBack, "links-back", EventLevel::Info,
+             "this VM reaches the targets of a service again", "none"},
     EventRow{EventId::StreamCut, "stream-cut", EventLevel::Warning,
              "a stream was broken off after it had begun",
              "look for call-bounced with the same call"},
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -57,7 +57,9 @@
                                                                   "loads_declined_queue",
                                                                   "loads_declined_engine_silent",
                                                                   "loads_declined_model_missing",
-                                                                  "loads_declined_not_holder"};
+                                                                  "loads_declined_not_holder",
+                                                                  "calls_forwarded",
+                                                                  "forwards_refused"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Count)> gaugeNames{
     "calls_waiting"};
--- /dev/null
+++ b/libs/serving/tests/Links.cpp
@@ -0,0 +1,69 @@
+#include <criterion/criterion.h>
+
+#include "serving/TargetLinks.h"
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant{} + 1000s;
+
+LinkCounts counts(int listed, int failed, int reached)
+{
+    LinkCounts made;
+    made.listed = listed;
+    made.failed = failed;
+    made.reached = reached;
+    made.othersServed = true;
+    return made;
+}
+
+} // namespace
+
+Test(links, the_newest_attempt_tells_how_a_link_stands)
+{
+    LinkSight sight;
+    cr_assert_eq(linkState(sight, start), LinkState::Unknown);
+    sight.failedAt = start;
+    cr_assert_eq(linkState(sight, start + 1s), LinkState::Failed);
+    cr_assert_eq(linkState(sight, start + 4s), LinkState::Unknown, "it is old");
+    sight.reachedAt = start + 1s;
+    cr_assert_eq(linkState(sight, start + 1s), LinkState::Reached);
+    cr_assert_eq(linkState(sight, start + 2s), LinkState::Unknown, "a cut may have begun since");
+    sight.failedAt = start + 2s;
+    cr_assert_eq(linkState(sight, start + 2s), LinkState::Failed);
+}
+
+// Guards against calls that take another way because one target ended, or some of many.
+Test(links, targets_that_end_are_not_taken_for_a_cut)
+{
+    cr_assert(!linksSeemLost(counts(12, 1, 0)));
+    cr_assert(!linksSeemLost(counts(12, 6, 3)));
+    cr_assert(!linksSeemLost(counts(90, 30, 8)));
+    LinkCounts all = counts(3, 3, 0);
+    all.othersServed = false;
+    cr_assert(!linksSeemLost(all), "the targets are down for all VMs");
+}
+
+Test(links, a_cut_from_all_or_nearly_all_targets_is_seen)
+{
+    cr_assert(linksSeemLost(counts(12, 2, 0)));
+    cr_assert(linksSeemLost(counts(12, 8, 2)));
+    cr_assert(linksSeemLost(counts(3, 2, 0)));
+    cr_assert(linksSeemLost(counts(1, 1, 0)));
+    cr_assert(!linksSeemLost(counts(0, 0, 0)));
+}
+
+// Guards against calls that go to and fro with a link that comes and goes.
+Test(links, links_are_back_after_two_good_rounds)
+{
+    ServiceLinks links{true, start, 0};
+    cr_assert(!noteProbes(links, 3, 3));
+    cr_assert(!noteProbes(links, 1, 3));
+    cr_assert(!noteProbes(links, 0, 0));
+    cr_assert(!noteProbes(links, 2, 3));
+    cr_assert(links.lost);
+    cr_assert(noteProbes(links, 3, 3));
+    cr_assert(!links.lost);
+}
