Calls lost at a VM's own cut links are no evidence against them

Cause: a refused connection after a lost call was taken for the end of the target, told to all VMs, and counted against the call. Of a VM whose links are cut all targets refuse.

The new test link_watch/calls_lost_at_cut_links_are_no_evidence_against_them failed before: two ends told, none allowed.

Change: the look at a target waits 150 ms for what the looks at others come to; if the links of the VM turn out to be lost, the calls that it lost there are forgotten. Ends that others see too are told as before.

--- a/libs/gateway/src/TargetEnds.cpp
+++ b/libs/gateway/src/TargetEnds.cpp
@@ -17,6 +17,9 @@
 /** Links within a deployment take a few ms. */
 constexpr Duration lookPatience = std::chrono::milliseconds(250);
 
+/** Within this the looks at other targets that lost calls at the same time are over. */
+constexpr Duration othersLooked = std::chrono::milliseconds(150);
+
 /** The list tells of a new start, or that the target is gone, within some renewals of its entry. */
 constexpr Duration listPatience = std::chrono::seconds(10);
 
@@ -61,6 +64,25 @@
     noteTargetEnded(node, evidence);
 }
 
+/**
+ * The target refused a connection after calls were lost there. At a VM whose links are cut all
+ * targets seem to end together, so this waits for what the others come to; calls that were lost to
+ * the links are no evidence against anything.
+ */
+asio::awaitable<void> noteRefused(GatewayNode &node, std::string target, Instant firstLoss)
+{
+    co_await pauseFor(node, othersLooked);
+    const auto found = node.targets.find(target);
+    if (found == node.targets.end())
+        co_return;
+    LostCalls &lost = found->second->lost;
+    lost.looking = false;
+    if (isSightDoubtful(node, target))
+        lost.calls.clear();
+    else
+        noteEnd(node, target, firstLoss, 0, "refused connection");
+}
+
 asio::awaitable<void> lookAt(GatewayNode &node, std::string target, Endpoint endpoint)
 {
     const Instant firstLoss = BootClock::now() - lossGather;
@@ -70,15 +92,15 @@
     if (found == node.targets.end())
         co_return;
     TargetRuntime &runtime = *found->second;
-    runtime.lost.looking = false;
     if (result.connection)
         noteLinkReached(node, target);
     else
         noteLinkFailed(node, target);
     if (result.error == asio::error::connection_refused) {
-        noteEnd(node, target, firstLoss, 0, "refused connection");
+        co_await noteRefused(node, target, firstLoss);
         co_return;
     }
+    runtime.lost.looking = false;
     // Silence may be the link's, and who accepts may only stand before the target or have started
     // anew at once: then the list tells. A connection serves the next call.
     if (result.connection)
