A cut is seen at a service of few calls, and one VM takes the calls of many

Change: beside lost links to one service, the first failure decides for another one. A VM takes eight forwarded calls for each of its own, and sixteen at least.

--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -16,6 +16,12 @@
 /** Another VM can order the engines some 3.5 s after this one gives them up. */
 constexpr Duration ordersKept = std::chrono::milliseconds(1500);
 
+bool isAnyLost(const GatewayNode &node)
+{
+    return std::any_of(node.serviceLinks.begin(), node.serviceLinks.end(),
+                       [](const auto &entry) { return entry.second.lost; });
+}
+
 LinkCounts countLinks(const GatewayNode &node, const std::string &service, Instant now)
 {
     LinkCounts counts;
@@ -35,6 +41,7 @@
             ++counts.failed;
     }
     counts.othersServed = others.goods > others.faults;
+    counts.otherServiceLost = isAnyLost(node);
     return counts;
 }
 
@@ -151,9 +158,7 @@
 
 bool isSightDoubtful(const GatewayNode &node, const std::string &target)
 {
-    const bool anyLost = std::any_of(node.serviceLinks.begin(), node.serviceLinks.end(),
-                                     [](const auto &entry) { return entry.second.lost; });
-    const TargetEntry *entry = anyLost ? entryOf(node, target) : nullptr;
+    const TargetEntry *entry = isAnyLost(node) ? entryOf(node, target) : nullptr;
     return entry != nullptr && areLinksLost(node, entry->service);
 }
 
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -30,7 +30,7 @@
 constexpr int leastUnreached = 2;
 
 /** Forwarded calls that a VM takes beside a few, for each of its own. */
-constexpr int forwardedForEachOwn = 3;
+constexpr int forwardedForEachOwn = 8;
 constexpr int forwardedAtLeast = 16;
 
 constexpr Duration comeBackSoon = std::chrono::milliseconds(300);
--- a/libs/serving/include/serving/TargetLinks.h
+++ b/libs/serving/include/serving/TargetLinks.h
@@ -31,6 +31,7 @@
     int reached = 0;
     int failed = 0; ///< not reached from here, though other VMs do not see them fail
     bool othersServed = false; ///< other VMs get answers of the service
+    bool otherServiceLost = false; ///< links of this VM to another service are lost
 
     auto operator<=>(const LinkCounts &) const = default;
 };
--- a/libs/serving/src/TargetLinks.cpp
+++ b/libs/serving/src/TargetLinks.cpp
@@ -31,7 +31,8 @@
 
 bool linksSeemLost(const LinkCounts &counts) noexcept
 {
-    const int enough = std::max(std::min(leastFailed, counts.listed), 1);
+    const int least = counts.otherServiceLost ? 1 : leastFailed;
+    const int enough = std::max(std::min(least, counts.listed), 1);
     return counts.othersServed && counts.failed >= enough
         && counts.failed >= failedForEachReached * counts.reached;
 }
--- a/libs/serving/tests/Links.cpp
+++ b/libs/serving/tests/Links.cpp
@@ -53,6 +53,10 @@
     cr_assert(linksSeemLost(counts(3, 2, 0)));
     cr_assert(linksSeemLost(counts(1, 1, 0)));
     cr_assert(!linksSeemLost(counts(0, 0, 0)));
+    LinkCounts beside = counts(3, 1, 0);
+    cr_assert(!linksSeemLost(beside));
+    beside.otherServiceLost = true;
+    cr_assert(linksSeemLost(beside), "a service of few calls is judged by its first failure");
 }
 
 // Guards against calls that go to and fro with a link that comes and goes.
