A VM that reaches no engine lets a mate that does order its engines

What callers saw: calls that need a load were refused by VMs with sound links: "no engine has room".

Cause: a VM that lost its links to engines went on holding the right to order them, and declined the loads of all for as long as the cut lasted.

The tests link_watch/a_holder_that_reaches_no_engine_yields_to_a_mate_that_does and relays/a_mate_that_reaches_no_engines_orders_none_while_others_can could not hold before: nothing told of it.

Change: reports say that the links to engines are lost, answers how many others of the zone reach them. It joins again when its links are back. Where all of a zone are cut off, nobody leaves.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -118,6 +118,7 @@
     bool leaseLeft = false; ///< by its last word, this boot orders no engines any more
     bool storeAway = false;
     bool holding = false; ///< it is one of those that order engines of its zone
+    bool linksLost = false; ///< it does not reach engines that others reach
     std::int64_t configVersion = 0; ///< that it last told to have in force
     Instant storeReachedAt{}; ///< the store answered it last, by its own word; zero: not known
 
@@ -250,6 +251,7 @@
     Instant at{}; ///< zero: none is heard
     TargetUses others; ///< calls of all VMs but those that this VM reports for
     int vms = 1; ///< all that are heard of, in all zones
+    int linkedMates = 0; ///< others of the zone that reach engines
     WorkspaceUses otherWorkspaces; ///< of all VMs in touch but those that this one reports for
     int vmsInTouch = 1; ///< that these are of, this VM and those it reports for among them
 };
@@ -338,6 +340,7 @@
     Instant bootedAt;
     bool mayHold = false; ///< joins those that order engines of the zone
     Instant joinedAt{}; ///< when it first did; zero: not yet
+    bool ordersYielded = false; ///< to mates, until this VM reaches the engines again
     bool renewed = false; ///< the last renewal was granted
     bool renewalFailing = false;
     bool orderedBefore = false; ///< a boot before this one noted that it orders engines
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "FleetCount.h"
+#include "LinkWatch.h"
 #include "NewsCodec.h"
 #include "PeerExchange.h"
 #include "SharedEngines.h"
@@ -179,6 +181,38 @@
     }
 }
 
+bool shouldYieldOrders(const GatewayNode &node, Instant now)
+{
+    if (!areEngineLinksLost(node, now))
+        return false;
+    const int linked =
+        hearsRelay(node, now) ? node.upstream.linkedMates : linkedVms(node, node.settings.peers);
+    return linked > 0;
+}
+
+namespace {
+
+// As before its end, this VM gives no order from here on; those who are dealt its engines wait as
+// long after its release as after any other.
+asio::awaitable<void> yieldOrders(GatewayNode &node)
+{
+    const LeaseRenewal renewal = renewalOf(node);
+    logEvent(EventId::LeaseChanged,
+             {{"generation", std::to_string(node.lease.generation)},
+              {"partitions", "0"},
+              {"before", std::to_string(node.lease.orderFrom.size())},
+              {"why", "the links to engines are lost, and a VM of the zone reaches them"}});
+    node.ordersYielded = true;
+    node.renewed = false;
+    node.renewalFailing = false;
+    dropLease(node.lease, BootClock::now());
+    retractEngines(node);
+    node.newsDue.notifyAll();
+    co_await node.platform->leave(node.http, node.settings, renewal, renewTimeout);
+}
+
+} // namespace
+
 asio::awaitable<void> leaseLoop(GatewayNode &node)
 {
     Instant dealtAt{};
@@ -188,6 +222,13 @@
             co_await pauseFor(node, extendEvery);
             continue;
         }
+        if (shouldYieldOrders(node, BootClock::now())) {
+            if (!node.ordersYielded)
+                co_await yieldOrders(node);
+            co_await pauseFor(node, extendEvery);
+            continue;
+        }
+        node.ordersYielded = false;
         if (node.joinedAt == Instant{})
             node.joinedAt = BootClock::now();
         const LeaseRenewal renewal = renewalOf(node);
--- a/libs/gateway/src/LeaseKeeping.h
+++ b/libs/gateway/src/LeaseKeeping.h
@@ -21,6 +21,12 @@
 /** What this VM answers to that. */
 gateway::v1::Word answerWord(GatewayNode &node, const gateway::v1::WordRequest &request);
 
+/**
+ * True if this VM is to let mates order its engines: it does not reach them, and a mate does. All
+ * who want a load there would wait in vain for as long as it holds on to them.
+ */
+bool shouldYieldOrders(const GatewayNode &node, Instant now);
+
 /** Gives the lease back, so that another gateway need not wait for its end. */
 asio::awaitable<void> leaveLease(GatewayNode &node);
 
--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "TargetPool.h"
+#include "ZoneView.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -146,6 +147,21 @@
     });
 }
 
+int linkedVms(const GatewayNode &node, const Endpoint &besides)
+{
+    const Instant now = BootClock::now();
+    int linked = 0;
+    if (besides != node.settings.peers && !areEngineLinksLost(node, now))
+        ++linked;
+    for (const auto &[endpoint, peer] : node.peers) {
+        const bool heard = isMate(node, peer) && !peer.starting && !peer.stopping
+            && now - peer.reportedAt < reporterSilence;
+        if (heard && !peer.linksLost && endpoint != besides)
+            ++linked;
+    }
+    return linked;
+}
+
 bool isLinkToBlame(const GatewayNode &node, const std::string &target, Instant now)
 {
     const auto runtime = node.targets.find(target);
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -23,6 +23,9 @@
 /** True if engines that this VM may order cannot be reached for so long that another VM should. */
 bool areEngineLinksLost(const GatewayNode &node, Instant now);
 
+/** VMs of the zone that can be heard and have not lost their links to engines, but for one. */
+int linkedVms(const GatewayNode &node, const Endpoint &besides);
+
 /** True if this VM does not reach the target, though others do. */
 bool isLinkToBlame(const GatewayNode &node, const std::string &target, Instant now);
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -131,7 +131,8 @@
     report->set_stopping(node.shuttingDown);
     report->set_starting(isStarting(node));
     report->set_store_away(ownRank(node).storeAway);
-    report->set_holding(node.mayHold && !node.leaseLeft);
+    report->set_holding(node.mayHold && !node.leaseLeft && !node.ordersYielded);
+    report->set_links_lost(areEngineLinksLost(node, BootClock::now()));
     if (node.storeReachedAt != Instant{})
         report->set_store_reached_ago_ms(sinceMs(node.storeReachedAt));
     if (!withUse)
@@ -311,6 +312,7 @@
     peer.starting = report.starting();
     peer.storeAway = report.store_away();
     peer.holding = report.holding();
+    peer.linksLost = report.links_lost();
     noteConfigOffer(node, peer, report.config_version());
     if (report.store_reached_ago_ms() > 0)
         peer.storeReachedAt = now - std::chrono::milliseconds(report.store_reached_ago_ms());
@@ -351,6 +353,7 @@
     if (mate && report.carries_use()) {
         fillUses(node, peer, digest);
         digest.set_may_hold(mayHoldBeside(node, endpoint));
+        digest.set_linked_mates(static_cast<std::uint32_t>(linkedVms(node, endpoint)));
     }
     return digest;
 }
@@ -397,6 +400,7 @@
     node.upstream.relay = endpoint;
     node.upstream.at = now;
     node.upstream.vms = static_cast<int>(digest.vms());
+    node.upstream.linkedMates = static_cast<int>(digest.linked_mates());
     node.upstream.others.clear();
     for (const v1::EngineUse &told : digest.others())
         node.upstream.others[told.target()] = decodeUse(told);
--- a/libs/gateway/src/ZoneView.cpp
+++ b/libs/gateway/src/ZoneView.cpp
@@ -42,6 +42,7 @@
         mate.reachable = isReachable(peer, now);
         mate.starting = peer.starting;
         mate.holding = peer.holding;
+        mate.linksLost = peer.linksLost;
         found.mates.push_back(mate);
         found.peers.push_back(&peer);
     }
--- a/libs/gateway/tests/LinkWatches.cpp
+++ b/libs/gateway/tests/LinkWatches.cpp
@@ -1,6 +1,8 @@
 #include "CallRun.h"
 #include "GatewayNode.h"
+#include "LeaseKeeping.h"
 #include "LinkWatch.h"
+#include "PeerExchange.h"
 #include "TargetEnds.h"
 
 #include <criterion/criterion.h>
@@ -74,3 +76,67 @@
     cr_assert_eq(endsTold(30), 0);
     cr_assert_eq(endsTold(0), 2, "targets that fail for all have ended");
 }
+
+namespace {
+
+/** A VM of zone-a that lost its links to engines some time ago. */
+struct CutHolder
+{
+    CutHolder()
+        : node(settings())
+    {
+        ServingConfig config;
+        config.version = 1;
+        ServiceSpec service;
+        service.name = "engines";
+        service.engine = EngineSpec();
+        config.services.push_back(service);
+        this->node.routes = std::make_shared<RouteTable>(config);
+        this->node.serviceLinks["engines"] = {true, BootClock::now() - 5s, 0};
+    }
+
+    static GatewaySettings settings()
+    {
+        GatewaySettings made;
+        made.vm = "vm-1";
+        made.zone = "zone-a";
+        made.peers = {"10.0.0.1", 7380};
+        return made;
+    }
+
+    void hearMate(bool linksLost)
+    {
+        gateway::v1::Report report;
+        report.mutable_from()->set_name("vm-2");
+        report.mutable_from()->set_address("10.0.0.2");
+        report.mutable_from()->set_port(7380);
+        report.mutable_from()->set_boot(5);
+        report.mutable_from()->set_zone("zone-a");
+        report.set_carries_use(true);
+        report.set_sequence(++this->sequence);
+        report.set_links_lost(linksLost);
+        this->told = answerReport(this->node, report);
+    }
+
+    GatewayNode node;
+    gateway::v1::Digest told;
+    std::uint64_t sequence = 0;
+};
+
+} // namespace
+
+// Guards against a VM that may order engines, reaches none and holds up the loads of all.
+Test(link_watch, a_holder_that_reaches_no_engine_yields_to_a_mate_that_does)
+{
+    CutHolder holder;
+    cr_assert(!shouldYieldOrders(holder.node, BootClock::now()), "nobody else is heard");
+    holder.hearMate(true);
+    cr_assert(!shouldYieldOrders(holder.node, BootClock::now()), "the mate is cut off as well");
+    holder.hearMate(false);
+    cr_assert(shouldYieldOrders(holder.node, BootClock::now()));
+    cr_assert_eq(holder.told.linked_mates(), 0, "this VM is no help to the mate");
+    holder.node.serviceLinks["engines"].lost = false;
+    cr_assert(!shouldYieldOrders(holder.node, BootClock::now()));
+    holder.hearMate(false);
+    cr_assert_eq(holder.told.linked_mates(), 1);
+}
--- a/libs/serving/include/serving/ZoneRelay.h
+++ b/libs/serving/include/serving/ZoneRelay.h
@@ -31,6 +31,7 @@
     bool reachable = true; ///< it has not failed to answer lately, and is not stopping
     bool starting = false; ///< it knows no configuration or targets yet
     bool holding = false; ///< it is one of those that order engines
+    bool linksLost = false; ///< it does not reach engines that other VMs reach
 
     auto operator<=>(const RelayMate &) const = default;
 };
@@ -54,8 +55,8 @@
 
 /**
  * The mates that a relay lets order engines beside itself: `most` of the best-ranked, those that do
- * so already before all others. Each that joins has the engines dealt anew, and those that move get
- * no orders for seconds.
+ * so already before all others, and those that reach no engines last. Each that joins has the
+ * engines dealt anew, and those that move get no orders for seconds.
  */
 std::vector<std::size_t> chooseHolders(const std::vector<RelayMate> &mates, std::size_t most);
 
--- a/libs/serving/src/ZoneRelay.cpp
+++ b/libs/serving/src/ZoneRelay.cpp
@@ -61,6 +61,8 @@
             chosen.push_back(index);
     }
     std::sort(chosen.begin(), chosen.end(), [&](std::size_t left, std::size_t right) {
+        if (mates[left].linksLost != mates[right].linksLost)
+            return mates[right].linksLost;
         if (mates[left].holding != mates[right].holding)
             return mates[left].holding;
         return ranksBefore(mates[left].rank, mates[right].rank);
--- a/libs/serving/tests/Relays.cpp
+++ b/libs/serving/tests/Relays.cpp
@@ -135,6 +135,17 @@
     cr_assert_eq(chooseHolders(mates, 2), (std::vector<std::size_t>{3, 0}));
 }
 
+// Guards against engines that nobody orders, as the VMs that may do so do not reach them.
+Test(relays, a_mate_that_reaches_no_engines_orders_none_while_others_can)
+{
+    std::vector<RelayMate> mates{mate(0.25, 1), mate(0.25, 2), mate(0.25, 3)};
+    mates[0].holding = true;
+    mates[0].linksLost = true;
+    cr_assert_eq(chooseHolders(mates, 2), (std::vector<std::size_t>{1, 2}));
+    mates[1].linksLost = true;
+    cr_assert_eq(chooseHolders(mates, 2), (std::vector<std::size_t>{2, 0}));
+}
+
 // The sum must be the same as adding all reports up anew, whatever came, went and was replaced:
 // what is left behind would make an engine look busy for ever.
 Test(relays, the_ledger_is_the_sum_of_the_newest_reports)
