Lost links to engines are told at once, and orders kept for 2.5 s

Change: the loss is told when it is seen; the orders are given up 2.5 s later, where another VM of the zone has its links.

--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -38,6 +38,9 @@
 /** Renewals in the time that a lease lasts; one may be lost. */
 constexpr int renewalsPerLease = 4;
 
+/** The next holder orders some 4 s after a release; a shorter cut is over before. */
+constexpr Duration ordersKept = std::chrono::milliseconds(2500);
+
 /**
  * A holder that is cut off from the store orders on by the word of the VMs it knows. One that has
  * not heard of this VM would not ask it, so a VM that is new waits: until it has heard all VMs of
@@ -183,7 +186,8 @@
 
 bool shouldYieldOrders(const GatewayNode &node, Instant now)
 {
-    if (!areEngineLinksLost(node, now))
+    const std::optional<Instant> lostSince = engineLinksLostSince(node);
+    if (!lostSince || now - *lostSince < ordersKept)
         return false;
     const int linked =
         hearsRelay(node, now) ? node.upstream.linkedMates : linkedVms(node, node.settings.peers);
--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -14,9 +14,6 @@
 constexpr Duration probePatience = std::chrono::milliseconds(250);
 constexpr std::size_t probesAtOnce = 3;
 
-/** Another VM can order the engines some 3.5 s after this one gives them up. */
-constexpr Duration ordersKept = std::chrono::milliseconds(1500);
-
 bool isAnyLost(const GatewayNode &node)
 {
     return std::any_of(node.serviceLinks.begin(), node.serviceLinks.end(),
@@ -137,21 +134,23 @@
     return found != node.serviceLinks.end() && found->second.lost;
 }
 
-bool areEngineLinksLost(const GatewayNode &node, Instant now)
+std::optional<Instant> engineLinksLostSince(const GatewayNode &node)
 {
-    return std::any_of(node.serviceLinks.begin(), node.serviceLinks.end(), [&](const auto &entry) {
-        const ServiceSpec *spec = node.routes->findService(entry.first);
-        const ServiceLinks &links = entry.second;
+    std::optional<Instant> since;
+    for (const auto &[name, links] : node.serviceLinks) {
+        const ServiceSpec *spec = node.routes->findService(name);
         const bool engines = spec != nullptr && spec->engine;
-        return engines && links.lost && now - links.since > ordersKept;
-    });
+        if (engines && links.lost)
+            since = std::min(since.value_or(links.since), links.since);
+    }
+    return since;
 }
 
 int linkedVms(const GatewayNode &node, const Endpoint &besides)
 {
     const Instant now = BootClock::now();
     int linked = 0;
-    if (besides != node.settings.peers && !areEngineLinksLost(node, now))
+    if (besides != node.settings.peers && !engineLinksLostSince(node))
         ++linked;
     for (const auto &[endpoint, peer] : node.peers) {
         const bool heard = isMate(node, peer) && !peer.starting && !peer.stopping
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "GatewayNode.h"
@@ -20,8 +21,8 @@
 
 bool areLinksLost(const GatewayNode &node, const std::string &service);
 
-/** True if engines that this VM may order cannot be reached for so long that another VM should. */
-bool areEngineLinksLost(const GatewayNode &node, Instant now);
+/** When the links to engines were lost; nothing: they are not. */
+std::optional<Instant> engineLinksLostSince(const GatewayNode &node);
 
 /** VMs of the zone that can be heard and have not lost their links to engines, but for one. */
 int linkedVms(const GatewayNode &node, const Endpoint &besides);
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -132,7 +132,7 @@
     report->set_starting(isStarting(node));
     report->set_store_away(ownRank(node).storeAway);
     report->set_holding(node.mayHold && !node.leaseLeft && !node.ordersYielded);
-    report->set_links_lost(areEngineLinksLost(node, BootClock::now()));
+    report->set_links_lost(engineLinksLostSince(node).has_value());
     if (node.storeReachedAt != Instant{})
         report->set_store_reached_ago_ms(sinceMs(node.storeReachedAt));
     if (!withUse)
