A cut is proved by probes, and other cut VMs' failures do not hide it

Cause: a target that failed for others as well said nothing of the own links; and of the others two were cut off, too, and told of failures at all targets. Answers on kept connections, which may live on, spoke against a cut.

Change: failed attempts to connect count where other VMs have had answers lately, whatever failures are told. As this also holds for targets that have just ended, up to six probes of targets that others reach have to fail, but for one, before links count as lost; they end sound doubts in a few ms.

--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -252,7 +252,6 @@
                 this->noteBroken(exchange, target);
             co_return SendEnd::Broken;
         }
-        noteLinkReached(this->node, target.id);
         takeTargetWords(this->node, target.id, exchange.facts());
         if (exchange.facts().notRun) {
             this->run.mayHaveRun = mayHaveRunBefore;
--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -12,7 +12,10 @@
 
 constexpr Duration probeEvery = std::chrono::milliseconds(300);
 constexpr Duration probePatience = std::chrono::milliseconds(250);
-constexpr std::size_t probesAtOnce = 3;
+constexpr std::size_t probesAtOnce = 6;
+
+/** Targets that are down for all are looked at no more often. */
+constexpr Duration checkEvery = std::chrono::milliseconds(1000);
 
 bool isAnyLost(const GatewayNode &node)
 {
@@ -20,14 +23,18 @@
                        [](const auto &entry) { return entry.second.lost; });
 }
 
+// Good answers fade within some seconds. What others tell of failures does not count: they may be
+// cut off as well.
+bool othersReach(const GatewayNode &node, const std::string &target)
+{
+    return othersAt(node, target).goods > 0;
+}
+
 LinkCounts countLinks(const GatewayNode &node, const std::string &service, Instant now)
 {
     LinkCounts counts;
-    TargetUse others;
     for (const TargetRecord *record : targetsOf(node, service)) {
         const std::string &id = record->entry.id;
-        const TargetUse use = othersAt(node, id);
-        addUse(others, use);
         ++counts.listed;
         const auto runtime = node.targets.find(id);
         if (runtime == node.targets.end())
@@ -35,18 +42,22 @@
         const LinkState state = linkState(runtime->second->link, now);
         if (state == LinkState::Reached)
             ++counts.reached;
-        else if (state == LinkState::Failed && use.faults <= use.goods)
+        else if (state == LinkState::Failed && othersReach(node, id))
             ++counts.failed;
     }
-    counts.othersServed = others.goods > others.faults;
     counts.otherServiceLost = isAnyLost(node);
     return counts;
 }
 
-/** Some targets of the service, drawn anew each time. */
-std::vector<TargetEntry> drawTargets(GatewayNode &node, const std::string &service)
+/** Some targets of the service that other VMs reach, or that may be so, drawn anew each time. */
+std::vector<TargetEntry> drawTargets(GatewayNode &node, const std::string &service,
+                                     bool othersReachThem)
 {
-    const std::vector<const TargetRecord *> listed = targetsOf(node, service);
+    std::vector<const TargetRecord *> listed = targetsOf(node, service);
+    if (othersReachThem)
+        std::erase_if(listed, [&](const TargetRecord *record) {
+            return !othersReach(node, record->entry.id);
+        });
     std::vector<const TargetRecord *> drawn;
     std::sample(listed.begin(), listed.end(), std::back_inserter(drawn), probesAtOnce, node.random);
     std::vector<TargetEntry> entries;
@@ -55,16 +66,41 @@
     return entries;
 }
 
+/** Probes under way together. */
+struct Probing
+{
+    explicit Probing(asio::io_context &context)
+        : done(context)
+    { }
+
+    ProbeRound round;
+    int ended = 0;
+    Signal done;
+};
+
 /** Tries to connect; a connection serves a call later. */
-asio::awaitable<void> probe(GatewayNode &node, TargetEntry target, std::shared_ptr<int> reached)
+asio::awaitable<void> probe(GatewayNode &node, TargetEntry target, std::shared_ptr<Probing> probing)
 {
     ConnectResult result = co_await connectTo(node.context, target.endpoint, probePatience);
-    if (!result.connection)
-        co_return;
-    ++*reached;
-    TargetRuntime &runtime = runtimeOf(node, target.id);
-    runtime.link.reachedAt = BootClock::now();
-    giveBack(runtime.pool, std::move(result.connection), Duration::zero(), BootClock::now());
+    if (result.connection) {
+        ++probing->round.reached;
+        TargetRuntime &runtime = runtimeOf(node, target.id);
+        runtime.link.reachedAt = BootClock::now();
+        giveBack(runtime.pool, std::move(result.connection), Duration::zero(), BootClock::now());
+    }
+    if (++probing->ended == probing->round.tried)
+        probing->done.notifyAll();
+}
+
+asio::awaitable<ProbeRound> probeAll(GatewayNode &node, std::vector<TargetEntry> targets)
+{
+    const auto probing = std::make_shared<Probing>(node.context);
+    probing->round.tried = static_cast<int>(targets.size());
+    for (const TargetEntry &target : targets)
+        spawn(node, "probe a target", probe(node, target, probing));
+    if (probing->ended < probing->round.tried)
+        co_await probing->done.wait(2 * probePatience);
+    co_return probing->round;
 }
 
 /** What was seen of targets while the links were lost tells nothing of the targets. */
@@ -82,13 +118,10 @@
 {
     while (!node.stopped && areLinksLost(node, service)) {
         co_await pauseFor(node, probeEvery);
-        const std::vector<TargetEntry> targets = drawTargets(node, service);
-        const auto reached = std::make_shared<int>(0);
-        for (const TargetEntry &target : targets)
-            spawn(node, "probe a target", probe(node, target, reached));
-        co_await pauseFor(node, probePatience);
+        std::vector<TargetEntry> targets = drawTargets(node, service, false);
+        const ProbeRound round = co_await probeAll(node, std::move(targets));
         ServiceLinks &links = node.serviceLinks[service];
-        if (!noteProbes(links, *reached, static_cast<int>(targets.size())))
+        if (!noteProbes(links, round))
             continue;
         forgetSights(node, service);
         logEvent(EventId::LinksBack,
@@ -97,6 +130,29 @@
     }
 }
 
+/** Finds out whether links that seem to be lost are. */
+asio::awaitable<void> checkLinks(GatewayNode &node, std::string service)
+{
+    const LinkCounts counts = countLinks(node, service, BootClock::now());
+    std::vector<TargetEntry> targets = drawTargets(node, service, true);
+    const ProbeRound round = co_await probeAll(node, std::move(targets));
+    ServiceLinks &links = node.serviceLinks[service];
+    links.checking = false;
+    if (!provesLoss(round))
+        co_return;
+    links.lost = true;
+    links.since = BootClock::now();
+    links.goodRounds = 0;
+    logEvent(EventId::LinksLost,
+             {{"service", service},
+              {"listed", std::to_string(counts.listed)},
+              {"failed", std::to_string(counts.failed)},
+              {"probed", std::to_string(round.tried)},
+              {"reached", std::to_string(round.reached)}});
+    node.newsDue.notifyAll();
+    spawn(node, "probe targets", probeLoop(node, service));
+}
+
 } // namespace
 
 void noteLinkFailed(GatewayNode &node, const std::string &target)
@@ -108,19 +164,14 @@
         return;
     const std::string service = entry->service;
     ServiceLinks &links = node.serviceLinks[service];
-    if (links.lost)
+    const bool checked = links.checkedAt != Instant{} && now - links.checkedAt < checkEvery;
+    if (links.lost || links.checking || checked)
         return;
-    const LinkCounts counts = countLinks(node, service, now);
-    if (!linksSeemLost(counts))
+    if (!linksSeemLost(countLinks(node, service, now)))
         return;
-    links = {true, now, 0};
-    logEvent(EventId::LinksLost,
-             {{"service", service},
-              {"listed", std::to_string(counts.listed)},
-              {"failed", std::to_string(counts.failed)},
-              {"reached", std::to_string(counts.reached)}});
-    node.newsDue.notifyAll();
-    spawn(node, "probe targets", probeLoop(node, service));
+    links.checking = true;
+    links.checkedAt = now;
+    spawn(node, "check links", checkLinks(node, service));
 }
 
 void noteLinkReached(GatewayNode &node, const std::string &target)
@@ -166,9 +217,7 @@
     const auto runtime = node.targets.find(target);
     if (runtime == node.targets.end())
         return false;
-    const TargetUse others = othersAt(node, target);
-    return linkState(runtime->second->link, now) == LinkState::Failed
-        && others.goods > others.faults;
+    return linkState(runtime->second->link, now) == LinkState::Failed && othersReach(node, target);
 }
 
 bool isSightDoubtful(const GatewayNode &node, const std::string &target)
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -9,14 +9,15 @@
 
 /**
  * Whether this VM has lost its own links to the targets of a service, while other VMs reach them.
- * It is judged by connections of this VM and by what others tell of their calls; see
- * serving/TargetLinks.h. Nothing is sent for it while links are sound.
+ * It is judged by attempts of this VM to connect, and by what others tell of their calls; see
+ * serving/TargetLinks.h. Kept connections may live on in a cut, and do not count. Nothing is sent
+ * for it while links are sound.
  */
 
 /** A connection to the target failed, or was given up as silent. */
 void noteLinkFailed(GatewayNode &node, const std::string &target);
 
-/** The target accepted a connection or answered. */
+/** The target accepted a connection. */
 void noteLinkReached(GatewayNode &node, const std::string &target);
 
 bool areLinksLost(const GatewayNode &node, const std::string &service);
--- a/libs/serving/include/serving/TargetLinks.h
+++ b/libs/serving/include/serving/TargetLinks.h
@@ -10,7 +10,7 @@
 struct LinkSight
 {
     Instant failedAt{}; ///< an attempt to connect, or a connection, was given up; zero: never
-    Instant reachedAt{}; ///< it accepted a connection or answered; zero: never
+    Instant reachedAt{}; ///< it accepted a connection; zero: never
 
     auto operator<=>(const LinkSight &) const = default;
 };
@@ -29,14 +29,13 @@
 {
     int listed = 0; ///< targets that may take work
     int reached = 0;
-    int failed = 0; ///< not reached from here, though other VMs do not see them fail
-    bool othersServed = false; ///< other VMs get answers of the service
+    int failed = 0; ///< not reached from here, though other VMs got answers there lately
     bool otherServiceLost = false; ///< links of this VM to another service are lost
 
     auto operator<=>(const LinkCounts &) const = default;
 };
 
-/** True if it is the links of this VM that fail, and not the targets. */
+/** True if it may be the links of this VM that fail, and not the targets; probes tell. */
 bool linksSeemLost(const LinkCounts &counts) noexcept;
 
 /** Whether this VM has lost its links to the targets of one service. */
@@ -44,12 +43,26 @@
 {
     bool lost = false;
     Instant since{}; ///< when they were lost last
+    bool checking = false; ///< probes are under way, as they seem to be
+    Instant checkedAt{}; ///< when that was last begun
     int goodRounds = 0; ///< of probes, one after the other
 
     auto operator<=>(const ServiceLinks &) const = default;
 };
 
-/** Takes one round of probes. True: the links are back by this. */
-bool noteProbes(ServiceLinks &links, int reached, int tried) noexcept;
+/** What one round of probes came to. */
+struct ProbeRound
+{
+    int tried = 0;
+    int reached = 0;
+
+    auto operator<=>(const ProbeRound &) const = default;
+};
+
+/** True if probes of targets that other VMs reach reach none of them, or hardly one. */
+bool provesLoss(const ProbeRound &round) noexcept;
+
+/** Takes a round of probes while links are lost. True: they are back by this. */
+bool noteProbes(ServiceLinks &links, const ProbeRound &round) noexcept;
 
 } // namespace monsoonbay
--- a/libs/serving/src/TargetLinks.cpp
+++ b/libs/serving/src/TargetLinks.cpp
@@ -33,13 +33,18 @@
 {
     const int least = counts.otherServiceLost ? 1 : leastFailed;
     const int enough = std::max(std::min(least, counts.listed), 1);
-    return counts.othersServed && counts.failed >= enough
-        && counts.failed >= failedForEachReached * counts.reached;
+    return counts.failed >= enough && counts.failed >= failedForEachReached * counts.reached;
 }
 
-bool noteProbes(ServiceLinks &links, int reached, int tried) noexcept
+bool provesLoss(const ProbeRound &round) noexcept
 {
-    const bool good = reached * 2 > tried;
+    const int failed = round.tried - round.reached;
+    return failed > 0 && failed >= failedForEachReached * round.reached;
+}
+
+bool noteProbes(ServiceLinks &links, const ProbeRound &round) noexcept
+{
+    const bool good = round.reached * 2 > round.tried;
     links.goodRounds = good ? links.goodRounds + 1 : 0;
     if (!links.lost || links.goodRounds < goodRoundsToReturn)
         return false;
