Runs that another VM began count against the route's limit

What callers saw: nothing; targets ran calls once more than their routes allow.

Cause: a VM that forwards a call counted one run, whatever the other VM had begun, and when a target's own error came back it tried once more.

Change: the answer to a forwarded call says how many runs may have begun. Headers between VMs go no further than one hop, to callers or targets.

--- a/libs/gateway/src/CallAnswer.h
+++ b/libs/gateway/src/CallAnswer.h
@@ -36,7 +36,6 @@
     StreamRelay relay;
     KeptAnswer kept;
     OwnAnswer refusal;
-    int runsStarted = 0;
 };
 
 /** The request as it goes to a target, or to another VM. */
--- a/libs/gateway/src/CallRun.cpp
+++ b/libs/gateway/src/CallRun.cpp
@@ -113,7 +113,7 @@
         response.set(http::field::content_type, reply.contentType);
     run.closeAfter = run.closeAfter || run.node.shuttingDown;
     if (run.forwarded)
-        writeForwardOutcome(response, outcome);
+        writeForwardReport(response, {outcome, run.runsStarted});
     response.keep_alive(run.request->keep_alive() && !run.closeAfter);
     response.body() = std::move(reply.body);
     response.prepare_payload();
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -69,6 +69,7 @@
     Instant lastPieceAt{};
     Duration longestGap{}; ///< between two pieces
     bool mayHaveRun = false;
+    int runsStarted = 0; ///< that may have begun, here and at other VMs
     bool callerGone = false;
     bool timedOut = false;
     bool ended = false;
--- a/libs/gateway/src/ForwardedCall.cpp
+++ b/libs/gateway/src/ForwardedCall.cpp
@@ -1,6 +1,7 @@
 #include "ForwardedCall.h"
 
 #include <array>
+#include <charconv>
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +14,7 @@
 constexpr const char *callHeader = "Monsoonbay-Forwarded";
 constexpr const char *refusalHeader = "Monsoonbay-Refusal";
 constexpr const char *outcomeHeader = "Monsoonbay-Outcome";
+constexpr const char *runsHeader = "Monsoonbay-Runs";
 constexpr std::array allRefusals{ForwardRefusal::Malformed, ForwardRefusal::Stopping,
                                  ForwardRefusal::LinksLost, ForwardRefusal::OtherConfig,
                                  ForwardRefusal::Busy};
@@ -103,19 +105,23 @@
     head.erase(callHeader);
 }
 
-void writeForwardOutcome(ResponseHead &head, ForwardOutcome outcome)
+void writeForwardReport(ResponseHead &head, const ForwardReport &report)
 {
     head.erase(outcomeHeader);
-    if (outcome != ForwardOutcome::FromTarget)
-        head.set(outcomeHeader, outcome == ForwardOutcome::NotRun ? notRun : mayHaveRun);
+    if (report.outcome != ForwardOutcome::FromTarget)
+        head.set(outcomeHeader, report.outcome == ForwardOutcome::NotRun ? notRun : mayHaveRun);
+    head.set(runsHeader, std::to_string(report.runs));
 }
 
-ForwardOutcome readForwardOutcome(const ResponseHead &head)
+ForwardReport readForwardReport(const ResponseHead &head)
 {
-    const auto value = head[outcomeHeader];
-    if (value.empty())
-        return ForwardOutcome::FromTarget;
-    return value == notRun ? ForwardOutcome::NotRun : ForwardOutcome::MayHaveRun;
+    ForwardReport report;
+    const auto outcome = head[outcomeHeader];
+    if (!outcome.empty())
+        report.outcome = outcome == notRun ? ForwardOutcome::NotRun : ForwardOutcome::MayHaveRun;
+    const auto runs = head[runsHeader];
+    std::from_chars(runs.data(), runs.data() + runs.size(), report.runs);
+    return report;
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/ForwardedCall.h
+++ b/libs/gateway/src/ForwardedCall.h
@@ -56,9 +56,18 @@
 
 void eraseForwardedCall(RequestHead &head);
 
-/** Sets what an own answer says; removes what a target may have set in its place. */
-void writeForwardOutcome(ResponseHead &head, ForwardOutcome outcome);
+/** What a VM says of a forwarded call in the head of its answer. */
+struct ForwardReport
+{
+    ForwardOutcome outcome = ForwardOutcome::FromTarget;
+    int runs = 0; ///< that may have begun, those before it was forwarded among them
+
+    auto operator<=>(const ForwardReport &) const = default;
+};
+
+/** Sets what the VM says; removes what a target may have set in its place. */
+void writeForwardReport(ResponseHead &head, const ForwardReport &report);
 
-ForwardOutcome readForwardOutcome(const ResponseHead &head);
+ForwardReport readForwardReport(const ResponseHead &head);
 
 } // namespace monsoonbay
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -89,7 +89,7 @@
         , answer(run)
     {
         if (run.forwarded)
-            this->answer.runsStarted = run.forwarded->runs;
+            this->run.runsStarted = run.forwarded->runs;
     }
 
     asio::awaitable<void> serve()
@@ -207,7 +207,7 @@
         if (this->run.mayHaveRun && !mayRepeat(*this->run.route))
             return false;
         const bool ran = end == SendEnd::Failed || end == SendEnd::Broken;
-        if (ran && this->answer.runsStarted >= this->run.route->maxAttempts)
+        if (ran && this->run.runsStarted >= this->run.route->maxAttempts)
             return false;
         const Instant now = BootClock::now();
         const bool taken =
@@ -244,7 +244,7 @@
         this->run.mayHaveRun = true;
         if (mayHaveRunBefore)
             takeUnitsAgain(this->run);
-        ++this->answer.runsStarted;
+        ++this->run.runsStarted;
         const bool headed = co_await exchange.send(requestFor(this->run, facts));
         this->sendError = exchange.error();
         if (!headed) {
@@ -257,7 +257,7 @@
             this->run.mayHaveRun = mayHaveRunBefore;
             if (mayHaveRunBefore)
                 giveUnitsBack(this->run);
-            --this->answer.runsStarted;
+            --this->run.runsStarted;
             co_await this->takeNotRun(exchange, target);
             co_return SendEnd::NotRun;
         }
--- a/libs/gateway/src/PassedHeaders.cpp
+++ b/libs/gateway/src/PassedHeaders.cpp
@@ -32,6 +32,16 @@
     }
 }
 
+/** Headers between two VMs begin so; they go no further. */
+constexpr std::string_view ownPrefix = "Monsoonbay-";
+
+bool isOwn(std::string_view name)
+{
+    return name.size() > ownPrefix.size()
+        && beast::iequals(beast::string_view(name.data(), ownPrefix.size()),
+                          beast::string_view(ownPrefix.data(), ownPrefix.size()));
+}
+
 /** The names that a Connection header lists besides the fixed ones. */
 bool isNamedByConnection(std::string_view connection, std::string_view name)
 {
@@ -50,6 +60,8 @@
         if (!isPassedOn(header))
             continue;
         const std::string name(header.name_string());
+        if (isOwn(name))
+            continue;
         if (!connection.empty() && isNamedByConnection(connection, name))
             continue;
         headers.push_back({name, std::string(header.value())});
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -79,7 +79,7 @@
     call.units = run.units;
     call.callerAddress = callerAddressOf(run);
     call.waited = BootClock::now() - run.arrivedAt;
-    call.runs = answer.runsStarted;
+    call.runs = run.runsStarted;
     call.hasBody = hasBody(run);
     return call;
 }
@@ -135,13 +135,14 @@
 {
     const bool mayHaveRunBefore = run.mayHaveRun;
     noteSend(run);
-    ++answer.runsStarted;
+    ++run.runsStarted;
     run.mayHaveRun = true;
     const bool headed = co_await exchange.sendOffered();
     if (!headed)
         co_return SendEnd::Broken;
-    const ForwardOutcome outcome = readForwardOutcome(exchange.head());
-    if (outcome == ForwardOutcome::FromTarget) {
+    const ForwardReport report = readForwardReport(exchange.head());
+    run.runsStarted = std::max(run.runsStarted, report.runs);
+    if (report.outcome == ForwardOutcome::FromTarget) {
         const bool spoiled = exchange.status() < 300 && !exchange.facts().authentic;
         if (spoiled) {
             exchange.abandon();
@@ -153,10 +154,10 @@
     }
     std::string body;
     const bool whole = co_await readWhole(exchange, body);
-    if (!whole || outcome == ForwardOutcome::MayHaveRun)
+    if (!whole || report.outcome == ForwardOutcome::MayHaveRun)
         co_return SendEnd::Broken;
     run.mayHaveRun = mayHaveRunBefore;
-    --answer.runsStarted;
+    run.runsStarted = report.runs;
     answer.refusal = ownAnswerOf(exchange, body);
     co_return SendEnd::Refused;
 }
--- a/libs/gateway/src/StreamRelay.cpp
+++ b/libs/gateway/src/StreamRelay.cpp
@@ -79,7 +79,7 @@
     for (const HttpHeader &header : passedHeaders(exchange.head()))
         head.insert(header.name, header.value);
     if (this->run.forwarded)
-        writeForwardOutcome(head, ForwardOutcome::FromTarget);
+        writeForwardReport(head, {ForwardOutcome::FromTarget, this->run.runsStarted});
     this->run.closeAfter = this->run.closeAfter || this->run.node.shuttingDown;
     head.keep_alive(this->run.request->keep_alive() && !this->run.closeAfter);
     head.chunked(true);
--- a/libs/gateway/tests/ForwardedCalls.cpp
+++ b/libs/gateway/tests/ForwardedCalls.cpp
@@ -57,11 +57,14 @@
 {
     ResponseHead head;
     head.set("Monsoonbay-Outcome", "not-run");
-    writeForwardOutcome(head, ForwardOutcome::FromTarget);
-    cr_assert_eq(readForwardOutcome(head), ForwardOutcome::FromTarget);
+    head.set("Monsoonbay-Runs", "7");
+    const ForwardReport fromTarget{ForwardOutcome::FromTarget, 2};
+    writeForwardReport(head, fromTarget);
+    cr_assert(readForwardReport(head) == fromTarget);
     for (const ForwardOutcome outcome : {ForwardOutcome::NotRun, ForwardOutcome::MayHaveRun}) {
-        writeForwardOutcome(head, outcome);
-        cr_assert_eq(readForwardOutcome(head), outcome);
+        const ForwardReport own{outcome, 1};
+        writeForwardReport(head, own);
+        cr_assert(readForwardReport(head) == own);
     }
 }
 
