Lost links to one service have those to the others looked at

Cause: a VM that had learnt of lost links by one service's calls took other VMs' calls of a service which it had hardly called since, and lost time and answers with them.

Change: when the links to one service are lost, the others are probed at once.

--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -131,6 +131,20 @@
 }
 
 /** Finds out whether links that seem to be lost are. */
+asio::awaitable<void> checkLinks(GatewayNode &node, std::string service);
+
+void beginCheck(GatewayNode &node, const std::string &service)
+{
+    const Instant now = BootClock::now();
+    ServiceLinks &links = node.serviceLinks[service];
+    const bool checked = links.checkedAt != Instant{} && now - links.checkedAt < checkEvery;
+    if (links.lost || links.checking || checked)
+        return;
+    links.checking = true;
+    links.checkedAt = now;
+    spawn(node, "check links", checkLinks(node, service));
+}
+
 asio::awaitable<void> checkLinks(GatewayNode &node, std::string service)
 {
     const LinkCounts counts = countLinks(node, service, BootClock::now());
@@ -151,6 +165,9 @@
               {"reached", std::to_string(round.reached)}});
     node.newsDue.notifyAll();
     spawn(node, "probe targets", probeLoop(node, service));
+    // A cut seldom parts a VM from one service alone, and calls of the others may be few.
+    for (const ServiceSpec &other : node.routes->config().services)
+        beginCheck(node, other.name);
 }
 
 } // namespace
@@ -163,15 +180,8 @@
     if (entry == nullptr)
         return;
     const std::string service = entry->service;
-    ServiceLinks &links = node.serviceLinks[service];
-    const bool checked = links.checkedAt != Instant{} && now - links.checkedAt < checkEvery;
-    if (links.lost || links.checking || checked)
-        return;
-    if (!linksSeemLost(countLinks(node, service, now)))
-        return;
-    links.checking = true;
-    links.checkedAt = now;
-    spawn(node, "check links", checkLinks(node, service));
+    if (!areLinksLost(node, service) && linksSeemLost(countLinks(node, service, now)))
+        beginCheck(node, service);
 }
 
 void noteLinkReached(GatewayNode &node, const std::string &target)
--- a/libs/gateway/tests/LinkWatches.cpp
+++ b/libs/gateway/tests/LinkWatches.cpp
@@ -45,6 +45,29 @@
     cr_assert(!areLinksLost(node, "other"));
 }
 
+// Guards against a VM that takes calls of a service which it has not called since it was cut off.
+Test(link_watch, one_lost_service_has_the_others_looked_at)
+{
+    GatewayNode node((GatewaySettings()));
+    listTargets(node, 5, 30);
+    TargetEntry plain;
+    plain.id = "p0";
+    plain.service = "bookings";
+    plain.endpoint = {"127.0.0.1", 1};
+    noteListed(node.book, plain);
+    node.upstream.others[plain.id].goods = 30;
+    ServingConfig config;
+    config.version = 1;
+    config.services.resize(2);
+    config.services[0].name = "engines";
+    config.services[1].name = "bookings";
+    node.routes = std::make_shared<RouteTable>(config);
+    noteLinkFailed(node, "t0");
+    noteLinkFailed(node, "t1");
+    node.context.run_for(50ms);
+    cr_assert(areLinksLost(node, "bookings"));
+}
+
 // Guards against VMs of a zone that are cut off together and take each other's failures for the
 // targets' own.
 Test(link_watch, failures_that_other_cut_vms_tell_of_hide_no_cut)
