A VM that refuses calls of one service is still offered those of another

What callers saw: 87 and 81 refusals in 8 s at two cut VMs, though one VM with links was left.

Cause: a VM was left out for a second for all services when it had lost its links to one of them.

Change: VMs are left out by service; when all are left out they are offered the call all the same, four offers at most as before.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -147,7 +147,8 @@
 struct ForwardPeer
 {
     TargetPool pool;
-    Instant notBefore{}; ///< it took none; it is not offered any until then
+    std::unordered_map<std::string, Instant>
+        notBefore; ///< it takes no calls until then; by service
 };
 
 /** A load that a call of this VM has asked for. */
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -47,10 +47,20 @@
     return brief ? afterBusy : afterRefusal;
 }
 
+// A VM may have lost its links to one service and serve another.
+bool isLeftOut(const GatewayNode &node, const Endpoint &peer, const std::string &service)
+{
+    const auto known = node.forwardPeers.find(peer);
+    if (known == node.forwardPeers.end())
+        return false;
+    const auto until = known->second.notBefore.find(service);
+    return until != known->second.notBefore.end() && until->second > BootClock::now();
+}
+
 /** Some VM that may take a call, drawn evenly; nothing: there is none. */
-std::optional<Endpoint> drawPeer(GatewayNode &node, const std::vector<Endpoint> &tried)
+std::optional<Endpoint> drawPeer(GatewayNode &node, const std::string &service,
+                                 const std::vector<Endpoint> &tried, bool leftOutToo)
 {
-    const Instant now = BootClock::now();
     std::optional<Endpoint> drawn;
     std::size_t seen = 0;
     for (const auto &[endpoint, peer] : node.peers) {
@@ -59,8 +69,7 @@
         const Endpoint forwards = forwardsOf(node, endpoint);
         if (std::find(tried.begin(), tried.end(), forwards) != tried.end())
             continue;
-        const auto known = node.forwardPeers.find(forwards);
-        if (known != node.forwardPeers.end() && known->second.notBefore > now)
+        if (!leftOutToo && isLeftOut(node, forwards, service))
             continue;
         ++seen;
         if (std::uniform_int_distribution<std::size_t>(1, seen)(node.random) == 1)
@@ -114,10 +123,10 @@
 {
     ForwardPeer &known = node.forwardPeers[peer];
     if (end == OfferEnd::Taken) {
-        known.notBefore = Instant{};
+        known.notBefore.erase(run.service);
         node.metrics.add(Counter::CallsForwarded);
     } else {
-        known.notBefore = BootClock::now() + restAfter(refusal);
+        known.notBefore[run.service] = BootClock::now() + restAfter(refusal);
         node.metrics.add(Counter::ForwardsRefused);
     }
     const bool silent = end == OfferEnd::Silent;
@@ -180,7 +189,10 @@
         503, "this VM does not reach the targets, and no other VM takes calls", comeBackSoon);
     std::vector<Endpoint> tried;
     for (int offer = 0; offer < mostOffers && !run.cancelled(); ++offer) {
-        const std::optional<Endpoint> peer = drawPeer(node, tried);
+        std::optional<Endpoint> peer = drawPeer(node, run.service, tried, false);
+        // With few VMs all may be left out for a moment; a refusal is an answer of a few ms.
+        if (!peer)
+            peer = drawPeer(node, run.service, tried, true);
         if (!peer)
             break;
         tried.push_back(*peer);
