--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "Feeds.h"
 #include "GatewayNode.h"
 #include "LeaseKeeping.h"
+#include "NewsBytes.h"
 #include "PeerExchange.h"
 #include "PlaceWaiting.h"
 #include "PrefillReserving.h"
@@ -67,10 +68,14 @@
     {
         GatewayPeerHandlers handlers;
         handlers.exchange = [this](const gateway::v1::Report &report) {
-            return answerReport(this->node, report);
+            gateway::v1::Digest digest = answerReport(this->node, report);
+            countSent(this->node, report.from().zone(), bytesOf(digest));
+            return digest;
         };
         handlers.readConfig = [this](const gateway::v1::ConfigRequest &request) {
-            return answerConfigRequest(this->node, request);
+            gateway::v1::ConfigPart part = answerConfigRequest(this->node, request);
+            countSent(this->node, request.from().zone(), bytesOf(part));
+            return part;
         };
         handlers.word = [this](const gateway::v1::WordRequest &request) {
             return answerWord(this->node, request);
@@ -104,6 +109,7 @@
         spawn(this->node, "sweep", sweepLoop(this->node));
         spawn(this->node, "note use", spendNoteLoop(this->node));
     }
+        spawn(this->node, "log news", newsLogLoop(this->node));
 
     asio::awaitable<void> shutDown()
     {
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -8,6 +8,7 @@
 #include "FleetCount.h"
 #include "LeaseKeeping.h"
 #include "LinkWatch.h"
+#include "NewsBytes.h"
 #include "NewsCodec.h"
 #include "NewsTelling.h"
 #include "PrefixSharing.h"
@@ -431,6 +432,7 @@
                      {{"peer", answered.name},
                       {"at", endpoint.text()},
                       {"why", "no answer"},
+    countSent(node, peer.zone, bytesOf(*report));
                       {"waitedMs", std::to_string(toMillis(now - asked))}});
         noteFailure(answered, now);
         co_return false;
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -53,6 +53,7 @@
     StoreReachable = 7013,
     ConfigRead = 7014,
     ConfigUnread = 7015,
+    NewsSent = 7016,
     TargetListed = 7020,
     TargetGone = 7021,
     TargetEjected = 7022,
@@ -113,6 +114,7 @@
 
 /** Writes an event. */
 void logEvent(EventId id, std::initializer_list<EventField> fields);
+void logEvent(EventId id, std::span<const EventField> fields);
 
 /** The line that logEvent writes, without time. */
 std::string eventText(LogFormat format, std::string_view vm, const EventRow &row,
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -44,6 +44,22 @@
     LoadsDeclinedHolder, ///< the VM that was asked may not order the engine
     CallsForwarded, ///< that another VM has taken
     ForwardsRefused, ///< offers of a call that another VM did not take
+    // Bytes of news sent to VMs of the own zone, by kind; see gateway/NewsBytes.h.
+    NewsToMatesUses,
+    NewsToMatesEngines,
+    NewsToMatesTargets,
+    NewsToMatesWorkspaces,
+    NewsToMatesPrefixes,
+    NewsToMatesConfig,
+    NewsToMatesRest,
+    // The same to VMs of other zones.
+    NewsToZonesUses,
+    NewsToZonesEngines,
+    NewsToZonesTargets,
+    NewsToZonesWorkspaces,
+    NewsToZonesPrefixes,
+    NewsToZonesConfig,
+    NewsToZonesRest,
     Count, ///< number of counters, not one of them
 };
 
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -121,6 +121,8 @@
     EventRow{EventId::ConfigUnread, "config-unread", EventLevel::Warning,
              "a VM with a newer configuration did not give the next part; it is asked again",
              "none if config-read follows; else look at the links between the two VMs"},
+    EventRow{EventId::NewsSent, "news-sent", EventLevel::Info,
+             "bytes that this relay has sent since its last such line, by kind of news", "none"},
     EventRow{EventId::TargetListed, "target-listed", EventLevel::Info, "a target is in the list",
              "none"},
     EventRow{EventId::TargetGone, "target-gone", EventLevel::Info,
@@ -252,8 +254,10 @@
     setup().limiter.emplace(linesPerSecond);
 }
 
-std::string eventText(LogFormat format, std::string_view vm, const EventRow &row,
-                      std::initializer_list<EventField> fields)
+namespace {
+
+std::string textOf(LogFormat format, std::string_view vm, const EventRow &row,
+                   std::span<const EventField> fields)
 {
     const auto number = static_cast<int>(row.id);
     if (format == LogFormat::Json) {
@@ -271,8 +275,6 @@
     return text;
 }
 
-namespace {
-
 /** How many events of this kind were left out before it; nothing if it is left out itself. */
 std::optional<std::uint64_t> admitted(LogSetup &log, EventId id)
 {
@@ -282,14 +284,38 @@
     return log.limiter->admit(id, BootClock::now());
 }
 
-void writeEvent(const LogSetup &log, const EventRow &row, std::initializer_list<EventField> fields)
+void writeEvent(const LogSetup &log, const EventRow &row, std::span<const EventField> fields)
+{
+    log.logger->log(levelOf(row.level), "{}", textOf(log.format, log.vm, row, fields));
+}
+
+std::span<const EventField> spanOf(const std::initializer_list<EventField> &fields)
+{
+    return {fields.begin(), fields.size()};
+}
+
+/** Tells how many events of a kind were not written. */
+void writeLeftOut(const LogSetup &log, const EventRow &row, std::uint64_t lines)
 {
-    log.logger->log(levelOf(row.level), "{}", eventText(log.format, log.vm, row, fields));
+    const std::array<EventField, 2> fields{EventField{"of", std::string(row.name)},
+                                           EventField{"lines", std::to_string(lines)}};
+    writeEvent(log, *findEvent(EventId::LinesLeftOut), fields);
 }
 
 } // namespace
 
+std::string eventText(LogFormat format, std::string_view vm, const EventRow &row,
+                      std::initializer_list<EventField> fields)
+{
+    return textOf(format, vm, row, spanOf(fields));
+}
+
 void logEvent(EventId id, std::initializer_list<EventField> fields)
+{
+    logEvent(id, spanOf(fields));
+}
+
+void logEvent(EventId id, std::span<const EventField> fields)
 {
     LogSetup &log = setup();
     const EventRow *row = findEvent(id);
@@ -299,8 +325,7 @@
     if (!leftOut)
         return;
     if (*leftOut > 0)
-        writeEvent(log, *findEvent(EventId::LinesLeftOut),
-                   {{"of", std::string(row->name)}, {"lines", std::to_string(*leftOut)}});
+        writeLeftOut(log, *row, *leftOut);
     writeEvent(log, *row, fields);
 }
 
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -59,7 +59,21 @@
                                                                   "loads_declined_model_missing",
                                                                   "loads_declined_not_holder",
                                                                   "calls_forwarded",
-                                                                  "forwards_refused"};
+                                                                  "forwards_refused",
+                                                                  "news_to_mates_uses_bytes",
+                                                                  "news_to_mates_engines_bytes",
+                                                                  "news_to_mates_targets_bytes",
+                                                                  "news_to_mates_workspaces_bytes",
+                                                                  "news_to_mates_prefixes_bytes",
+                                                                  "news_to_mates_config_bytes",
+                                                                  "news_to_mates_rest_bytes",
+                                                                  "news_to_zones_uses_bytes",
+                                                                  "news_to_zones_engines_bytes",
+                                                                  "news_to_zones_targets_bytes",
+                                                                  "news_to_zones_workspaces_bytes",
+                                                                  "news_to_zones_prefixes_bytes",
+                                                                  "news_to_zones_config_bytes",
+                                                                  "news_to_zones_rest_bytes"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Count)> gaugeNames{
     "calls_waiting"};
--- a/tools/events-page.sh
+++ b/tools/events-page.sh
@@ -12,7 +12,7 @@
 | number | name | level | what it means | what to do |
 |---|---|---|---|---|
 EOF
-tr '\n' ' ' < libs/observe/src/Events.cpp | sed 's/  */ /g; s/" "//g' | grep -o 'EventRow{EventId::[^}]*}' | while read -r row; do
+tr '\n' ' ' < libs/observe/src/Events.cpp | sed 's/  */ /g; s/" "//g; s/EventRow{ /EventRow{/g' | grep -o 'EventRow{EventId::[^}]*}' | while read -r row; do
     id=$(echo "$row" | sed 's/.*EventId::\([A-Za-z]*\),.*/\1/')
     number=$(grep -o "^ *$id = [0-9]*" libs/observe/include/observe/Events.h | grep -o '[0-9]*$')
     echo "$row" | sed 's/.*EventId::[A-Za-z]*, "\([^"]*\)", EventLevel::\([A-Za-z]*\), "\([^"]*\)", "\([^"]*\)".*/\1 | \2 | \3 | \4/' \
