Of an engine's record that changes only what changed is told

Cause, by the counters of kinds of news: of 5.1 MB that a relay sends to its mates in five seconds, 4.1 MB are engines' records. One slot that changes sent the whole record (11 slots, some 400 bytes) to each VM; and each step of 20 ms in the expected time of a load, which all engines of a holder share, sent all of them.

An engine's record is kept with the numbers of the last changes of its slots and its head, and a reader is told what changed since it last heard, with a digest of what the record is then. Who knows another record asks for the whole one with its next report; so does a relay of its mates. The expected times are told anew when they are off by a tenth.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -30,6 +30,7 @@
 #include "serving/CallIdentity.h"
 #include "serving/ChangeLog.h"
 #include "serving/EngineBoard.h"
+#include "serving/EngineLog.h"
 #include "serving/EngineRecord.h"
 #include "serving/HarmfulCalls.h"
 #include "serving/HolderLease.h"
@@ -136,6 +137,8 @@
     std::uint64_t toldBoot = 0; ///< its boot that was told of engines up to `toldChange`
     std::uint64_t toldChange = 0; ///< of this VM's own changes
     std::uint64_t seenPrefix = 0; ///< last of its log of prefixes, in the boot `seenBoot`
+    std::set<std::string> enginesUnknown; ///< it told changes of records that this VM has not
+    std::set<std::string> enginesAsked; ///< whose whole records it has asked for
     std::uint64_t toldPrefix = 0; ///< last of the own log that its boot `toldBoot` was told
 
     int configFailures = 0; ///< reads of its configuration that failed, in a row
@@ -225,7 +228,7 @@
 struct SharedFacts
 {
     ChangeCounter counter;
-    ChangeLog<std::string, EngineRecord> engines;
+    EngineLog engines;
     ChangeLog<std::string, TargetFact> targets;
     ChangeLog<std::string, std::int64_t> adapterVersions; ///< in force, by adapter key
     ChangeLog<Endpoint, VmFact> vms;
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -103,6 +103,35 @@
     return record;
 }
 
+void encodeChange(const std::string &target, const EngineChange &change, v1::EngineState &state)
+{
+    encodeEngine(target, change.record, state);
+    if (change.whole)
+        return;
+    state.set_changes_only(true);
+    state.set_digest(change.digest);
+    for (const std::string &adapter : change.gone)
+        state.add_gone(adapter);
+    if (!change.sameHead)
+        return;
+    state.set_same_head(true);
+    state.clear_holder_address();
+    state.clear_holder_port();
+    state.clear_models();
+    state.clear_born();
+}
+
+EngineChange decodeChange(const v1::EngineState &state)
+{
+    EngineChange change;
+    change.record = decodeEngine(state);
+    change.whole = !state.changes_only();
+    change.sameHead = state.same_head();
+    change.gone = std::vector<std::string>(state.gone().begin(), state.gone().end());
+    change.digest = state.digest();
+    return change;
+}
+
 void encodeRank(int rank, v1::LoadRequest &request)
 {
     request.set_rank(static_cast<std::uint32_t>(std::clamp(rank, 0, lastRank)));
--- a/libs/gateway/src/NewsCodec.h
+++ b/libs/gateway/src/NewsCodec.h
@@ -21,6 +21,10 @@
                   gateway::v1::EngineState &state);
 EngineRecord decodeEngine(const gateway::v1::EngineState &state);
 
+void encodeChange(const std::string &target, const EngineChange &change,
+                  gateway::v1::EngineState &state);
+EngineChange decodeChange(const gateway::v1::EngineState &state);
+
 /** The adapters go to the holder of an engine only, see UseNotes.h. */
 /** Rank of the call that a load is for. */
 void encodeRank(int rank, gateway::v1::LoadRequest &request);
--- a/libs/gateway/src/NewsTelling.cpp
+++ b/libs/gateway/src/NewsTelling.cpp
@@ -128,11 +128,22 @@
     digest.set_complete(fromTheBeginning || report.in_whole());
     digest.set_change(through);
     digest.set_more(through < node.facts.counter.last);
-    node.facts.engines.between(seen, through,
-                               [&](const std::string &target, const EngineRecord &record) {
-                                   if (mate || zoneOfTarget(node, target) == node.settings.zone)
-                                       encodeEngine(target, record, *digest.add_engines());
-                               });
+    // Who is being told all of it has not heard of each engine up to `seen`.
+    const std::uint64_t known = digest.complete() ? 0 : seen;
+    std::set<std::string> told;
+    const auto tellEngine = [&](const std::string &target, std::uint64_t heard) {
+        const bool wanted = mate || zoneOfTarget(node, target) == node.settings.zone;
+        if (wanted && told.insert(target).second)
+            encodeChange(target, node.facts.engines.changeSince(target, heard),
+                         *digest.add_engines());
+    };
+    for (const std::string &target : report.engines_wanted()) {
+        if (node.facts.engines.find(target) != nullptr)
+            tellEngine(target, 0);
+    }
+    node.facts.engines.between(seen, through, [&](const std::string &target, const EngineRecord &) {
+        tellEngine(target, known);
+    });
     node.facts.vms.between(seen, through, [&](const Endpoint &known, const VmFact &fact) {
         encodeVm(fact.name, known, 0, fact, *digest.add_known());
     });
@@ -177,8 +188,12 @@
     for (const v1::AdapterVersion &told : digest.versions())
         noteAdapterVersion(node, told.adapter(), told.version());
     takeTargets(node, peer, digest, ownRelay);
+    // This digest answers a report that asked for these.
+    peer.enginesUnknown.clear();
     for (const v1::EngineState &state : digest.engines())
-        takeEngineRecord(node, state.target(), decodeEngine(state));
+        takeEngineChange(node, peer.enginesUnknown, state.target(), decodeChange(state));
+    const auto &asked = digest.engines_wanted();
+    peer.enginesAsked = std::set<std::string>(asked.begin(), asked.end());
     peer.seenBoot = digest.from().boot();
     peer.seenChange = digest.change();
     peer.moreToTell = digest.more();
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -136,6 +136,8 @@
     report->set_links_lost(engineLinksLostSince(node).has_value());
     if (node.storeReachedAt != Instant{})
         report->set_store_reached_ago_ms(sinceMs(node.storeReachedAt));
+    for (const std::string &target : peer.enginesUnknown)
+        report->add_engines_wanted(target);
     if (!withUse)
         return report;
     const bool mate = peer.zone == node.settings.zone;
@@ -165,11 +167,21 @@
         return report;
     // The receiver's boot is not known before its answer; a new one is told all again.
     const std::uint64_t told = peer.toldBoot == peer.boot ? peer.toldChange : 0;
+    const auto isOurs = [&](const std::string &target, const EngineRecord &record) {
+        return record.holder == node.settings.peers || node.enginesBelow.count(target) > 0;
+    };
+    std::set<std::string> wholeTold;
+    for (const std::string &target : peer.enginesAsked) {
+        const EngineRecord *record = node.facts.engines.find(target);
+        if (record == nullptr || !isOurs(target, *record))
+            continue;
+        encodeEngine(target, *record, *report->add_engines());
+        wholeTold.insert(target);
+    }
     node.facts.engines.since(told, [&](const std::string &target, const EngineRecord &record) {
-        const bool ours =
-            record.holder == node.settings.peers || node.enginesBelow.count(target) > 0;
-        if (ours)
-            encodeEngine(target, record, *report->add_engines());
+        if (isOurs(target, record) && wholeTold.count(target) == 0)
+            encodeChange(target, node.facts.engines.changeSince(target, told),
+                         *report->add_engines());
     });
     node.facts.evidence.since(told, [&](std::uint64_t id, const KnownEvidence &known) {
         if (known.own)
@@ -332,10 +344,13 @@
         if (mate || node.relaying)
             noteReport(node.reported, reporterOf(node, report.from()), std::move(uses));
     }
+    std::set<std::string> unknown;
     for (const v1::EngineState &state : report.engines()) {
         node.enginesBelow.insert(state.target());
-        takeEngineRecord(node, state.target(), decodeEngine(state));
+        takeEngineChange(node, unknown, state.target(), decodeChange(state));
     }
+    for (const std::string &target : unknown)
+        digest.add_engines_wanted(target);
     for (const std::string &target : report.holds())
         takeHolds(node, report.from().zone(), target);
     for (const v1::Target &leaving : report.leaving())
@@ -417,6 +432,7 @@
     const std::uint64_t told = node.facts.counter.last;
     const std::uint64_t prefixTold = node.prefixes.log.last;
     const std::shared_ptr<const v1::Report> report = reportTo(node, peer, withUse);
+    countSent(node, peer.zone, bytesOf(*report));
     const Instant asked = BootClock::now();
     const auto digest = co_await node.links.exchange(endpoint, report, reportTimeout);
     const auto found = node.peers.find(endpoint);
@@ -432,7 +448,6 @@
                      {{"peer", answered.name},
                       {"at", endpoint.text()},
                       {"why", "no answer"},
-    countSent(node, peer.zone, bytesOf(*report));
                       {"waitedMs", std::to_string(toMillis(now - asked))}});
         noteFailure(answered, now);
         co_return false;
--- a/libs/gateway/src/SharedEngines.cpp
+++ b/libs/gateway/src/SharedEngines.cpp
@@ -22,11 +22,22 @@
 /** Expected times are told in steps of this: each step is news for all VMs. */
 constexpr Duration toldStep = std::chrono::milliseconds(20);
 
+/** An expected time is told anew when it is off by this share: all engines of a holder share it,
+ * and each time that is told is news of all of them. */
+constexpr double toldAnewShare = 0.1;
+
 double inSteps(Duration time)
 {
     return static_cast<double>(toMillis((time + toldStep / 2) / toldStep * toldStep));
 }
 
+/** What is to be told of an expected time, ms, if `told` was told of it last. */
+double steadyTime(double told, Duration time)
+{
+    const double now = inSteps(time);
+    return std::abs(now - told) <= toldAnewShare * told ? told : now;
+}
+
 } // namespace
 
 void takeEngineRecord(GatewayNode &node, const std::string &target, EngineRecord record)
@@ -53,6 +64,24 @@
     node.engineChanged.notifyAll();
 }
 
+void takeEngineChange(GatewayNode &node, std::set<std::string> &unknown, const std::string &target,
+                      const EngineChange &change)
+{
+    const EngineRecord *known = node.facts.engines.find(target);
+    if (!change.whole && known != nullptr) {
+        EngineRecord offered = change.record;
+        if (change.sameHead)
+            offered.born = known->born;
+        if (mayOrderNow(node, target) || !mayReplaceRecord(*known, offered))
+            return;
+    }
+    std::optional<EngineRecord> record = applyChange(known, change);
+    if (record)
+        takeEngineRecord(node, target, std::move(*record));
+    else
+        unknown.insert(target);
+}
+
 void publishEngine(GatewayNode &node, const std::string &target)
 {
     const auto held = node.desks.find(target);
@@ -67,8 +96,11 @@
     record.models = desk.models;
     record.loading = fetchesUnderWay(desk);
     const LoadBeliefs &beliefs = node.loadBeliefs;
-    record.fetchMs = inSteps(fetchTime(beliefs.pace, loadsUnderWay(node) + 1));
-    record.copyMs = inSteps(hostCopyTime(beliefs.pace));
+    const EngineRecord *known = node.facts.engines.find(target);
+    const bool told = known != nullptr && known->holder == record.holder;
+    record.fetchMs =
+        steadyTime(told ? known->fetchMs : 0, fetchTime(beliefs.pace, loadsUnderWay(node) + 1));
+    record.copyMs = steadyTime(told ? known->copyMs : 0, hostCopyTime(beliefs.pace));
     record.copiesKept = std::exp2(std::floor(2 * std::log2(beliefs.memory.loads)) / 2);
     for (const auto &[adapter, slot] : desk.slots) {
         if (slot.loading)
@@ -76,7 +108,6 @@
         else if (!slot.leaving)
             record.resident[adapter] = slot.version;
     }
-    const EngineRecord *known = node.facts.engines.find(target);
     record.revision = {node.lease.generation, node.starts, 0};
     if (known != nullptr && known->revision.generation == record.revision.generation
         && known->revision.starts == record.revision.starts)
--- a/libs/gateway/src/SharedEngines.h
+++ b/libs/gateway/src/SharedEngines.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 
 #include "GatewayNode.h"
@@ -9,6 +10,10 @@
 /** Takes what a peer says of an engine, unless this VM orders it itself or knows newer. */
 void takeEngineRecord(GatewayNode &node, const std::string &target, EngineRecord record);
 
+/** The same of what changed; it is asked for whole if it is not of the record that is known. */
+void takeEngineChange(GatewayNode &node, std::set<std::string> &unknown, const std::string &target,
+                      const EngineChange &change);
+
 /** Tells the others what this VM knows of an engine that it orders. */
 void publishEngine(GatewayNode &node, const std::string &target);
 
--- /dev/null
+++ b/libs/serving/src/EngineLog.cpp
@@ -0,0 +1,127 @@
+#include "serving/EngineLog.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "core/Ids.h"
+
+namespace monsoonbay {
+
+namespace {
+
+/** Adapters that left are remembered for readers that report seldom; some readers hear more. */
+constexpr std::size_t mostGone = 64;
+
+bool hasSameHead(const EngineRecord &left, const EngineRecord &right)
+{
+    return std::tie(left.holder, left.born, left.models)
+        == std::tie(right.holder, right.born, right.models);
+}
+
+} // namespace
+
+// Sums do not depend on the order of the slots, which differs between VMs.
+std::uint64_t digestOf(const EngineRecord &record)
+{
+    std::uint64_t digest =
+        stableHash(record.holder.text(), static_cast<std::uint64_t>(record.born));
+    for (const std::string &model : record.models)
+        digest += stableHash(model, 1);
+    for (const auto &[adapter, version] : record.resident)
+        digest += stableHash(adapter, static_cast<std::uint64_t>(version) + 2);
+    return digest;
+}
+
+std::optional<EngineRecord> applyChange(const EngineRecord *known, const EngineChange &change)
+{
+    if (change.whole)
+        return change.record;
+    if (known == nullptr)
+        return std::nullopt;
+    EngineRecord record = change.record;
+    if (change.sameHead) {
+        record.holder = known->holder;
+        record.born = known->born;
+        record.models = known->models;
+    }
+    record.resident = known->resident;
+    for (const std::string &adapter : change.gone)
+        record.resident.erase(adapter);
+    for (const auto &[adapter, version] : change.record.resident)
+        record.resident[adapter] = version;
+    if (digestOf(record) != change.digest)
+        return std::nullopt;
+    return record;
+}
+
+void EngineLog::noteSlots(Parts &parts, const EngineRecord &before, const EngineRecord &after,
+                          std::uint64_t number)
+{
+    for (const auto &[adapter, version] : after.resident) {
+        const auto known = before.resident.find(adapter);
+        if (known != before.resident.end() && known->second == version)
+            continue;
+        parts.there[adapter] = number;
+        parts.gone.erase(adapter);
+    }
+    for (const auto &[adapter, version] : before.resident) {
+        if (after.resident.count(adapter) > 0)
+            continue;
+        parts.there.erase(adapter);
+        parts.gone[adapter] = number;
+    }
+    while (parts.gone.size() > mostGone) {
+        const auto oldest = std::min_element(
+            parts.gone.begin(), parts.gone.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; });
+        parts.wholeSince = std::max(parts.wholeSince, oldest->second);
+        parts.gone.erase(oldest);
+    }
+}
+
+bool EngineLog::set(const std::string &target, EngineRecord record, ChangeCounter &counter)
+{
+    const EngineRecord *const known = this->records.find(target);
+    const std::uint64_t number = counter.last + 1;
+    if (known == nullptr) {
+        Parts fresh;
+        fresh.wholeSince = number;
+        this->parts[target] = std::move(fresh);
+    } else {
+        Parts &changed = this->parts[target];
+        if (!hasSameHead(*known, record))
+            changed.head = number;
+        noteSlots(changed, *known, record, number);
+    }
+    return this->records.set(target, std::move(record), counter);
+}
+
+void EngineLog::erase(const std::string &target)
+{
+    this->records.erase(target);
+    this->parts.erase(target);
+}
+
+EngineChange EngineLog::changeSince(const std::string &target, std::uint64_t seen) const
+{
+    EngineChange change;
+    change.record = *this->records.find(target);
+    const Parts &changed = this->parts.at(target);
+    if (seen < changed.wholeSince)
+        return change;
+    change.whole = false;
+    change.sameHead = changed.head <= seen;
+    change.digest = digestOf(change.record);
+    std::erase_if(change.record.resident, [&](const auto &slot) {
+        const auto changedAt = changed.there.find(slot.first);
+        return changedAt == changed.there.end() || changedAt->second <= seen;
+    });
+    for (const auto &[adapter, goneAt] : changed.gone) {
+        if (goneAt > seen)
+            change.gone.push_back(adapter);
+    }
+    return change;
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/serving/tests/EngineLogs.cpp
@@ -0,0 +1,100 @@
+#include "serving/EngineLog.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace monsoonbay;
+
+namespace {
+
+EngineRecord recordOf(int slots, std::int64_t count)
+{
+    EngineRecord record;
+    record.holder = {"10.0.0.1", 7380};
+    record.revision.count = count;
+    for (int slot = 0; slot < slots; ++slot)
+        record.resident["adapter" + std::to_string(slot)] = 1;
+    return record;
+}
+
+/** What the record could be after a change of any of its parts. */
+EngineRecord changed(EngineRecord record)
+{
+    const std::string adapter = "adapter" + std::to_string(*rc::gen::inRange(0, 100));
+    switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+        record.resident.erase(adapter);
+        break;
+    case 1:
+        record.holder = {"10.0.0." + std::to_string(*rc::gen::inRange(1, 4)), 7380};
+        break;
+    case 2:
+        record.born = *rc::gen::inRange(0, 3);
+        record.resident.clear();
+        break;
+    default:
+        record.resident[adapter] = *rc::gen::inRange(1, 4);
+        break;
+    }
+    ++record.revision.count;
+    return record;
+}
+
+} // namespace
+
+// Guards against readers that go on with slots which an engine has not.
+Test(engine_log, readers_that_hear_changes_now_and_then_know_the_record)
+{
+    const bool holds = rc::check([] {
+        EngineLog log;
+        ChangeCounter counter;
+        EngineRecord record = recordOf(8, 1);
+        log.set("e", record, counter);
+        std::optional<EngineRecord> known;
+        std::uint64_t seen = 0;
+        const int steps = *rc::gen::inRange(1, 200);
+        for (int step = 0; step < steps; ++step) {
+            record = changed(record);
+            log.set("e", record, counter);
+            if (*rc::gen::inRange(0, 4) > 0)
+                continue;
+            known = applyChange(known ? &*known : nullptr, log.changeSince("e", seen));
+            seen = counter.last;
+            RC_ASSERT(known == record);
+        }
+    });
+    cr_assert(holds);
+}
+
+// Guards against changes that are put on another record than they are of.
+Test(engine_log, a_reader_that_knows_another_record_is_told_the_whole)
+{
+    EngineLog log;
+    ChangeCounter counter;
+    log.set("e", recordOf(8, 1), counter);
+    const std::uint64_t seen = counter.last;
+    log.set("e", recordOf(9, 2), counter);
+    const EngineChange change = log.changeSince("e", seen);
+    cr_assert_not(change.whole);
+    cr_assert(!applyChange(nullptr, change));
+    const EngineRecord other = recordOf(3, 1);
+    cr_assert(!applyChange(&other, change));
+    cr_assert(applyChange(&other, log.changeSince("e", 0)) == recordOf(9, 2));
+}
+
+// Guards against a whole record to all VMs for each slot that changes.
+Test(engine_log, of_a_slot_that_changes_only_that_is_told)
+{
+    EngineLog log;
+    ChangeCounter counter;
+    EngineRecord record = recordOf(11, 1);
+    log.set("e", record, counter);
+    const std::uint64_t seen = counter.last;
+    record.resident.erase("adapter3");
+    record.resident["adapter11"] = 1;
+    log.set("e", record, counter);
+    const EngineChange change = log.changeSince("e", seen);
+    cr_assert_eq(change.record.resident, (ResidentVersions{{"adapter11", 1}}));
+    cr_assert_eq(change.gone, std::vector<std::string>{"adapter3"});
+    cr_assert(change.sameHead);
+}
