A parameter that nothing reads is taken out

Cause: forwardedCallOf() took the answer of a call, which it does not use; the compiler warned of it. Change: taken out. Measured: the build is without warnings, the tests of the gateway pass.

--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -78,7 +78,7 @@
     return drawn;
 }
 
-ForwardedCall forwardedCallOf(const CallRun &run, const CallAnswer &answer)
+ForwardedCall forwardedCallOf(const CallRun &run)
 {
     ForwardedCall call;
     call.configVersion = run.routes->config().version;
@@ -100,7 +100,7 @@
     request->erase(http::field::content_length);
     request->chunked(true);
     request->set(http::field::expect, "100-continue");
-    writeForwardedCall(*request, forwardedCallOf(run, answer));
+    writeForwardedCall(*request, forwardedCallOf(run));
     return request;
 }
 
