--- a/libs/transfer/src/DocumentChange.cpp
+++ b/libs/transfer/src/DocumentChange.cpp
@@ -22,6 +22,12 @@
 constexpr std::size_t mostChunk = 512;
 constexpr std::uint64_t cutMask = (1ULL << 6U) - 1; // one byte in 64, beyond the least
 
+/**
+ * A shorter run of the base is not worth its 8 bytes: these don't compress, and the bytes around it
+ * compress worse in pieces.
+ */
+constexpr std::size_t leastNewRun = 256;
+
 constexpr std::uint64_t hashStep = 0x9E3779B97F4A7C15ULL;
 
 /** Length of the first chunk of `bytes`. */
@@ -38,6 +44,13 @@
     return std::min(bytes.size(), mostChunk);
 }
 
+/** Bytes with which both begin. */
+std::size_t sharedBytes(std::string_view left, std::string_view right)
+{
+    const auto differ = std::mismatch(left.begin(), left.end(), right.begin(), right.end());
+    return static_cast<std::size_t>(differ.first - left.begin());
+}
+
 /** Some bytes of the base, or, where `fromBase` is false, of the change itself. */
 struct Run
 {
@@ -152,7 +165,9 @@
         // run ended makes the run longer, and any other would begin a new one.
         if (next > base.size() || base.substr(next, chunk.size()) != chunk) {
             const auto known = offsets.find(chunk);
-            if (known == offsets.end()) {
+            const bool isWorth = known != offsets.end()
+                && sharedBytes(base.substr(known->second), document.substr(offset)) >= leastNewRun;
+            if (!isWorth) {
                 writer.add({false, offset, chunk.size()});
                 offset += chunk.size();
                 continue;
