Changes of engines' records are told at less cost to a relay

The digest is made when a record is set; slots that are not told are not copied; sizes of parts are those that the size of the whole has computed.

Tests of serving and gateway pass.

--- a/libs/gateway/src/NewsBytes.cpp
+++ b/libs/gateway/src/NewsBytes.cpp
@@ -21,21 +21,27 @@
     "zonesUses",     "zonesEngines", "zonesTargets", "zonesWorkspaces",
     "zonesPrefixes", "zonesConfig",  "zonesRest"};
 
+/** Size of parts of a message whose own size was computed just before, and theirs with it. */
 template <typename Message>
 std::uint64_t sizeOf(const google::protobuf::RepeatedPtrField<Message> &messages)
 {
     std::uint64_t bytes = 0;
     for (const Message &message : messages)
-        bytes += message.ByteSizeLong();
+        bytes += static_cast<std::uint64_t>(message.GetCachedSize());
     return bytes;
 }
 
-/** What the message has beside the bytes that are counted by kind. */
-template <typename Message> NewsBytes withRest(const Message &message, NewsBytes bytes)
+template <typename Message> std::uint64_t sizeOf(bool isThere, const Message &message)
+{
+    return isThere ? static_cast<std::uint64_t>(message.GetCachedSize()) : 0;
+}
+
+/** Counts what a message of `total` bytes has beside those that are counted by kind. */
+NewsBytes withRest(std::uint64_t total, NewsBytes bytes)
 {
     const std::uint64_t known =
         std::accumulate(bytes.byKind.begin(), bytes.byKind.end(), std::uint64_t{0});
-    bytes[NewsKind::Rest] = message.ByteSizeLong() - known;
+    bytes[NewsKind::Rest] = total - known;
     return bytes;
 }
 
@@ -50,27 +56,28 @@
 NewsBytes bytesOf(const v1::Report &report)
 {
     NewsBytes bytes;
+    const std::uint64_t total = report.ByteSizeLong();
     bytes[NewsKind::Uses] = sizeOf(report.uses());
     bytes[NewsKind::Engines] = sizeOf(report.engines());
     for (const std::string &target : report.holds())
         bytes[NewsKind::Engines] += target.size();
     bytes[NewsKind::Targets] = sizeOf(report.leaving());
     bytes[NewsKind::Workspaces] = sizeOf(report.workspaces());
-    bytes[NewsKind::Prefixes] = report.has_prefixes() ? report.prefixes().ByteSizeLong() : 0;
-    return withRest(report, bytes);
+    bytes[NewsKind::Prefixes] = sizeOf(report.has_prefixes(), report.prefixes());
+    return withRest(total, bytes);
 }
 
 NewsBytes bytesOf(const v1::Digest &digest)
 {
     NewsBytes bytes;
+    const std::uint64_t total = digest.ByteSizeLong();
     bytes[NewsKind::Uses] = sizeOf(digest.others());
     bytes[NewsKind::Engines] = sizeOf(digest.engines());
     bytes[NewsKind::Targets] = sizeOf(digest.targets());
     bytes[NewsKind::Workspaces] = sizeOf(digest.other_workspaces());
-    if (digest.has_spend())
-        bytes[NewsKind::Workspaces] += digest.spend().ByteSizeLong();
-    bytes[NewsKind::Prefixes] = digest.has_prefixes() ? digest.prefixes().ByteSizeLong() : 0;
-    return withRest(digest, bytes);
+    bytes[NewsKind::Workspaces] += sizeOf(digest.has_spend(), digest.spend());
+    bytes[NewsKind::Prefixes] = sizeOf(digest.has_prefixes(), digest.prefixes());
+    return withRest(total, bytes);
 }
 
 NewsBytes bytesOf(const v1::ConfigPart &part)
--- a/libs/serving/include/serving/EngineLog.h
+++ b/libs/serving/include/serving/EngineLog.h
@@ -83,6 +83,7 @@
     {
         std::uint64_t wholeSince = 0; ///< who has seen less is told the whole record
         std::uint64_t head = 0;
+        std::uint64_t digest = 0; ///< of the record, as each reader is told it
         std::map<std::string, std::uint64_t> there; ///< by adapter
         std::map<std::string, std::uint64_t> gone;
     };
--- a/libs/serving/src/EngineLog.cpp
+++ b/libs/serving/src/EngineLog.cpp
@@ -84,16 +84,16 @@
 {
     const EngineRecord *const known = this->records.find(target);
     const std::uint64_t number = counter.last + 1;
+    Parts &changed = this->parts[target];
     if (known == nullptr) {
-        Parts fresh;
-        fresh.wholeSince = number;
-        this->parts[target] = std::move(fresh);
+        changed = Parts();
+        changed.wholeSince = number;
     } else {
-        Parts &changed = this->parts[target];
         if (!hasSameHead(*known, record))
             changed.head = number;
         noteSlots(changed, *known, record, number);
     }
+    changed.digest = digestOf(record);
     return this->records.set(target, std::move(record), counter);
 }
 
@@ -103,20 +103,35 @@
     this->parts.erase(target);
 }
 
+// A relay tells some thousand changes a second: what a change does not tell is not copied.
 EngineChange EngineLog::changeSince(const std::string &target, std::uint64_t seen) const
 {
     EngineChange change;
-    change.record = *this->records.find(target);
+    const EngineRecord &record = *this->records.find(target);
     const Parts &changed = this->parts.at(target);
-    if (seen < changed.wholeSince)
+    if (seen < changed.wholeSince) {
+        change.record = record;
         return change;
+    }
     change.whole = false;
     change.sameHead = changed.head <= seen;
-    change.digest = digestOf(change.record);
-    std::erase_if(change.record.resident, [&](const auto &slot) {
-        const auto changedAt = changed.there.find(slot.first);
-        return changedAt == changed.there.end() || changedAt->second <= seen;
-    });
+    change.digest = changed.digest;
+    if (!change.sameHead) {
+        change.record.holder = record.holder;
+        change.record.born = record.born;
+        change.record.models = record.models;
+    }
+    change.record.revision = record.revision;
+    change.record.holderLive = record.holderLive;
+    change.record.incoming = record.incoming;
+    change.record.loading = record.loading;
+    change.record.fetchMs = record.fetchMs;
+    change.record.copyMs = record.copyMs;
+    change.record.copiesKept = record.copiesKept;
+    for (const auto &[adapter, changedAt] : changed.there) {
+        if (changedAt > seen)
+            change.record.resident[adapter] = record.resident.at(adapter);
+    }
     for (const auto &[adapter, goneAt] : changed.gone) {
         if (goneAt > seen)
             change.gone.push_back(adapter);
