Logs of answered calls tell what showed the answer's end

Cause: nothing told an answer that ended with its connection from one whose framing had ended, nor an end inside an event, so two hypotheses on answers that look complete could not be told apart.

Change: call-answered has endShownBy (framing or connection) and leftOver (bytes after the last whole event). No logic changed.

--- /dev/null
+++ b/libs/gateway/src/AnswerEnd.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace monsoonbay {
+
+/** What shows that an answer is whole. */
+enum class AnswerEnd : std::uint8_t {
+    Framing, ///< it has as many bytes as its head says, or its last chunk has come
+    Connection, ///< nothing: its connection ends in order, as it also does when the sender ends
+};
+
+constexpr std::string_view answerEndName(AnswerEnd end) noexcept
+{
+    return end == AnswerEnd::Framing ? "framing" : "connection";
+}
+
+} // namespace monsoonbay
--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -29,6 +29,7 @@
     const bool whole = co_await readWhole(exchange, reply.body);
     if (!whole)
         co_return SendEnd::Broken;
+    run.endShownBy = exchange.endShownBy();
     if (reply.status >= 500 && !answer.relay.begun()) {
         answer.kept.there = true;
         answer.kept.reply = std::move(reply);
@@ -60,6 +61,8 @@
             co_return SendEnd::Broken;
         if (end == BodyRead::Some)
             continue;
+        run.endShownBy = exchange.endShownBy();
+        run.leftOver = relay.leftOver();
         const bool finished = co_await relay.finish(exchange);
         if (!finished)
             run.closeAfter = true;
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -6,6 +6,7 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "AnswerEnd.h"
 #include "ForwardedCall.h"
 #include "GatewayNode.h"
 #include "serving/CallFacts.h"
@@ -68,6 +69,8 @@
     Instant firstPieceAt{}; ///< of the answer, towards the caller; zero: none yet
     Instant lastPieceAt{};
     Duration longestGap{}; ///< between two pieces
+    AnswerEnd endShownBy = AnswerEnd::Framing; ///< by the last answer of a target that ended
+    std::size_t leftOver = 0; ///< bytes of that answer after its last whole event
     bool mayHaveRun = false;
     int runsStarted = 0; ///< that may have begun, here and at other VMs
     bool callerGone = false;
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -63,6 +63,8 @@
               {"sends", std::to_string(run.sends)},
               {"promptTokens", std::to_string(static_cast<int>(run.facts.promptTokens))},
               {"cachedTokens", std::to_string(static_cast<int>(run.cachedTokens))},
+              {"endShownBy", std::string(answerEndName(run.endShownBy))},
+              {"leftOver", std::to_string(run.leftOver)},
               {"late",
                first - run.arrivedAt > run.route->latencyObjective
                        || run.longestGap > run.route->gapObjective
--- a/libs/gateway/src/StreamRelay.cpp
+++ b/libs/gateway/src/StreamRelay.cpp
@@ -37,6 +37,11 @@
     return this->events.lastId;
 }
 
+std::size_t StreamRelay::leftOver() const noexcept
+{
+    return this->events.pending.size();
+}
+
 void StreamRelay::restart()
 {
     restartEvents(this->events);
--- a/libs/gateway/src/StreamRelay.h
+++ b/libs/gateway/src/StreamRelay.h
@@ -21,6 +21,9 @@
     /** Id of the last event that the caller has. */
     std::optional<std::uint64_t> lastId() const noexcept;
 
+    /** Bytes that came after the last whole event. */
+    std::size_t leftOver() const noexcept;
+
     /** A further run begins. */
     void restart();
 
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -107,6 +107,11 @@
     return this->lastError;
 }
 
+AnswerEnd TargetExchange::endShownBy() const
+{
+    return this->parser->need_eof() ? AnswerEnd::Connection : AnswerEnd::Framing;
+}
+
 int TargetExchange::status() const
 {
     return static_cast<int>(this->parser->get().result_int());
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 
+#include "AnswerEnd.h"
 #include "GatewayNode.h"
 #include "transport/HttpServer.h"
 
@@ -63,6 +64,9 @@
     /** Reads what has arrived of the body. */
     asio::awaitable<BodyRead> read(std::string &piece);
 
+    /** What shows the end of the answer whose head has been read. */
+    AnswerEnd endShownBy() const;
+
     int status() const;
     const ResponseHead &head() const;
     const AnswerFacts &facts() const noexcept;
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -175,7 +175,10 @@
              "a stream was broken off after it had begun",
              "look for call-bounced with the same call"},
     EventRow{EventId::CallAnswered, "call-answered", EventLevel::Info,
-             "the caller has its whole answer; the fields tell where its time went", "none"},
+             "the caller has its whole answer; the fields tell where its time went, `endShownBy` "
+             "what showed that the target's answer was whole, `leftOver` how many bytes came after "
+             "its last whole event",
+             "none"},
     EventRow{EventId::CallOverLimit, "call-over-limit", EventLevel::Info,
              "a call was refused for its workspace's limit; the fields tell what was known",
              "none if it asks for more than its limit; else compare vmsInTouch, vmsKnown"},
