An answer's end is passed on as it was shown, and no more

Cause: an answer with neither length nor chunks counts as whole when its connection ends in order, as it also does when its sender ends. The gateway then vouched for an end that nobody had shown: by a last chunk, by a length, and by passing on a part of an event. Class: what is not proved is passed on as proved.

What shows an answer's end (its framing, or only its connection) is a typed fact that goes from the engine by the VM, and another VM that took the call, to the caller. A stream that ends inside an event, or before its first one, or that shows no end where the caller was promised chunks, is broken off: resumed where the route allows it, else cut. What only its connection ends is passed on so, without length or chunks; while it is written, the caller's connection is reset if it ends for any other reason, also the process's. Such an answer is no good outcome for its engine and clears no suspicion. Callers of HTTP/1.0 get no chunks. An event ends with an empty line, also with CRLF, which was held back until the stream's end. A connection whose answer ended it is no longer offered to the pool.

--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -30,15 +30,18 @@
     if (!whole)
         co_return SendEnd::Broken;
     run.endShownBy = exchange.endShownBy();
+    const AnswerEnd shownBy = run.endShownBy;
     if (reply.status >= 500 && !answer.relay.begun()) {
-        answer.kept.there = true;
-        answer.kept.reply = std::move(reply);
+        answer.kept = {true, std::move(reply), shownBy};
         co_return SendEnd::Failed;
     }
     if (answer.relay.begun())
         co_return SendEnd::Broken;
-    const bool written = co_await writeAnswer(run, std::move(reply));
-    co_return written ? SendEnd::Done : SendEnd::CallerLost;
+    const bool written =
+        co_await writeAnswer(run, std::move(reply), ForwardOutcome::FromTarget, shownBy);
+    if (!written)
+        co_return SendEnd::CallerLost;
+    co_return shownBy == AnswerEnd::Framing ? SendEnd::Done : SendEnd::Unproved;
 }
 
 asio::awaitable<SendEnd> passStream(CallRun &run, StreamRelay &relay, TargetExchange &exchange,
@@ -63,10 +66,7 @@
             continue;
         run.endShownBy = exchange.endShownBy();
         run.leftOver = relay.leftOver();
-        const bool finished = co_await relay.finish(exchange);
-        if (!finished)
-            run.closeAfter = true;
-        co_return finished ? SendEnd::Done : SendEnd::CallerLost;
+        co_return co_await relay.finish(exchange);
     }
 }
 
@@ -134,7 +134,7 @@
 asio::awaitable<void> giveUp(CallRun &run, CallAnswer &answer, OwnAnswer last)
 {
     if (answer.relay.begun()) {
-        run.closeAfter = true;
+        answer.relay.cut();
         logEvent(EventId::StreamCut,
                  {{"call", run.facts.attemptId},
                   {"timedOut", run.timedOut ? "yes" : "no"},
@@ -144,7 +144,7 @@
     if (answer.kept.there) {
         HttpReply reply = std::move(answer.kept.reply);
         run.node.metrics.add(Counter::RequestsFailed);
-        co_await writeAnswer(run, std::move(reply));
+        co_await writeAnswer(run, std::move(reply), ForwardOutcome::FromTarget, answer.kept.end);
         co_return;
     }
     if (run.mayHaveRun) {
--- a/libs/gateway/src/CallAnswer.h
+++ b/libs/gateway/src/CallAnswer.h
@@ -8,22 +8,12 @@
 
 namespace monsoonbay {
 
-/** How one send of a call ended. */
-enum class SendEnd : std::uint8_t {
-    Done, ///< the caller has its whole answer
-    Unreachable, ///< nothing was sent
-    NotRun, ///< the target says it has not run the call
-    Failed, ///< the target answered with an error of its own
-    Broken, ///< the answer was lost, cut off or spoiled
-    CallerLost, ///< the caller does not take the answer
-    Refused, ///< the call ends here with CallAnswer::refusal, nothing was sent or it has not run
-};
-
 /** An answer that was read whole, to be passed on unless a better one can be had. */
 struct KeptAnswer
 {
     bool there = false;
     HttpReply reply;
+    AnswerEnd end = AnswerEnd::Framing;
 };
 
 /** The answer to one call, over all its sends. */
--- a/libs/gateway/src/CallRun.cpp
+++ b/libs/gateway/src/CallRun.cpp
@@ -102,7 +102,36 @@
         });
 }
 
-asio::awaitable<bool> writeAnswer(CallRun &run, HttpReply reply, ForwardOutcome outcome)
+namespace {
+
+void setReset(CallRun &run, bool reset)
+{
+    boost::system::error_code ignored; // of a connection that has ended already
+    run.caller.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
+} // namespace
+
+void resetUnlessWhole(CallRun &run)
+{
+    run.closeAfter = true;
+    setReset(run, true);
+}
+
+void noteWhole(CallRun &run)
+{
+    setReset(run, false);
+}
+
+void cutAnswer(CallRun &run)
+{
+    resetUnlessWhole(run);
+    boost::system::error_code ignored;
+    run.caller.socket().close(ignored);
+}
+
+asio::awaitable<bool> writeAnswer(CallRun &run, HttpReply reply, ForwardOutcome outcome,
+                                  AnswerEnd end)
 {
     run.answerBegun = true;
     http::response<http::string_body> response(static_cast<http::status>(reply.status),
@@ -113,14 +142,20 @@
         response.set(http::field::content_type, reply.contentType);
     run.closeAfter = run.closeAfter || run.node.shuttingDown;
     if (run.forwarded)
-        writeForwardReport(response, {outcome, run.runsStarted});
+        writeForwardReport(response, {outcome, run.runsStarted, end});
+    const bool framed = run.forwarded || end == AnswerEnd::Framing;
+    if (!framed)
+        resetUnlessWhole(run);
     response.keep_alive(run.request->keep_alive() && !run.closeAfter);
     response.body() = std::move(reply.body);
-    response.prepare_payload();
+    if (framed)
+        response.prepare_payload();
     run.caller.expires_after(writePatience);
     auto [error, bytes] = co_await http::async_write(run.caller, response, quietly);
     if (error)
         run.closeAfter = true;
+    else if (!framed)
+        noteWhole(run);
     co_return !error;
 }
 
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -125,9 +125,22 @@
 
 /**
  * Writes a whole answer to the caller; false if the caller cannot be reached. A VM that forwarded
- * the call learns `outcome`.
+ * the call learns `outcome` and `end`; a caller whose answer has no end shown gets none shown.
  */
 asio::awaitable<bool> writeAnswer(CallRun &run, HttpReply reply,
-                                  ForwardOutcome outcome = ForwardOutcome::FromTarget);
+                                  ForwardOutcome outcome = ForwardOutcome::FromTarget,
+                                  AnswerEnd end = AnswerEnd::Framing);
+
+/**
+ * From now on the caller's connection is reset if it ends, whatever ends it. To be called before an
+ * answer that ends with its connection: its caller would take a cut for the end.
+ */
+void resetUnlessWhole(CallRun &run);
+
+/** All of that answer was written: the connection may end in order. */
+void noteWhole(CallRun &run);
+
+/** Cuts the answer that is being written, so that its caller sees that it was cut. */
+void cutAnswer(CallRun &run);
 
 } // namespace monsoonbay
--- a/libs/gateway/src/ForwardedCall.cpp
+++ b/libs/gateway/src/ForwardedCall.cpp
@@ -18,8 +18,10 @@
 constexpr std::array allRefusals{ForwardRefusal::Malformed, ForwardRefusal::Stopping,
                                  ForwardRefusal::LinksLost, ForwardRefusal::OtherConfig,
                                  ForwardRefusal::Busy};
+constexpr const char *endHeader = "Monsoonbay-End";
 constexpr std::string_view notRun = "not-run";
 constexpr std::string_view mayHaveRun = "may-have-run";
+constexpr std::string_view byConnection = "connection";
 
 ForwardedCall callOf(const Json &json)
 {
@@ -111,6 +113,9 @@
     if (report.outcome != ForwardOutcome::FromTarget)
         head.set(outcomeHeader, report.outcome == ForwardOutcome::NotRun ? notRun : mayHaveRun);
     head.set(runsHeader, std::to_string(report.runs));
+    head.erase(endHeader);
+    if (report.end == AnswerEnd::Connection)
+        head.set(endHeader, byConnection);
 }
 
 ForwardReport readForwardReport(const ResponseHead &head)
@@ -121,6 +126,8 @@
         report.outcome = outcome == notRun ? ForwardOutcome::NotRun : ForwardOutcome::MayHaveRun;
     const auto runs = head[runsHeader];
     std::from_chars(runs.data(), runs.data() + runs.size(), report.runs);
+    if (head[endHeader] == byConnection)
+        report.end = AnswerEnd::Connection;
     return report;
 }
 
--- a/libs/gateway/src/ForwardedCall.h
+++ b/libs/gateway/src/ForwardedCall.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "AnswerEnd.h"
 #include "access/KeyTable.h"
 #include "core/Time.h"
 #include "gateway/PlatformPort.h"
@@ -61,6 +62,7 @@
 {
     ForwardOutcome outcome = ForwardOutcome::FromTarget;
     int runs = 0; ///< that may have begun, those before it was forwarded among them
+    AnswerEnd end = AnswerEnd::Framing; ///< what showed the end of the target's answer
 
     auto operator<=>(const ForwardReport &) const = default;
 };
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -48,6 +48,8 @@
     const Instant first = run.firstPieceAt == Instant{} ? now : run.firstPieceAt;
     const bool forecast = run.forecast > Duration::zero() && first > run.forecastAt;
     run.node.metrics.add(Counter::RequestsAnswered);
+    if (run.endShownBy == AnswerEnd::Connection)
+        run.node.metrics.add(Counter::AnswersUnproved);
     logEvent(EventId::CallAnswered,
              {{"call", run.facts.attemptId},
               {"route", run.route->name},
@@ -132,7 +134,10 @@
                 co_await giveUp(this->run, this->answer, this->answer.refusal);
                 co_return;
             }
-            const bool over = end == SendEnd::Done || end == SendEnd::CallerLost;
+            if (end == SendEnd::Unproved)
+                noteAnswered(this->run, target);
+            const bool over =
+                end == SendEnd::Done || end == SendEnd::Unproved || end == SendEnd::CallerLost;
             if (over || this->run.callerGone)
                 co_return;
             const bool again = this->mayTryAgain(end);
@@ -166,8 +171,8 @@
         this->run.connection.reset();
         if (end == SendEnd::Refused && !this->run.callerGone)
             co_await giveUp(this->run, this->answer, this->answer.refusal);
-        const bool over =
-            end == SendEnd::Refused || end == SendEnd::Done || end == SendEnd::CallerLost;
+        const bool over = end == SendEnd::Refused || end == SendEnd::Done
+            || end == SendEnd::Unproved || end == SendEnd::CallerLost;
         if (over || this->run.callerGone)
             co_return true;
         const bool again = this->mayTryAgain(end);
--- a/libs/gateway/src/StreamRelay.cpp
+++ b/libs/gateway/src/StreamRelay.cpp
@@ -45,6 +45,7 @@
 void StreamRelay::restart()
 {
     restartEvents(this->events);
+    this->eventCame = false;
 }
 
 asio::awaitable<bool> StreamRelay::pass(const TargetExchange &exchange, std::string piece)
@@ -52,42 +53,82 @@
     std::string out = takeEvents(this->events, piece);
     if (out.empty())
         co_return true;
+    this->eventCame = true;
     notePiece(this->run);
     const bool headed = co_await this->writeHead(exchange);
     if (!headed)
         co_return false;
-    co_return co_await this->writeChunk(std::move(out));
+    co_return co_await this->writeEvents(std::move(out));
 }
 
-asio::awaitable<bool> StreamRelay::finish(const TargetExchange &exchange)
+asio::awaitable<SendEnd> StreamRelay::finish(const TargetExchange &exchange)
 {
+    const AnswerEnd shownBy = exchange.endShownBy();
+    if (this->showsTooLittle(shownBy))
+        co_return SendEnd::Broken;
     const bool headed = co_await this->writeHead(exchange);
-    if (!headed)
-        co_return false;
-    if (!this->events.pending.empty()) {
-        const bool written = co_await this->writeChunk(std::move(this->events.pending));
-        if (!written)
-            co_return false;
+    SendEnd end = SendEnd::CallerLost;
+    if (headed)
+        end = co_await this->writeEnd(shownBy);
+    if (end == SendEnd::CallerLost)
+        this->run.closeAfter = true;
+    co_return end;
+}
+
+void StreamRelay::cut()
+{
+    this->run.closeAfter = true;
+    if (!this->chunked)
+        cutAnswer(this->run);
+}
+
+// A connection that ends in order tells nothing: it ends so, too, when an engine ends with all its
+// connections. Inside an event, or before the first one, the run has certainly broken off; and an
+// answer in chunks cannot be ended by a run that shows no end.
+bool StreamRelay::showsTooLittle(AnswerEnd shownBy) const noexcept
+{
+    if (isInsideEvent(this->events))
+        return true;
+    if (shownBy == AnswerEnd::Framing)
+        return false;
+    const bool promisedMore = this->headSent && this->promised == AnswerEnd::Framing;
+    return promisedMore || !this->eventCame;
+}
+
+asio::awaitable<SendEnd> StreamRelay::writeEnd(AnswerEnd shownBy)
+{
+    if (this->chunked) {
+        const auto last = http::make_chunk_last();
+        auto [error, bytes] = co_await asio::async_write(this->run.caller, last, quietly);
+        if (error)
+            co_return SendEnd::CallerLost;
+    } else {
+        noteWhole(this->run);
     }
-    const auto last = http::make_chunk_last();
-    auto [error, bytes] = co_await asio::async_write(this->run.caller, last, quietly);
-    co_return !error;
+    co_return shownBy == AnswerEnd::Framing ? SendEnd::Done : SendEnd::Unproved;
 }
 
 // The head is held back until the first event is there: until then a run that breaks off can be
 // replaced by another one, or by an honest failure.
 asio::awaitable<bool> StreamRelay::writeHead(const TargetExchange &exchange)
 {
+    constexpr unsigned firstVersionWithChunks = 11;
     if (this->headSent)
         co_return true;
     http::response<http::empty_body> head(static_cast<http::status>(exchange.status()), 11);
     for (const HttpHeader &header : passedHeaders(exchange.head()))
         head.insert(header.name, header.value);
+    this->promised = exchange.endShownBy();
+    const bool canChunk = this->run.request->version() >= firstVersionWithChunks;
+    this->chunked = this->run.forwarded || (canChunk && this->promised == AnswerEnd::Framing);
     if (this->run.forwarded)
-        writeForwardReport(head, {ForwardOutcome::FromTarget, this->run.runsStarted});
+        writeForwardReport(head,
+                           {ForwardOutcome::FromTarget, this->run.runsStarted, this->promised});
     this->run.closeAfter = this->run.closeAfter || this->run.node.shuttingDown;
+    if (!this->chunked)
+        resetUnlessWhole(this->run);
     head.keep_alive(this->run.request->keep_alive() && !this->run.closeAfter);
-    head.chunked(true);
+    head.chunked(this->chunked);
     this->headSent = true;
     this->run.answerBegun = true;
     this->run.caller.expires_after(writePatience);
@@ -96,9 +137,14 @@
     co_return !error;
 }
 
-asio::awaitable<bool> StreamRelay::writeChunk(std::string text)
+asio::awaitable<bool> StreamRelay::writeEvents(std::string text)
 {
     this->run.caller.expires_after(writePatience);
+    if (!this->chunked) {
+        auto [error, bytes] =
+            co_await asio::async_write(this->run.caller, asio::buffer(text), quietly);
+        co_return !error;
+    }
     const auto chunk = http::make_chunk(asio::buffer(text));
     auto [error, bytes] = co_await asio::async_write(this->run.caller, chunk, quietly);
     co_return !error;
--- a/libs/gateway/src/StreamRelay.h
+++ b/libs/gateway/src/StreamRelay.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "CallRun.h"
+#include "SendEnd.h"
 #include "TargetExchange.h"
 #include "serving/EventStream.h"
 
@@ -30,16 +31,27 @@
     /** Passes on the whole events in `piece`; false if the caller cannot be reached. */
     asio::awaitable<bool> pass(const TargetExchange &exchange, std::string piece);
 
-    /** Ends the answer as complete; a part of an event that is left belongs to the answer. */
-    asio::awaitable<bool> finish(const TargetExchange &exchange);
+    /**
+     * The run has ended, and says so. Ends the answer, unless that would promise the caller more
+     * than the run has shown: then it is Broken, and the answer can go on with a further run.
+     */
+    asio::awaitable<SendEnd> finish(const TargetExchange &exchange);
+
+    /** Breaks the answer off, so that its caller sees it. */
+    void cut();
 
 private:
     asio::awaitable<bool> writeHead(const TargetExchange &exchange);
-    asio::awaitable<bool> writeChunk(std::string text);
+    asio::awaitable<bool> writeEvents(std::string text);
+    asio::awaitable<SendEnd> writeEnd(AnswerEnd shownBy);
+    bool showsTooLittle(AnswerEnd shownBy) const noexcept;
 
     CallRun &run;
     EventStream events;
     bool headSent = false;
+    bool chunked = true; ///< the caller's answer; otherwise it ends with its connection
+    AnswerEnd promised = AnswerEnd::Framing; ///< by the head: what will show the answer's end
+    bool eventCame = false; ///< of the run under way
 };
 
 } // namespace monsoonbay
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "ForwardedCall.h"
 #include "LinkWatch.h"
 
 namespace monsoonbay {
@@ -76,7 +77,7 @@
     if (!this->link)
         return;
     const bool reusable = this->whole && !this->unusable && *this->written
-        && this->parser->get().keep_alive() && this->link->buffer.size() == 0
+        && this->parser->keep_alive() && this->link->buffer.size() == 0
         && this->link->socket.is_open();
     if (!reusable) {
         closeConnection(*this->link);
@@ -107,9 +108,12 @@
     return this->lastError;
 }
 
+// Another VM frames all that it sends, and says how the target's answer showed its end.
 AnswerEnd TargetExchange::endShownBy() const
 {
-    return this->parser->need_eof() ? AnswerEnd::Connection : AnswerEnd::Framing;
+    if (this->parser->need_eof())
+        return AnswerEnd::Connection;
+    return this->targetId.empty() ? readForwardReport(this->head()).end : AnswerEnd::Framing;
 }
 
 int TargetExchange::status() const
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -18,8 +18,8 @@
 /** How a read from a target ended. */
 enum class BodyRead : std::uint8_t {
     Some, ///< there is more
-    End, ///< the answer is complete
-    Broken, ///< it ended before it was complete
+    End, ///< the answer has ended; endShownBy() tells whether anything shows that it is whole
+    Broken, ///< it broke off
 };
 
 /** What became of a call that was offered to another VM. */
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -43,6 +43,7 @@
     LoadsDeclinedModel,
     LoadsDeclinedHolder, ///< the VM that was asked may not order the engine
     CallsForwarded, ///< that another VM has taken
+    AnswersUnproved, ///< passed on, and ended with the target's connection
     ForwardsRefused, ///< offers of a call that another VM did not take
     // Bytes of news sent to VMs of the own zone, by kind; see gateway/NewsBytes.h.
     NewsToMatesUses,
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -175,7 +175,8 @@
              "a stream was broken off after it had begun",
              "look for call-bounced with the same call"},
     EventRow{EventId::CallAnswered, "call-answered", EventLevel::Info,
-             "the caller has its whole answer; the fields tell where its time went, `endShownBy` "
+             "the caller has all that came of its answer; the fields tell where its time went, "
+             "`endShownBy` "
              "what showed that the target's answer was whole, `leftOver` how many bytes came after "
              "its last whole event",
              "none"},
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -59,6 +59,7 @@
                                                                   "loads_declined_model_missing",
                                                                   "loads_declined_not_holder",
                                                                   "calls_forwarded",
+                                                                  "answers_unproved",
                                                                   "forwards_refused",
                                                                   "news_to_mates_uses_bytes",
                                                                   "news_to_mates_engines_bytes",
--- a/libs/serving/include/serving/EventStream.h
+++ b/libs/serving/include/serving/EventStream.h
@@ -7,7 +7,10 @@
 
 namespace monsoonbay {
 
-/** Cuts a text/event-stream into whole events, so that a caller never gets a part of one. */
+/**
+ * Cuts a text/event-stream into whole events, so that a caller never gets a part of one. An event
+ * ends with an empty line; lines end with LF or CRLF.
+ */
 struct EventStream
 {
     std::string pending; ///< bytes after the last whole event
@@ -17,6 +20,9 @@
 /** Takes bytes as they arrive; returns the whole events that can be passed on now. */
 std::string takeEvents(EventStream &stream, std::string_view bytes);
 
+/** True if an end of the stream here would be one inside an event. */
+bool isInsideEvent(const EventStream &stream) noexcept;
+
 /** Begins the answer of a further run that goes on after `lastId`; what is pending is dropped. */
 void restartEvents(EventStream &stream);
 
--- a/libs/serving/src/EventStream.cpp
+++ b/libs/serving/src/EventStream.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::string_view eventEnd = "\n\n";
 constexpr std::string_view idField = "id:";
 
 std::string_view trimmed(std::string_view text)
@@ -18,6 +17,24 @@
     return text;
 }
 
+/** Length of the first event of `text`, its empty line included; 0: it has not all come. */
+std::size_t firstEventLength(std::string_view text)
+{
+    std::size_t line = 0;
+    while (line < text.size()) {
+        const std::string_view rest = text.substr(line);
+        if (rest.starts_with("\n"))
+            return line + 1;
+        if (rest.starts_with("\r\n"))
+            return line + 2;
+        const std::size_t lineEnd = text.find('\n', line);
+        if (lineEnd == std::string_view::npos)
+            return 0;
+        line = lineEnd + 1;
+    }
+    return 0;
+}
+
 } // namespace
 
 std::optional<std::uint64_t> eventId(std::string_view event)
@@ -45,12 +62,11 @@
     std::string out;
     std::size_t begin = 0;
     while (true) {
-        const std::size_t end = stream.pending.find(eventEnd, begin);
-        if (end == std::string::npos)
+        const std::string_view left = std::string_view(stream.pending).substr(begin);
+        const std::string_view event = left.substr(0, firstEventLength(left));
+        if (event.empty())
             break;
-        const std::size_t next = end + eventEnd.size();
-        const std::string_view event(stream.pending.data() + begin, next - begin);
-        begin = next;
+        begin += event.size();
         const std::optional<std::uint64_t> id = eventId(event);
         const bool repeated = id && stream.lastId && *id <= *stream.lastId;
         if (repeated)
@@ -63,6 +79,11 @@
     return out;
 }
 
+bool isInsideEvent(const EventStream &stream) noexcept
+{
+    return !stream.pending.empty();
+}
+
 void restartEvents(EventStream &stream)
 {
     stream.pending.clear();
--- a/libs/serving/tests/Events.cpp
+++ b/libs/serving/tests/Events.cpp
@@ -33,8 +33,46 @@
     return out;
 }
 
+/** The same events with lines that end with CRLF. */
+std::string withCrlf(const std::string &events)
+{
+    std::string out;
+    for (const char letter : events) {
+        if (letter == '\n')
+            out += '\r';
+        out += letter;
+    }
+    return out;
+}
+
 } // namespace
 
+// Guards against events with CRLF that are held back, and ends inside an event taken for ends
+// between two.
+Test(events, an_end_is_inside_an_event_until_its_empty_line_has_come)
+{
+    cr_assert(rc::check("ends", [] {
+        const std::uint64_t last = *rc::gen::inRange<std::uint64_t>(1, 5);
+        const bool crlf = *rc::gen::arbitrary<bool>();
+        const auto lines = [crlf](const std::string &text) {
+            return crlf ? withCrlf(text) : text;
+        };
+        const std::string whole = lines(streamOf(1, last));
+        const auto cut = *rc::gen::inRange<std::size_t>(0, whole.size() + 1);
+        EventStream stream;
+        const std::string got = feed(stream, std::string_view(whole).substr(0, cut));
+        std::string expected;
+        for (std::uint64_t id = 1; id <= last; ++id) {
+            const std::string next = expected + lines(streamOf(id, id));
+            if (next.size() > cut)
+                break;
+            expected = next;
+        }
+        RC_ASSERT(got == expected);
+        RC_ASSERT(isInsideEvent(stream) == (expected.size() < cut));
+    }));
+}
+
 Test(events, any_cut_gives_the_same_bytes)
 {
     cr_assert(rc::check("cuts", [] {
