The version of a target's software is read and told on, and logs name it and what a caller takes up

Cause: the platform's list names each target's version, and callers name in Resumes what they take up; neither was read, so no log could tell a run that goes on elsewhere in one answer from a caller sent elsewhere.

Change: TargetEntry has software, told to all VMs with the entry; CallFacts has resumes. call-answered and call-bounced name the version, call-answered what the stream resumes. No logic changed.

--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -55,6 +55,8 @@
               {"route", run.route->name},
               {"adapter", run.facts.adapter},
               {"target", target.id},
+              {"software", target.software},
+              {"resumes", run.facts.resumes},
               {"firstMs", millisText(first - run.arrivedAt)},
               {"wholeMs", millisText(now - run.arrivedAt)},
               {"placingMs", millisText(run.placing)},
@@ -141,7 +143,7 @@
             if (over || this->run.callerGone)
                 co_return;
             const bool again = this->mayTryAgain(end);
-            this->logBounced(target.id, end, again);
+            this->logBounced(target.id, target.software, end, again);
             if (again)
                 continue;
             OwnAnswer last = ownAnswer(503, "the target did not take the call", comeBackSoon);
@@ -176,7 +178,7 @@
         if (over || this->run.callerGone)
             co_return true;
         const bool again = this->mayTryAgain(end);
-        this->logBounced("another VM", end, again);
+        this->logBounced("another VM", "", end, again);
         if (again)
             co_return false;
         OwnAnswer last = ownAnswer(503, "the other VM lost the call", comeBackSoon);
@@ -184,13 +186,14 @@
         co_return true;
     }
 
-    void logBounced(const std::string &target, SendEnd end, bool again)
+    void logBounced(const std::string &target, const std::string &software, SendEnd end, bool again)
     {
         const ServiceRetryBudget &budget = this->node.retryBudgets[this->run.service];
         const TargetUse others = othersAt(this->node, target);
         logEvent(EventId::CallBounced,
                  {{"call", this->run.facts.attemptId},
                   {"target", target},
+                  {"software", software},
                   {"end", std::to_string(static_cast<int>(end))},
                   {"error", this->sendError ? this->sendError.message() : ""},
                   {"othersGood", std::to_string(others.goods)},
--- a/libs/gateway/src/NewsCodec.cpp
+++ b/libs/gateway/src/NewsCodec.cpp
@@ -247,6 +247,7 @@
     told.set_slots(entry.slots);
     told.set_leaving(entry.leaving);
     told.set_born(entry.born);
+    told.set_software(entry.software);
     told.set_lapsed(fact.lapsed);
     for (const std::string &model : entry.models)
         told.add_models(model);
@@ -269,6 +270,7 @@
     fact.entry.slots = told.slots();
     fact.entry.leaving = told.leaving();
     fact.entry.born = told.born();
+    fact.entry.software = told.software();
     fact.entry.models = std::vector<std::string>(told.models().begin(), told.models().end());
     for (const v1::Slot &slot : told.adapters())
         fact.entry.adapters.push_back({slot.adapter(), slot.version()});
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -176,9 +176,9 @@
              "look for call-bounced with the same call"},
     EventRow{EventId::CallAnswered, "call-answered", EventLevel::Info,
              "the caller has all that came of its answer; the fields tell where its time went, "
-             "`endShownBy` "
-             "what showed that the target's answer was whole, `leftOver` how many bytes came after "
-             "its last whole event",
+             "`software` the version of the target's software, `resumes` the attempt that began a "
+             "stream which the caller has taken up, `endShownBy` what showed that the target's "
+             "answer was whole, `leftOver` how many bytes came after its last whole event",
              "none"},
     EventRow{EventId::CallOverLimit, "call-over-limit", EventLevel::Info,
              "a call was refused for its workspace's limit; the fields tell what was known",
--- a/libs/serving/include/serving/CallFacts.h
+++ b/libs/serving/include/serving/CallFacts.h
@@ -33,6 +33,7 @@
     double maxOutputTokens = 0;
     std::vector<PromptPart> prompt;
     std::optional<std::uint64_t> resumeAfter; ///< id of the last event the caller has
+    std::string resumes; ///< attempt that brought the first event of the stream it takes up
 
     auto operator<=>(const CallFacts &) const = default;
 };
