A stream goes on only at the version of the engines' software that began it

Cause: the choice of an engine for a run that goes on knew no versions, and what began a stream was known to nobody but, for its duration, the VM that served it. Class: a choice that is made anew forgets what the first one bound.

A run that goes on is sent only to targets of the version that brought the first event, here and at a VM that takes the call. VMs in doubt (several versions lately, an old list, a start a moment ago) tell two VMs of their zone and one of all, by rendezvous hashing, what began their resumable streams, and ask them for what callers take up; a VM without doubt answers that there was one version alone. What nobody knows is refused at once and does not run. A new version gets no resumable streams for 2 s.

--- a/libs/gateway/src/CallRun.cpp
+++ b/libs/gateway/src/CallRun.cpp
@@ -142,7 +142,7 @@
         response.set(http::field::content_type, reply.contentType);
     run.closeAfter = run.closeAfter || run.node.shuttingDown;
     if (run.forwarded)
-        writeForwardReport(response, {outcome, run.runsStarted, end});
+        writeForwardReport(response, {outcome, run.runsStarted, end, std::string()});
     const bool framed = run.forwarded || end == AnswerEnd::Framing;
     if (!framed)
         resetUnlessWhole(run);
--- a/libs/gateway/src/CallRun.h
+++ b/libs/gateway/src/CallRun.h
@@ -50,6 +50,7 @@
     Instant arrivedAt;
     Instant deadline;
     std::optional<ForwardedCall> forwarded; ///< by another VM
+    std::optional<std::string> origin; ///< version of software that began its stream
 
     std::vector<std::string> tried; ///< targets that were sent to, or could not be reached
     int unreached = 0; ///< of these, that other VMs reach
--- a/libs/gateway/src/ForwardedCall.cpp
+++ b/libs/gateway/src/ForwardedCall.cpp
@@ -19,6 +19,7 @@
                                  ForwardRefusal::LinksLost, ForwardRefusal::OtherConfig,
                                  ForwardRefusal::Busy};
 constexpr const char *endHeader = "Monsoonbay-End";
+constexpr const char *softwareHeader = "Monsoonbay-Software";
 constexpr std::string_view notRun = "not-run";
 constexpr std::string_view mayHaveRun = "may-have-run";
 constexpr std::string_view byConnection = "connection";
@@ -36,6 +37,8 @@
     call.waited = std::chrono::milliseconds(json.at("waitedMs").get<std::int64_t>());
     call.runs = json.at("runs").get<int>();
     call.hasBody = json.at("hasBody").get<bool>();
+    if (json.contains("origin"))
+        call.origin = json["origin"].get<std::string>();
     return call;
 }
 
@@ -87,6 +90,8 @@
               {"hasBody", call.hasBody}};
     if (call.key)
         json["key"] = call.key->words;
+    if (call.origin)
+        json["origin"] = *call.origin;
     // A header holds ASCII alone.
     head.set(callHeader, json.dump(-1, ' ', true));
 }
@@ -116,6 +121,9 @@
     head.erase(endHeader);
     if (report.end == AnswerEnd::Connection)
         head.set(endHeader, byConnection);
+    head.erase(softwareHeader);
+    if (!report.software.empty())
+        head.set(softwareHeader, report.software);
 }
 
 ForwardReport readForwardReport(const ResponseHead &head)
@@ -128,6 +136,7 @@
     std::from_chars(runs.data(), runs.data() + runs.size(), report.runs);
     if (head[endHeader] == byConnection)
         report.end = AnswerEnd::Connection;
+    report.software = std::string(head[softwareHeader]);
     return report;
 }
 
--- a/libs/gateway/src/ForwardedCall.h
+++ b/libs/gateway/src/ForwardedCall.h
@@ -22,6 +22,7 @@
     Duration waited{}; ///< since the call arrived at the VM that forwards it
     int runs = 0; ///< that may have begun before
     bool hasBody = false; ///< the caller sent one, if only an empty one
+    std::optional<std::string> origin; ///< version of software that its stream has to go on at
 
     auto operator<=>(const ForwardedCall &) const = default;
 };
@@ -63,6 +64,7 @@
     ForwardOutcome outcome = ForwardOutcome::FromTarget;
     int runs = 0; ///< that may have begun, those before it was forwarded among them
     AnswerEnd end = AnswerEnd::Framing; ///< what showed the end of the target's answer
+    std::string software; ///< version of the target's
 
     auto operator<=>(const ForwardReport &) const = default;
 };
--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -11,6 +11,7 @@
 #include "PeerForwarding.h"
 #include "Placing.h"
 #include "PrefixSharing.h"
+#include "StreamResuming.h"
 #include "TargetEnds.h"
 #include "TargetWords.h"
 #include "WorkspaceQuota.h"
@@ -95,12 +96,19 @@
         , node(run.node)
         , answer(run)
     {
-        if (run.forwarded)
-            this->run.runsStarted = run.forwarded->runs;
+        if (!run.forwarded)
+            return;
+        this->run.runsStarted = run.forwarded->runs;
+        this->run.origin = run.forwarded->origin;
     }
 
     asio::awaitable<void> serve()
     {
+        std::optional<OwnAnswer> unknown = co_await findOrigin(this->run);
+        if (unknown) {
+            co_await giveUp(this->run, this->answer, std::move(*unknown));
+            co_return;
+        }
         while (true) {
             const bool refused = co_await this->refuseHarmful();
             if (refused)
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -12,6 +12,7 @@
 #include "PrefillReserving.h"
 #include "RelayLoops.h"
 #include "SpendNotes.h"
+#include "StreamResuming.h"
 #include "UseNotes.h"
 #include "observe/Events.h"
 #include "transport/HttpServer.h"
@@ -90,6 +91,12 @@
         handlers.reservePrefill = [this](const gateway::v1::PrefillRequest &request) {
             return takePrefillRequest(this->node, request);
         };
+        handlers.noteOrigins = [this](const gateway::v1::OriginNote &note) {
+            return takeOriginNote(this->node, note);
+        };
+        handlers.origin = [this](const gateway::v1::OriginRequest &request) {
+            return answerOriginRequest(this->node, request);
+        };
         this->peersPort = this->node.links.listen(
             this->node.context, settings.peersListen.value_or(settings.peers), std::move(handlers));
         if (!settings.peersListen)
@@ -102,6 +109,7 @@
         spawn(this->node, "tend", tendLoop(this->node));
         spawn(this->node, "wake calls", wakeLoop(this->node));
         spawn(this->node, "tell holders", useNoteLoop(this->node));
+        spawn(this->node, "stream origins", streamOriginLoop(this->node));
         spawn(this->node, "words", wordLoop(this->node));
         spawn(this->node, "report to relay", upstreamLoop(this->node));
         spawn(this->node, "exchange with zones", otherZonesLoop(this->node));
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -16,6 +16,7 @@
 
 #include "ConfigReaders.h"
 #include "GatewayPeers.h"
+#include "ResumeState.h"
 #include "Signal.h"
 #include "SpendState.h"
 #include "TargetPool.h"
@@ -327,6 +328,7 @@
     std::unordered_map<std::string, std::unique_ptr<TargetRuntime>> targets;
     std::unordered_map<std::string, ServiceRetryBudget> retryBudgets; ///< by service
 
+    ResumeState resuming;
     std::unordered_map<std::string, ServiceLinks> serviceLinks; ///< by service
     std::map<Endpoint, ForwardPeer> forwardPeers; ///< by where they take forwarded calls
 
--- a/libs/gateway/src/GatewayPeers.cpp
+++ b/libs/gateway/src/GatewayPeers.cpp
@@ -67,6 +67,20 @@
         return this->answerAtOnce(call, request, reply, this->handlers.reservePrefill);
     }
 
+    grpc::ServerUnaryReactor *NoteOrigins(grpc::CallbackServerContext *call,
+                                          const v1::OriginNote *note,
+                                          v1::OriginsNoted *noted) override
+    {
+        return this->answerAtOnce(call, note, noted, this->handlers.noteOrigins);
+    }
+
+    grpc::ServerUnaryReactor *AskOrigin(grpc::CallbackServerContext *call,
+                                        const v1::OriginRequest *request,
+                                        v1::OriginReply *reply) override
+    {
+        return this->answerAtOnce(call, request, reply, this->handlers.origin);
+    }
+
     grpc::ServerUnaryReactor *Load(grpc::CallbackServerContext *call,
                                    const v1::LoadRequest *request, v1::LoadReply *reply) override
     {
@@ -282,4 +296,26 @@
            auto done) { stub.async()->ReservePrefill(&context, &request, &reply, done); });
 }
 
+asio::awaitable<std::optional<v1::OriginsNoted>>
+GatewayPeers::noteOrigins(Endpoint peer, v1::OriginNote note, Duration timeout)
+{
+    auto shared = std::make_shared<const v1::OriginNote>(std::move(note));
+    return this->impl->unary<v1::OriginNote, v1::OriginsNoted>(
+        std::move(peer), std::move(shared), timeout,
+        [](v1::Gateway::Stub &stub, grpc::ClientContext &context, const v1::OriginNote &request,
+           v1::OriginsNoted &reply,
+           auto done) { stub.async()->NoteOrigins(&context, &request, &reply, done); });
+}
+
+asio::awaitable<std::optional<v1::OriginReply>>
+GatewayPeers::askOrigin(Endpoint peer, v1::OriginRequest request, Duration timeout)
+{
+    auto shared = std::make_shared<const v1::OriginRequest>(std::move(request));
+    return this->impl->unary<v1::OriginRequest, v1::OriginReply>(
+        std::move(peer), std::move(shared), timeout,
+        [](v1::Gateway::Stub &stub, grpc::ClientContext &context, const v1::OriginRequest &request,
+           v1::OriginReply &reply,
+           auto done) { stub.async()->AskOrigin(&context, &request, &reply, done); });
+}
+
 } // namespace monsoonbay
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -90,6 +90,7 @@
     call.waited = BootClock::now() - run.arrivedAt;
     call.runs = run.runsStarted;
     call.hasBody = hasBody(run);
+    call.origin = run.origin;
     return call;
 }
 
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -9,6 +9,7 @@
 #include "PlaceWaiting.h"
 #include "PrefillReserving.h"
 #include "RelayLoops.h"
+#include "StreamResuming.h"
 #include "TargetWords.h"
 #include "UseNotes.h"
 #include "serving/EngineForecast.h"
@@ -86,12 +87,13 @@
 }
 
 /** Targets of the call's service that take calls of this VM now. */
-std::vector<const TargetRecord *> takingTargets(const CallRun &run, Instant now)
+std::vector<const TargetRecord *> takingTargets(CallRun &run, Instant now)
 {
     std::vector<const TargetRecord *> targets = targetsOf(run.node, run.service);
     std::erase_if(targets, [&](const TargetRecord *record) {
         return !takesCalls(run.node, record->entry.id, now);
     });
+    keepFitting(run, targets);
     return targets;
 }
 
@@ -108,6 +110,15 @@
     return first == Instant{} ? comeBackLater : first - now;
 }
 
+/** For a call that no engine takes at all. */
+OwnAnswer refuseWithoutEngine(const CallRun &run)
+{
+    if (!run.origin)
+        return ownAnswer(503, "no engine can be reached", comeBackWhenTaken(run));
+    run.node.metrics.add(Counter::ResumesWithoutEngine);
+    return ownAnswer(503, "no engine has the version that began the stream", comeBackLater);
+}
+
 /** Age of what this VM knows of the load of engines, for the choice. */
 Duration loadAge(const CallRun &run, Instant now)
 {
@@ -212,7 +223,7 @@
         const EngineWeights weights = weightsNow(run);
         const EngineChoice choice = nextEngine(run, views, need, weights);
         if (choice.step == EngineStep::None) {
-            placement.refusal = ownAnswer(503, "no engine can be reached", comeBackWhenTaken(run));
+            placement.refusal = refuseWithoutEngine(run);
             co_return placement;
         }
         if (BootClock::now() >= run.place.by && choice.step != EngineStep::Send) {
--- /dev/null
+++ b/libs/gateway/src/ResumeState.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <deque>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "Signal.h"
+#include "serving/SoftwareVersions.h"
+#include "serving/StreamOrigins.h"
+
+namespace monsoonbay {
+
+/** A stream that this VM began, and has told nobody of. */
+struct UntoldStream
+{
+    StreamId id = 0;
+    std::string service;
+
+    auto operator<=>(const UntoldStream &) const = default;
+};
+
+/** What this VM knows of streams that callers may take up again. */
+struct ResumeState
+{
+    explicit ResumeState(asio::io_context &context)
+        : due(context)
+    { }
+
+    StreamOrigins origins; ///< of streams begun here, and of those that others told of
+    std::deque<UntoldStream> untold; ///< oldest first
+    std::unordered_map<std::string, SoftwareVersions> versions; ///< by service
+    std::set<std::string> doubted; ///< services whose streams others are told of
+    Instant lookedAt{}; ///< at the versions, last
+    Duration longestPatience{}; ///< that a caller of a stream has named
+    Signal due;
+};
+
+} // namespace monsoonbay
--- a/libs/gateway/src/StreamRelay.cpp
+++ b/libs/gateway/src/StreamRelay.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "PassedHeaders.h"
+#include "StreamResuming.h"
 
 namespace monsoonbay {
 
@@ -55,6 +56,8 @@
         co_return true;
     this->eventCame = true;
     notePiece(this->run);
+    if (!this->run.origin)
+        noteStreamBegun(this->run, exchange.software());
     const bool headed = co_await this->writeHead(exchange);
     if (!headed)
         co_return false;
@@ -123,7 +126,8 @@
     this->chunked = this->run.forwarded || (canChunk && this->promised == AnswerEnd::Framing);
     if (this->run.forwarded)
         writeForwardReport(head,
-                           {ForwardOutcome::FromTarget, this->run.runsStarted, this->promised});
+                           {ForwardOutcome::FromTarget, this->run.runsStarted, this->promised,
+                            exchange.software()});
     this->run.closeAfter = this->run.closeAfter || this->run.node.shuttingDown;
     if (!this->chunked)
         resetUnlessWhole(this->run);
--- /dev/null
+++ b/libs/gateway/src/StreamResuming.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "CallRun.h"
+#include "Gateway.pb.h"
+
+namespace monsoonbay {
+
+/**
+ * What targets of two versions of their software write does not fit together, so a stream goes on
+ * only at the version that began it. VMs in doubt tell others of the streams that they begin, and
+ * ask them of those that they did not; see docs/design/stream-versions.md.
+ */
+
+/** The first event of a stream goes to its caller, from a target of that version. */
+void noteStreamBegun(CallRun &run, const std::string &software);
+
+/**
+ * For a call that takes a stream up again, sets what began it; a refusal if that is not known. It
+ * returns at once for other calls.
+ */
+asio::awaitable<std::optional<OwnAnswer>> findOrigin(CallRun &run);
+
+/**
+ * Takes off the targets that the call's stream may not go on at, and for one that begins those of a
+ * version that is not settled, if others are left.
+ */
+void keepFitting(CallRun &run, std::vector<const TargetRecord *> &targets);
+
+/** Looks at the versions that serve, and tells others of streams. */
+asio::awaitable<void> streamOriginLoop(GatewayNode &node);
+
+gateway::v1::OriginsNoted takeOriginNote(GatewayNode &node, const gateway::v1::OriginNote &note);
+gateway::v1::OriginReply answerOriginRequest(GatewayNode &node,
+                                             const gateway::v1::OriginRequest &request);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -62,6 +62,7 @@
 TargetExchange::TargetExchange(GatewayNode &node, const TargetEntry &target, std::string attemptId)
     : node(node)
     , targetId(target.id)
+    , targetSoftware(target.software)
     , endpoint(target.endpoint)
     , attemptId(std::move(attemptId))
 { }
@@ -116,6 +117,11 @@
     return this->targetId.empty() ? readForwardReport(this->head()).end : AnswerEnd::Framing;
 }
 
+std::string TargetExchange::software() const
+{
+    return this->targetId.empty() ? readForwardReport(this->head()).software : this->targetSoftware;
+}
+
 int TargetExchange::status() const
 {
     return static_cast<int>(this->parser->get().result_int());
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -67,6 +67,9 @@
     /** What shows the end of the answer whose head has been read. */
     AnswerEnd endShownBy() const;
 
+    /** Version of the software of the target that answers. */
+    std::string software() const;
+
     int status() const;
     const ResponseHead &head() const;
     const AnswerFacts &facts() const noexcept;
@@ -86,6 +89,7 @@
 
     GatewayNode &node;
     std::string targetId; ///< empty: another VM
+    std::string targetSoftware;
     Endpoint endpoint;
     std::string attemptId;
     TargetConnectionPtr link;
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -74,6 +74,7 @@
     CallFoundHarmful = 7045,
     CallOverLimit = 7046,
     CallForwarded = 7047,
+    StreamTakenUp = 7048,
     SpendNoted = 7050,
     SpendNoteFailed = 7051,
     UseCountedAtStart = 7052,
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -44,6 +44,10 @@
     LoadsDeclinedHolder, ///< the VM that was asked may not order the engine
     CallsForwarded, ///< that another VM has taken
     AnswersUnproved, ///< passed on, and ended with the target's connection
+    StreamsTakenUp, ///< by callers, of which is known what began them
+    ResumesUnknown, ///< refused, as it is not known
+    ResumesWithoutEngine, ///< refused or cut, as no engine of that version takes them
+    StreamOriginsTold, ///< to the VMs that keep them
     ForwardsRefused, ///< offers of a call that another VM did not take
     // Bytes of news sent to VMs of the own zone, by kind; see gateway/NewsBytes.h.
     NewsToMatesUses,
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -174,6 +174,11 @@
     EventRow{EventId::StreamCut, "stream-cut", EventLevel::Warning,
              "a stream was broken off after it had begun",
              "look for call-bounced with the same call"},
+    EventRow{EventId::StreamTakenUp, "stream-taken-up", EventLevel::Info,
+             "a caller takes a stream up again; `began` is the version of software that began it, "
+             "`knownBy` how this VM knows; call-answered of the same call names that of the target "
+             "it went on at",
+             "none; where it is not known the call is refused: look at the links between VMs"},
     EventRow{EventId::CallAnswered, "call-answered", EventLevel::Info,
              "the caller has all that came of its answer; the fields tell where its time went, "
              "`software` the version of the target's software, `resumes` the attempt that began a "
--- a/libs/serving/include/serving/ServingConfig.h
+++ b/libs/serving/include/serving/ServingConfig.h
@@ -64,6 +64,9 @@
      */
     std::optional<Duration> quickestObjective(const std::string &service) const;
 
+    /** Longest time that a caller waits for a stream of the service which it may take up again. */
+    Duration longestStream(const std::string &service) const;
+
 private:
     /** Least and largest objective of the routes to a service. */
     struct Objectives
@@ -74,6 +77,7 @@
 
     ServingConfig whole;
     std::unordered_map<std::string, Objectives> objectivesByService;
+    std::unordered_map<std::string, Duration> longestStreams; ///< by service
     std::unordered_map<std::string, std::size_t> routeByHostAndPrefix;
     std::unordered_map<std::string, std::size_t> serviceByName;
     std::unordered_map<std::string, std::size_t> workspaceByName;
--- /dev/null
+++ b/libs/serving/include/serving/SoftwareVersions.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/Time.h"
+
+namespace monsoonbay {
+
+/** When targets of one version of their software could take work, as far as this VM knows. */
+struct SoftwareSeen
+{
+    Instant since{};
+    Instant lastAt{};
+
+    auto operator<=>(const SoftwareSeen &) const = default;
+};
+
+/** The versions of their software that targets of one service have had lately. */
+struct SoftwareVersions
+{
+    std::map<std::string, SoftwareSeen> seen; ///< by the name that the targets' entries give
+
+    auto operator<=>(const SoftwareVersions &) const = default;
+};
+
+/**
+ * A version that is new beside others gets no streams for so long. By then each VM whose list of
+ * targets is not old knows of it, and none takes the others for the only ones.
+ */
+constexpr Duration softwareSettles = std::chrono::milliseconds(2000);
+
+/** Targets of that version can take work at `now`. */
+void noteSoftware(SoftwareVersions &versions, const std::string &software, Instant now);
+
+/** Forgets the versions of which no target has taken work since then. */
+void forgetSoftware(SoftwareVersions &versions, Instant before);
+
+/** The one version that targets have had since then; nothing: none, or several. */
+std::optional<std::string> onlySoftware(const SoftwareVersions &versions, Instant since);
+
+/** False if streams are not to begin at that version yet; see softwareSettles. */
+bool isSettled(const SoftwareVersions &versions, const std::string &software, Instant now);
+
+} // namespace monsoonbay
--- a/libs/serving/src/ServingConfig.cpp
+++ b/libs/serving/src/ServingConfig.cpp
@@ -28,6 +28,11 @@
     for (std::size_t index = 0; index < this->whole.routes.size(); ++index) {
         const Route &route = this->whole.routes[index];
         this->routeByHostAndPrefix[routeKey(route.host, route.pathPrefix)] = index;
+        for (const ServiceShare &share : route.services) {
+            Duration &longest = this->longestStreams[share.service];
+            if (route.resumable)
+                longest = std::max(longest, route.timeout);
+        }
         if (route.latencyObjective <= Duration::zero())
             continue;
         for (const ServiceShare &share : route.services) {
@@ -93,6 +98,12 @@
     return found->second.least;
 }
 
+Duration RouteTable::longestStream(const std::string &service) const
+{
+    const auto found = this->longestStreams.find(service);
+    return found == this->longestStreams.end() ? Duration::zero() : found->second;
+}
+
 bool mayReplace(std::int64_t current, std::int64_t offered) noexcept
 {
     return offered > current;
--- /dev/null
+++ b/libs/serving/src/SoftwareVersions.cpp
@@ -0,0 +1,47 @@
+#include "serving/SoftwareVersions.h"
+
+#include <algorithm>
+
+namespace monsoonbay {
+
+void noteSoftware(SoftwareVersions &versions, const std::string &software, Instant now)
+{
+    const auto [found, added] = versions.seen.try_emplace(software);
+    if (added)
+        found->second.since = now;
+    found->second.lastAt = now;
+}
+
+void forgetSoftware(SoftwareVersions &versions, Instant before)
+{
+    std::erase_if(versions.seen,
+                  [before](const auto &entry) { return entry.second.lastAt < before; });
+}
+
+std::optional<std::string> onlySoftware(const SoftwareVersions &versions, Instant since)
+{
+    std::optional<std::string> only;
+    for (const auto &[software, seen] : versions.seen) {
+        if (seen.lastAt < since)
+            continue;
+        if (only)
+            return std::nullopt;
+        only = software;
+    }
+    return only;
+}
+
+// What was there before all others has nobody to be new beside.
+bool isSettled(const SoftwareVersions &versions, const std::string &software, Instant now)
+{
+    const auto found = versions.seen.find(software);
+    if (found == versions.seen.end())
+        return versions.seen.empty();
+    if (now - found->second.since >= softwareSettles)
+        return true;
+    return std::none_of(versions.seen.begin(), versions.seen.end(), [&](const auto &other) {
+        return other.second.since < found->second.since;
+    });
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/serving/tests/StreamOrigins.cpp
@@ -0,0 +1,123 @@
+#include <set>
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include "serving/SoftwareVersions.h"
+#include "serving/StreamOrigins.h"
+
+using namespace monsoonbay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant{} + 1h;
+
+std::vector<std::string> vmNames(std::size_t count)
+{
+    std::vector<std::string> names;
+    for (std::size_t index = 0; index < count; ++index)
+        names.push_back("vm-" + std::to_string(index));
+    return names;
+}
+
+std::set<std::string> keeperNames(StreamId id, const std::vector<std::string> &names)
+{
+    std::set<std::string> chosen;
+    for (const std::size_t index : keepersOf(id, names, 2))
+        chosen.insert(names[index]);
+    return chosen;
+}
+
+} // namespace
+
+// Guards against a stream that goes on at a version which did not begin it, or after its time.
+Test(stream_origins, what_began_a_stream_is_known_until_its_caller_gives_up)
+{
+    StreamOrigins origins;
+    const StreamId id = streamIdOf("attempt-1");
+    cr_assert(!originOf(origins, id, start));
+    noteOrigin(origins, id, {"v1", start + 8s}, start);
+    noteOrigin(origins, id, {"v2", start + 20s}, start + 1s);
+    cr_assert_eq(originOf(origins, id, start + 7s).value(), "v1", "what was noted first holds");
+    cr_assert(!originOf(origins, id, start + 8s));
+    forgetOrigins(origins, start + 8s);
+    cr_assert(origins.byId.empty());
+    cr_assert(origins.order.empty());
+}
+
+// Guards against memory that grows with the streams of a day.
+Test(stream_origins, their_number_is_bounded_and_the_oldest_go_first)
+{
+    StreamOrigins origins;
+    for (StreamId id = 0; id <= mostStreamOrigins; ++id)
+        noteOrigin(origins, id, {"v1", start + 1h}, start);
+    cr_assert_eq(origins.byId.size(), mostStreamOrigins);
+    cr_assert(!originOf(origins, 0, start));
+    cr_assert(originOf(origins, mostStreamOrigins, start).has_value());
+}
+
+// Guards against VMs that tell some and ask others, as their lists are in another order or one
+// ended.
+Test(stream_origins, vms_agree_on_who_keeps_a_stream)
+{
+    cr_assert(rc::check("keepers", [] {
+        const auto id = *rc::gen::arbitrary<StreamId>();
+        std::vector<std::string> names = vmNames(*rc::gen::inRange<std::size_t>(3, 60));
+        const std::set<std::string> chosen = keeperNames(id, names);
+        RC_ASSERT(chosen.size() == 2u);
+        std::reverse(names.begin(), names.end());
+        RC_ASSERT(keeperNames(id, names) == chosen);
+        const std::string gone = *rc::gen::elementOf(names);
+        std::erase(names, gone);
+        std::set<std::string> after = keeperNames(id, names);
+        for (const std::string &keeper : chosen)
+            RC_ASSERT(keeper == gone || after.count(keeper) == 1);
+    }));
+}
+
+Test(stream_origins, streams_are_spread_evenly)
+{
+    constexpr int streams = 4000;
+    const std::vector<std::string> names = vmNames(20);
+    std::map<std::string, int> kept;
+    for (int stream = 0; stream < streams; ++stream) {
+        for (const std::string &keeper :
+             keeperNames(streamIdOf("attempt-" + std::to_string(stream)), names))
+            ++kept[keeper];
+    }
+    for (const std::string &name : names) {
+        cr_assert_gt(kept[name], 300);
+        cr_assert_lt(kept[name], 500);
+    }
+}
+
+// Guards against one version taken for the only one while streams of another may come back.
+Test(software_versions, one_version_is_the_only_one_once_the_others_streams_are_over)
+{
+    SoftwareVersions versions;
+    cr_assert(!onlySoftware(versions, start));
+    noteSoftware(versions, "v1", start);
+    cr_assert_eq(onlySoftware(versions, start - 8s).value(), "v1");
+    noteSoftware(versions, "v2", start + 5s);
+    cr_assert(!onlySoftware(versions, start + 5s - 8s));
+    noteSoftware(versions, "v2", start + 9s);
+    cr_assert_eq(onlySoftware(versions, start + 9s - 8s).value(), "v2", "v1 took none for 9 s");
+    forgetSoftware(versions, start + 1s);
+    cr_assert_eq(versions.seen.size(), 1);
+}
+
+// Guards against streams at a version that other VMs have not heard of: these take the old one for
+// the only one.
+Test(software_versions, a_new_version_settles_before_it_begins_streams)
+{
+    SoftwareVersions versions;
+    cr_assert(isSettled(versions, "v1", start), "nothing is known yet");
+    noteSoftware(versions, "v1", start);
+    cr_assert(isSettled(versions, "v1", start), "there is no other");
+    cr_assert(!isSettled(versions, "v2", start + 5s), "it has not been looked at");
+    noteSoftware(versions, "v2", start + 5s);
+    cr_assert(!isSettled(versions, "v2", start + 5s + softwareSettles - 1ms));
+    cr_assert(isSettled(versions, "v2", start + 5s + softwareSettles));
+    cr_assert(isSettled(versions, "v1", start + 6s));
+}
