An engine that came back under its id is not taken for the version it was

Cause: an engine may start again under its id as another version, up to 1.1 s before its entry is read again; the known start of an engine moved on, the version of the entry before stayed. Class: of two facts that hold together, one is renewed alone.

Change: a newer start has no version until its entry names one, and an engine without a name beside named ones gets no resumable streams. Before a stream goes on at an engine, or begins after a connection to it was lost, it is asked for its start; before a load's engine is used, whether it still fits is looked at again.

What is not shown: a stream that begins at an engine that came back unseen, in the second before its entry is read, is still noted with the version before.

--- a/libs/gateway/src/Forwarding.cpp
+++ b/libs/gateway/src/Forwarding.cpp
@@ -249,7 +249,8 @@
             co_return SendEnd::Unreachable;
         }
         this->run.connection = exchange.connection();
-        if (this->run.cancelled())
+        const bool known = co_await isKnownStart(this->run, target);
+        if (!known || this->run.cancelled())
             co_return SendEnd::Unreachable;
         std::optional<OwnAnswer> keyRefusal = refuseKeyNow(this->run);
         if (keyRefusal) {
@@ -303,6 +304,7 @@
     void noteUnreachable(const TargetEntry &target)
     {
         noteEnd(this->run, target, SendOutcome::Unreachable);
+        runtimeOf(this->node, target.id).pool.lostAt = BootClock::now();
         noteLinkFailed(this->node, target.id);
         if (isLinkToBlame(this->node, target.id, BootClock::now()))
             ++this->run.unreached;
@@ -313,6 +315,7 @@
         if (exchange.error() == asio::error::timed_out)
             noteLinkFailed(this->node, target.id);
         noteEnd(this->run, target, SendOutcome::Broken);
+        runtimeOf(this->node, target.id).pool.lostAt = BootClock::now();
         noteLostCall(this->run, target.id);
     }
 
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -82,6 +82,7 @@
     TargetHealth health;
     LinkSight link;
     TargetPool pool;
+    Instant startKnownAt{}; ///< it was asked, and was the start that its entry tells of
     LostCalls lost;
     Instant wantsNothingUntil{}; ///< by its own word to this VM
     NamedLimit limit;
--- a/libs/gateway/src/Placing.cpp
+++ b/libs/gateway/src/Placing.cpp
@@ -281,6 +281,11 @@
         const bool mayTake = record != node.book.records.end() && mayTakeWork(record->second);
         if (!mayTake || !takesCalls(node, id, BootClock::now()))
             continue;
+        // What was heard while it loaded may be that it came back as another version.
+        std::vector<const TargetRecord *> chosen{&record->second};
+        keepFitting(run, chosen);
+        if (chosen.empty())
+            continue;
         placement.target = record->second.entry;
         notePlaced(run);
         co_return placement;
--- a/libs/gateway/src/StreamResuming.cpp
+++ b/libs/gateway/src/StreamResuming.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 
+#include "TargetStarts.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -16,7 +17,7 @@
 /** Between two looks at the versions that all targets have. */
 constexpr Duration versionLook = std::chrono::milliseconds(500);
 /** Streams that begin within this long are told together. */
-constexpr Duration tellGather = std::chrono::milliseconds(50);
+constexpr Duration tellGather = std::chrono::milliseconds(10);
 constexpr Duration tellTimeout = std::chrono::milliseconds(400);
 /** VMs answer in a few ms; one that is gone or cut off does not. */
 constexpr Duration askPatience = std::chrono::milliseconds(150);
@@ -301,15 +302,18 @@
 {
     if (!run.route->resumable)
         return;
+    GatewayNode &node = run.node;
+    const Instant now = BootClock::now();
+    const SoftwareVersions &versions = node.resuming.versions[run.service];
+    if (namesVersions(versions))
+        std::erase_if(targets,
+                      [](const TargetRecord *record) { return record->entry.software.empty(); });
     if (run.origin) {
         std::erase_if(targets, [&run](const TargetRecord *record) {
             return record->entry.software != *run.origin;
         });
         return;
     }
-    GatewayNode &node = run.node;
-    const Instant now = BootClock::now();
-    SoftwareVersions &versions = node.resuming.versions[run.service];
     const auto settled = [&](const TargetRecord *record) {
         return isSettled(versions, record->entry.software, now);
     };
@@ -317,6 +321,24 @@
         std::erase_if(targets, [&](const TargetRecord *record) { return !settled(record); });
 }
 
+asio::awaitable<bool> isKnownStart(CallRun &run, const TargetEntry &target)
+{
+    GatewayNode &node = run.node;
+    const ServiceSpec *service = run.routes->findService(run.service);
+    const bool mayGoOn = run.route->resumable && service != nullptr && service->engine;
+    const TargetRuntime &runtime = runtimeOf(node, target.id);
+    const bool mayHaveEnded = run.origin || runtime.pool.lostAt > runtime.startKnownAt;
+    if (!mayGoOn || target.born == 0 || !mayHaveEnded)
+        co_return true;
+    const Instant asked = BootClock::now();
+    const EngineAddress address{target.id, target.endpoint};
+    const auto report = co_await node.platform->report(node.http, address, askPatience);
+    if (!report || noteStartOf(node, target.id, report->born) == WordAge::Newer)
+        co_return false;
+    runtimeOf(node, target.id).startKnownAt = asked;
+    co_return true;
+}
+
 asio::awaitable<void> streamOriginLoop(GatewayNode &node)
 {
     while (!node.stopped) {
--- a/libs/gateway/src/StreamResuming.h
+++ b/libs/gateway/src/StreamResuming.h
@@ -29,6 +29,13 @@
  */
 void keepFitting(CallRun &run, std::vector<const TargetRecord *> &targets);
 
+/**
+ * False: the engine may have come back as another version since its entry was read. It is asked for
+ * its start before a stream goes on there, or begins after a connection to it was lost; calls that
+ * nobody may take up are not kept waiting.
+ */
+asio::awaitable<bool> isKnownStart(CallRun &run, const TargetEntry &target);
+
 /** Looks at the versions that serve, and tells others of streams. */
 asio::awaitable<void> streamOriginLoop(GatewayNode &node);
 
--- a/libs/gateway/src/TargetPool.cpp
+++ b/libs/gateway/src/TargetPool.cpp
@@ -57,8 +57,11 @@
     while (!pool.idle.empty()) {
         TargetConnectionPtr connection = std::move(pool.idle.back());
         pool.idle.pop_back();
-        if (now < connection->idleUntil && isSound(connection->socket))
+        if (now >= connection->idleUntil)
+            continue;
+        if (isSound(connection->socket))
             return connection;
+        pool.lostAt = now;
     }
     return nullptr;
 }
--- a/libs/gateway/src/TargetPool.h
+++ b/libs/gateway/src/TargetPool.h
@@ -33,6 +33,7 @@
 struct TargetPool
 {
     std::deque<TargetConnectionPtr> idle;
+    Instant lostAt{}; ///< a connection was lost, or could not be made, last
 };
 
 /** An idle connection that still looks sound; null if there is none. */
--- a/libs/gateway/src/TargetStarts.cpp
+++ b/libs/gateway/src/TargetStarts.cpp
@@ -70,6 +70,7 @@
     forgetEngine(node.prefixes.book, engineKey(target, record.entry.born));
     record.entry.born = born;
     record.entry.leaving = false;
+    record.entry.software.clear(); // it may have come back as another version
     record.entry.models.clear();
     record.entry.adapters.clear();
     record.gone = false;
--- a/libs/serving/include/serving/SoftwareVersions.h
+++ b/libs/serving/include/serving/SoftwareVersions.h
@@ -31,7 +31,10 @@
  */
 constexpr Duration softwareSettles = std::chrono::milliseconds(2000);
 
-/** Targets of that version can take work at `now`. */
+/** True if the targets' entries name their versions; then one without a name is not known yet. */
+bool namesVersions(const SoftwareVersions &versions);
+
+/** Targets of that version can take work at `now`; a version that is not known yet is none. */
 void noteSoftware(SoftwareVersions &versions, const std::string &software, Instant now);
 
 /** Forgets the versions of which no target has taken work since then. */
--- a/libs/serving/src/SoftwareVersions.cpp
+++ b/libs/serving/src/SoftwareVersions.cpp
@@ -4,8 +4,16 @@
 
 namespace monsoonbay {
 
+bool namesVersions(const SoftwareVersions &versions)
+{
+    return std::any_of(versions.seen.begin(), versions.seen.end(),
+                       [](const auto &entry) { return !entry.first.empty(); });
+}
+
 void noteSoftware(SoftwareVersions &versions, const std::string &software, Instant now)
 {
+    if (software.empty() && namesVersions(versions))
+        return;
     const auto [found, added] = versions.seen.try_emplace(software);
     if (added)
         found->second.since = now;
--- a/libs/serving/tests/StreamOrigins.cpp
+++ b/libs/serving/tests/StreamOrigins.cpp
@@ -107,6 +107,22 @@
     cr_assert_eq(versions.seen.size(), 1);
 }
 
+// Guards against an engine that has just come back, and whose version nobody knows, taken for one
+// of a version without a name.
+Test(software_versions, what_has_no_name_beside_named_versions_is_none)
+{
+    SoftwareVersions versions;
+    noteSoftware(versions, "", start);
+    cr_assert_eq(onlySoftware(versions, start).value(), "", "no target names one");
+    cr_assert(!namesVersions(versions));
+    SoftwareVersions named;
+    noteSoftware(named, "v1", start);
+    noteSoftware(named, "", start);
+    cr_assert(namesVersions(named));
+    cr_assert_eq(onlySoftware(named, start).value(), "v1");
+    cr_assert(!isSettled(named, "", start + 1h));
+}
+
 // Guards against streams at a version that other VMs have not heard of: these take the old one for
 // the only one.
 Test(software_versions, a_new_version_settles_before_it_begins_streams)
