A VM that shuts down serves the calls of VMs without links to its end

Callers saw: while some VMs had lost their links to the targets and others were being restarted in turn, calls at the first were refused (503, "no other VM takes calls") though the others served their own callers.

Cause: a VM that shuts down takes new connections of callers for 2.6 s more and serves kept ones for 7 s, but refused forwarded calls from the first moment, closed their port, and was no longer asked. In a rolling restart with 2 s between steps three or four of six VMs shut down at once, so the cut ones had nobody. Class: two doors to the same room that close at different times.

Change: a forwarded call is accepted while it can be finished before the calls still in flight are aborted (2 s at least), through a port that stays open until then. VMs known to shut down are asked after those that do not, and before those that refused a call a moment ago. Calls that were accepted are waited for; when the wait is over none is accepted any more.

--- a/libs/gateway/src/CallListener.cpp
+++ b/libs/gateway/src/CallListener.cpp
@@ -276,13 +276,13 @@
 void CallListener::stopAccepting()
 {
     this->impl->stopping = true;
+    this->impl->closing = true;
     boost::system::error_code ignored;
     this->impl->acceptor.close(ignored);
 }
 
 void CallListener::closeIdle()
 {
-    this->impl->closing = true;
     for (CallerConnection *connection : this->impl->open) {
         if (!connection->busy)
             connection->stream.socket().cancel();
--- a/libs/gateway/src/CallListener.h
+++ b/libs/gateway/src/CallListener.h
@@ -23,6 +23,7 @@
 
     std::uint16_t port() const;
 
+    /** Accepts no connection; each open one is closed after the call that it carries. */
     void stopAccepting();
 
     /** Closes connections on which no call is being served. */
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -129,16 +129,19 @@
                   {"connections", std::to_string(this->node.connections)}});
         this->node.reportDue.notifyAll();
         const Instant limit = begun + this->node.settings.shutdownLimit;
+        this->node.callsEndBy = limit;
         while (BootClock::now() < begun + readinessDelay)
             co_await pauseFor(this->node, shutdownPollInterval);
         this->callers.stopAccepting();
         this->callers.closeIdle();
-        if (this->forwards) {
-            this->forwards->stopAccepting();
+        // New forwarded calls are still accepted; see admitForwarded().
+        if (this->forwards)
             this->forwards->closeIdle();
-        }
         while (this->node.connections > 0 && BootClock::now() < limit)
             co_await pauseFor(this->node, shutdownPollInterval);
+        this->node.callsEndBy = BootClock::now(); // a call accepted from here on would be aborted
+        if (this->forwards)
+            this->forwards->stopAccepting();
         co_await leaveLease(this->node);
         this->node.reportDue.notifyAll();
         co_await pauseFor(this->node, releaseDelay);
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -385,6 +385,7 @@
     Instant storeFailingSince{}; ///< first failed read since the store last answered; zero: none
     Instant storeReachedAt{}; ///< when the store last answered this VM; zero: never
     bool shuttingDown = false;
+    Instant callsEndBy{}; ///< while shutting down: when the calls still in flight are aborted
     bool leftLeaseGroup = false; ///< it has left the lease group for good
     bool stopped = false;
     int callsInFlight = 0;
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -33,6 +33,9 @@
 constexpr int forwardedPerOwnCall = 8;
 constexpr int minForwarded = 16;
 
+/** A VM that shuts down accepts calls that end within this time; most answers take less. */
+constexpr Duration minTimeToFinish = std::chrono::milliseconds(2000);
+
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(300);
 
 /** Where another VM accepts forwarded calls: at the same port as this one. */
@@ -57,21 +60,39 @@
     return until != known->second.notBefore.end() && until->second > BootClock::now();
 }
 
-/** A VM that may accept a call, drawn uniformly (reservoir sampling); nullopt if there is none. */
+/** How likely a VM is to accept a call; the best come first. */
+enum class OfferRank : std::uint8_t {
+    Likely,
+    Stopping, ///< it accepts calls that it can finish before it ends
+    BackedOff, ///< it refused one a moment ago; another refusal takes just a few ms
+};
+
+OfferRank offerRank(const GatewayNode &node, const PeerState &peer, const Endpoint &forwards,
+                    const std::string &service)
+{
+    if (isBackedOff(node, forwards, service))
+        return OfferRank::BackedOff;
+    return peer.stopping ? OfferRank::Stopping : OfferRank::Likely;
+}
+
+/** A VM of the best rank, drawn uniformly (reservoir sampling); nullopt if all were tried. */
 std::optional<Endpoint> pickPeer(GatewayNode &node, const std::string &service,
-                                 const std::vector<Endpoint> &tried, bool includeBackedOff)
+                                 const std::vector<Endpoint> &tried)
 {
     std::optional<Endpoint> picked;
+    OfferRank best = OfferRank::BackedOff;
     std::size_t candidates = 0;
     for (const auto &[endpoint, peer] : node.peers) {
-        if (peer.name.empty() || peer.stopping)
+        if (peer.name.empty())
             continue;
         const Endpoint forwards = forwardAddressOf(node, endpoint);
         if (std::find(tried.begin(), tried.end(), forwards) != tried.end())
             continue;
-        if (!includeBackedOff && isBackedOff(node, forwards, service))
+        const OfferRank rank = offerRank(node, peer, forwards, service);
+        if (rank > best)
             continue;
-        ++candidates;
+        candidates = rank < best ? 1 : candidates + 1;
+        best = rank;
         if (std::uniform_int_distribution<std::size_t>(1, candidates)(node.random) == 1)
             picked = forwards;
     }
@@ -191,10 +212,7 @@
         503, "this VM does not reach the targets, and no other VM takes calls", shortRetryAfter);
     std::vector<Endpoint> tried;
     for (int offer = 0; offer < maxOffers && !call.cancelled(); ++offer) {
-        std::optional<Endpoint> peer = pickPeer(node, call.service, tried, false);
-        // With few VMs all may be backed off for a moment; another refusal takes just a few ms.
-        if (!peer)
-            peer = pickPeer(node, call.service, tried, true);
+        const std::optional<Endpoint> peer = pickPeer(node, call.service, tried);
         if (!peer)
             break;
         tried.push_back(*peer);
@@ -231,7 +249,7 @@
 {
     if (!forwardedCall)
         return ForwardRefusal::Malformed;
-    if (node.shuttingDown)
+    if (node.shuttingDown && BootClock::now() + minTimeToFinish > node.callsEndBy)
         return ForwardRefusal::Stopping;
     if (areLinksLost(node, forwardedCall->service))
         return ForwardRefusal::LinksLost;
--- a/libs/gateway/tests/ForwardedCalls.cpp
+++ b/libs/gateway/tests/ForwardedCalls.cpp
@@ -71,8 +71,8 @@
 }
 
 // Guards against calls that go in a circle among VMs that have lost their links, or are served by
-// another configuration than the first VM's. A VM with too many forwarded calls, or one that shuts
-// down, refuses more of them, too.
+// another configuration than the first VM's. A VM with too many forwarded calls, or one that is
+// about to end, refuses more of them, too.
 Test(forwarded_calls, a_vm_that_cannot_serve_a_call_refuses_it)
 {
     GatewayNode node((GatewaySettings()));
@@ -88,6 +88,10 @@
     node.forwardedInFlight = 100;
     node.callsInFlight = 110;
     cr_assert_eq(admitForwarded(node, call), ForwardRefusal::Busy);
+    node.forwardedInFlight = 0;
     node.shuttingDown = true;
+    node.callsEndBy = BootClock::now() + std::chrono::seconds(1);
     cr_assert_eq(admitForwarded(node, call), ForwardRefusal::Stopping);
+    node.callsEndBy = BootClock::now() + std::chrono::seconds(60);
+    cr_assert_eq(admitForwarded(node, call), ForwardRefusal::None);
 }
