Retries: one that is forwarded counts when it can have arrived

Cause of what can be shown: a retry moved in the budget's window to the moment at which it left the VM. A VM without links forwards it, and the other VM lets it wait for capacity, up to seconds; a link that falls silent holds it back for up to one. Rights of one window then arrive in the next, beside those of that window. Class: something is counted when it is decided and judged when it happens; the same class as the retry that waited at its own VM (docs/incidents/retries-beyond-the-budget.md).

Change: a forwarded retry, and one whose answer never came, is counted once more from when it can last have arrived: when the head of the answer comes, or the attempt breaks off. A direct one whose head comes stays where it is.

--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -63,6 +63,7 @@
     double cachedTokens = 0; ///< of its prompt, believed to be cached at its latest engine
     int attempts = 0;
     std::optional<Instant> retryTakenAt; ///< a retry taken from the budget and not yet sent
+    std::optional<Instant> retrySentAt; ///< a retry that may not have arrived at a target yet
     Duration placementTime{}; ///< time spent on placement, adapter loads included
     int loads = 0; ///< adapter loads that were waited for
     Duration forecast{}; ///< from the choice of the engine to the first event; zero: none
--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -107,9 +107,20 @@
     ++call.attempts;
     if (!call.retryTakenAt)
         return;
+    const Instant now = BootClock::now();
     recordRetrySent(call.node.retryBudgets[call.service], call.node.settings.retries,
-                    *call.retryTakenAt, BootClock::now());
+                    *call.retryTakenAt, now);
     call.retryTakenAt.reset();
+    call.retrySentAt = now;
+}
+
+void recordArrival(ActiveCall &call)
+{
+    if (!call.retrySentAt)
+        return;
+    recordRetryArrived(call.node.retryBudgets[call.service], call.node.settings.retries,
+                       *call.retrySentAt, BootClock::now());
+    call.retrySentAt.reset();
 }
 
 asio::awaitable<bool> readFully(TargetExchange &exchange, std::string &body)
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -270,6 +270,7 @@
         const bool headReceived = co_await exchange.send(requestFor(this->call, metadata));
         this->sendError = exchange.error();
         if (!headReceived) {
+            recordArrival(this->call);
             if (!this->call.cancelled())
                 this->recordBroken(exchange, target);
             co_return AttemptResult::Broken;
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -170,6 +170,7 @@
     ++call.runsStarted;
     call.mayHaveRun = true;
     const bool headReceived = co_await exchange.sendOfferedBody();
+    recordArrival(call);
     if (!headReceived)
         co_return AttemptResult::Broken;
     const ForwardReport report = readForwardReport(exchange.head());
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -56,6 +56,13 @@
 void recordRetrySent(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant takenAt,
                      Instant now);
 
+/**
+ * A retry counted at `sentAt` has arrived at a target by `now`, as an answer shows, or never will.
+ * It is counted from now on, as it may have been on its way until now.
+ */
+void recordRetryArrived(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant sentAt,
+                        Instant now);
+
 /** Retries of this VM in the window, as of the last call or retry. */
 std::uint32_t retriesTaken(const ServiceRetryBudget &budget) noexcept;
 
--- a/libs/serving/src/ServiceRetryBudget.cpp
+++ b/libs/serving/src/ServiceRetryBudget.cpp
@@ -47,18 +47,35 @@
     return true;
 }
 
-// Counted at the time it was granted, the retry would leave the window less than a window after it
-// was sent, and another one could be granted too early.
-void recordRetrySent(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant takenAt,
-                     Instant now)
+namespace {
+
+/** Counts a retry at `now` that was counted at `countedAt`. */
+void recount(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant countedAt, Instant now)
 {
     std::uint32_t &newest = advance(budget.retries, policy.window, now);
-    const std::int64_t age = ageOf(budget.retries, policy.window, takenAt);
+    const std::int64_t age = ageOf(budget.retries, policy.window, countedAt);
     if (age <= budget.retries.inWindow)
         --budget.retries.part(budget.retries.newest - age);
     ++newest;
 }
 
+} // namespace
+
+// Counted at the time it was granted, the retry would leave the window less than a window after it
+// was sent, and another one could be granted too early.
+void recordRetrySent(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant takenAt,
+                     Instant now)
+{
+    recount(budget, policy, takenAt, now);
+}
+
+// Counted at the time it was sent, it would leave the window less than a window after it arrived.
+void recordRetryArrived(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant sentAt,
+                        Instant now)
+{
+    recount(budget, policy, sentAt, now);
+}
+
 std::uint32_t retriesTaken(const ServiceRetryBudget &budget) noexcept
 {
     return sumOf(budget.retries);
--- a/libs/serving/tests/Retries.cpp
+++ b/libs/serving/tests/Retries.cpp
@@ -117,6 +117,41 @@
     }));
 }
 
+// Guards against counting a retry when it leaves the VM instead of when it arrives: another VM that
+// serves it lets it wait for capacity, and a link that falls silent holds it back.
+Test(retries, repeats_that_arrive_late_stay_within_the_bound)
+{
+    cr_assert(rc::check("bound", [] {
+        RetryPolicy policy;
+        policy.slack = *rc::gen::inRange(4, 30);
+        ServiceRetryBudget budget;
+        std::multimap<Instant, Instant> onTheWay; // by time of the answer: time of sending
+        std::multimap<Instant, Instant> arriving; // by time of arrival: time of sending
+        std::deque<Instant> arrived;
+        Instant now = Instant{} + 100s;
+        for (int step = 0; step < 400; ++step) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 120));
+            while (!arriving.empty() && arriving.begin()->first <= now) {
+                arrived.push_back(arriving.begin()->first);
+                arriving.erase(arriving.begin());
+            }
+            while (!onTheWay.empty() && onTheWay.begin()->first <= now) {
+                recordRetryArrived(budget, policy, onTheWay.begin()->second, now);
+                onTheWay.erase(onTheWay.begin());
+            }
+            if (tryTakeRetry(budget, policy, among(1), now)) {
+                const Instant arrival = now + std::chrono::milliseconds(*rc::gen::inRange(0, 4200));
+                arriving.emplace(arrival, now);
+                onTheWay.emplace(arrival + std::chrono::milliseconds(*rc::gen::inRange(0, 900)),
+                                 now);
+            }
+            while (!arrived.empty() && now - arrived.front() > policy.window)
+                arrived.pop_front();
+            RC_ASSERT(static_cast<double>(arrived.size()) <= policy.slack);
+        }
+    }));
+}
+
 Test(retries, the_share_is_available_again_after_the_window)
 {
     RetryPolicy policy;
