Metrics: offers of a call that fail, by reason, and calls nobody took

Cause: of calls at VMs without links the logs told each offer and why it failed, but lines are left out when there are many, and the count was of all reasons together; a call that was offered to nobody left no trace but its answer, so "nobody takes calls" could not be told from "they have no room".

Change: forwards_refused by reason (silent, stopping, links lost, other configuration, busy, malformed) and forwards_unplaced.

Measured: no change of what is decided; tests of observe and gateway pass.

--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -140,6 +140,25 @@
     return own;
 }
 
+Counter refusalCounter(ForwardRefusal refusal)
+{
+    switch (refusal) {
+    case ForwardRefusal::Malformed:
+        return Counter::ForwardsRefusedMalformed;
+    case ForwardRefusal::Stopping:
+        return Counter::ForwardsRefusedStopping;
+    case ForwardRefusal::LinksLost:
+        return Counter::ForwardsRefusedLinksLost;
+    case ForwardRefusal::ConfigMismatch:
+        return Counter::ForwardsRefusedConfig;
+    case ForwardRefusal::Busy:
+        return Counter::ForwardsRefusedBusy;
+    case ForwardRefusal::None:
+        break;
+    }
+    return Counter::ForwardsRefusedSilent;
+}
+
 void recordOffer(GatewayNode &node, const ActiveCall &call, const Endpoint &peer, OfferResult end,
                  ForwardRefusal refusal)
 {
@@ -150,6 +169,7 @@
     } else {
         known.notBefore[call.service] = BootClock::now() + offerBackoff(refusal);
         node.metrics.add(Counter::ForwardsRefused);
+        node.metrics.add(refusalCounter(refusal));
     }
     const bool silent = end == OfferResult::NoReply;
     logEvent(EventId::CallForwarded,
@@ -241,6 +261,7 @@
         co_return co_await passForwarded(call, answer, exchange);
     }
     call.noPeerAccepts = true;
+    node.metrics.add(Counter::ForwardsUnplaced);
     co_return areLinksLost(node, call.service) ? AttemptResult::Refused
                                                : AttemptResult::Unreachable;
 }
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -49,7 +49,14 @@
     ResumesWithoutEngine, ///< refused or ended as no engine of the version that began them took
                           ///< them
     StreamOriginsTold, ///< stream origins sent to the VMs that keep them
-    ForwardsRefused, ///< forwarded calls that another VM did not accept
+    ForwardsRefused, ///< offers of a call that another VM did not accept
+    ForwardsRefusedSilent, ///< this and the next five: the same by reason; it did not answer
+    ForwardsRefusedMalformed,
+    ForwardsRefusedStopping,
+    ForwardsRefusedLinksLost,
+    ForwardsRefusedConfig,
+    ForwardsRefusedBusy,
+    ForwardsUnplaced, ///< calls that no other VM accepted
     // Bytes of state updates sent to VMs of the own zone, by kind; see gateway/UpdateBytes.h.
     NewsToMatesUses,
     NewsToMatesEngines,
