Leases: the next holder waits from the last command, not from the release

Callers saw: "no engine has room" and declined loads at all VMs while some had lost their links to the engines, at cuts by silence most.

Cause: the VM that may command an engine and has lost its links kept its lease for 2.5 s after it had found the loss, and the next holder then waited 3.3 s from the release, though nothing had been sent since the cut began. Its engines got no command for some 7 s, and again for 3.3 s when the VM joined once more. Loads were requested at it meanwhile and declined. Class: a wait is measured from the end of a right, not from its last use.

Change: a release names the last command of the partition. A VM whose links are lost asks each engine for a report; from one that does not answer it withdraws at once, so that nobody asks it for loads there, and it yields after 2 s if most of its engines are such. Engines that answer on open connections keep their commands. A VM that has yielded stays out for 60 s while another one holds engines of the zone.

--- a/libs/gateway/src/EngineCommands.cpp
+++ b/libs/gateway/src/EngineCommands.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "LeaseKeeping.h"
+#include "LinkWatch.h"
 #include "PeerCodec.h"
 #include "SharedEngines.h"
 #include "TargetRestarts.h"
@@ -89,8 +90,10 @@
     held.commandInFlight = true;
     held.commandSince = BootClock::now();
     const EngineAddress address{target, entry->endpoint};
+    const std::string service = entry->service;
     const auto report = co_await node.platform->report(node.http, address, reportTimeout);
     held.commandInFlight = false;
+    held.unreachable = !report && areLinksLost(node, service);
     if (report)
         recordStartTime(node, target, report->startTime);
     const bool applied = report && applyEngineReport(held.scheduler, *report, BootClock::now());
@@ -130,12 +133,17 @@
         ? BootClock::now() - slot->second.lastUsedAt
         : Duration::zero();
     const std::int64_t startBefore = held.scheduler.startTime;
+    const int partition = partitionOf(stableHash(target), node.settings.partitions);
+    const Instant sentAt = BootClock::now();
+    const Instant before = recordCommand(node.lease, partition, sentAt);
     held.commandInFlight = true;
-    held.commandSince = BootClock::now();
+    held.commandSince = sentAt;
     const CommandOutcome outcome =
         co_await node.platform->command(node.http, address, command, commandTimeout);
     held.commandInFlight = false;
     const Instant now = BootClock::now();
+    if (outcome == CommandOutcome::NotSent)
+        retractCommand(node.lease, partition, sentAt, before);
     // The engine restarted meanwhile under the same id. Which of the two processes got the command,
     // if any, is not known. The state here is that of the new one, and a report has to complete it.
     if (held.scheduler.startTime != startBefore) {
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -178,6 +178,7 @@
     AdapterScheduler scheduler;
     bool commandInFlight = false; ///< a command or report request is in flight
     Instant commandSince{}; ///< when the latest one was sent
+    bool unreachable = false; ///< links to engines are lost, and it does not answer either
     bool checkingLoads = false; ///< a report is being read to see whether loads are done
     Instant retryAt{}; ///< no command or report request before this
     int refusals = 0; ///< consecutive
@@ -358,7 +359,8 @@
     Instant bootedAt;
     bool mayHoldLease = false; ///< it takes part in the lease group of the zone
     Instant joinedLeaseGroupAt{}; ///< when it joined that group first; zero: not yet
-    bool leaseYielded = false; ///< lease left to zone peers until this VM reaches engines again
+    bool leaseYielded = false; ///< lease left to zone peers; see shouldYieldLease()
+    Instant leaseYieldedAt{}; ///< when it last was
     bool leaseRenewed = false; ///< the last renewal was granted
     bool renewalFailing = false;
     bool heldBefore = false; ///< an earlier boot recorded itself as lease holder in the store
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -7,6 +7,7 @@
 #include "PeerCodec.h"
 #include "PeerExchange.h"
 #include "SharedEngines.h"
+#include "ZonePeers.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -42,10 +43,16 @@
 constexpr int renewalsPerLease = 4;
 
 /**
- * The lease is kept through link losses up to this long. The next holder sends its first commands
- * some 4 s after a release, and a shorter loss is over before that.
+ * The lease is kept through link losses up to this long. The next holder waits 3.3 s from the last
+ * command of this one, and needs up to 0.6 s of that to be assigned the partitions.
  */
-constexpr Duration leaseKeptTime = std::chrono::milliseconds(2500);
+constexpr Duration leaseKeptTime = std::chrono::milliseconds(2000);
+
+/**
+ * After it has yielded its lease, a VM leaves it to the others for this long, as each handover
+ * leaves engines without commands for 3.3 s.
+ */
+constexpr Duration rejoinDelay = std::chrono::seconds(60);
 
 /**
  * A lease holder that is cut off from the store keeps its lease by confirmations of the VMs that it
@@ -83,6 +90,9 @@
     const TargetEntry *entry = entryOf(node, target);
     if (entry == nullptr || entry->zone != node.settings.zone || node.leftLeaseGroup)
         return false;
+    const auto held = node.heldEngines.find(target);
+    if (held != node.heldEngines.end() && held->second->unreachable)
+        return false;
     if (mayBeUnknownToHolder(node, BootClock::now()))
         return false;
     const int partition = partitionOf(stableHash(target), node.settings.partitions);
@@ -193,10 +203,30 @@
     }
 }
 
+namespace {
+
+/** True unless most engines that this VM commands still answer it, on open connections. */
+bool reachesFewHeldEngines(const GatewayNode &node)
+{
+    std::size_t commanded = 0;
+    std::size_t unreachable = 0;
+    for (const auto &[target, engine] : node.heldEngines) {
+        const TargetEntry *entry = entryOf(node, target);
+        if (entry == nullptr || entry->zone != node.settings.zone)
+            continue;
+        const int partition = partitionOf(stableHash(target), node.settings.partitions);
+        commanded += node.lease.activeFrom.count(partition);
+        unreachable += engine->unreachable ? node.lease.activeFrom.count(partition) : 0;
+    }
+    return 2 * unreachable >= commanded;
+}
+
+} // namespace
+
 bool shouldYieldLease(const GatewayNode &node, Instant now)
 {
     const std::optional<Instant> lostSince = engineLinksLostSince(node);
-    if (!lostSince || now - *lostSince < leaseKeptTime)
+    if (!lostSince || now - *lostSince < leaseKeptTime || !reachesFewHeldEngines(node))
         return false;
     const int linked = isRelayLive(node, now) ? node.relayState.linkedZonePeers
                                               : linkedVms(node, node.settings.peers);
@@ -216,6 +246,7 @@
               {"before", std::to_string(node.lease.activeFrom.size())},
               {"why", "links to engines are lost, and another VM of the zone reaches them"}});
     node.leaseYielded = true;
+    node.leaseYieldedAt = BootClock::now();
     node.leaseRenewed = false;
     node.renewalFailing = false;
     dropLease(node.lease, BootClock::now());
@@ -224,8 +255,24 @@
     co_await node.platform->leave(node.http, node.settings, renewal, renewTimeout);
 }
 
+/** True if another VM commands engines of this zone. */
+bool hasOtherHolder(const GatewayNode &node)
+{
+    const auto &records = node.shared.engines.all();
+    return std::any_of(records.begin(), records.end(), [&node](const auto &entry) {
+        const EngineRecord &record = entry.second.value;
+        return record.holderLive && record.holder != node.settings.peers
+            && zoneOfTarget(node, entry.first) == node.settings.zone;
+    });
+}
+
 } // namespace
 
+bool shouldStayOut(const GatewayNode &node, Instant now)
+{
+    return node.leaseYielded && now - node.leaseYieldedAt < rejoinDelay && hasOtherHolder(node);
+}
+
 asio::awaitable<void> leaseLoop(GatewayNode &node)
 {
     Instant assignedAt{};
@@ -242,6 +289,10 @@
             co_await pauseFor(node, extendInterval);
             continue;
         }
+        if (shouldStayOut(node, BootClock::now())) {
+            co_await pauseFor(node, extendInterval);
+            continue;
+        }
         node.leaseYielded = false;
         if (node.joinedLeaseGroupAt == Instant{})
             node.joinedLeaseGroupAt = BootClock::now();
--- a/libs/gateway/src/LeaseKeeping.h
+++ b/libs/gateway/src/LeaseKeeping.h
@@ -31,6 +31,9 @@
  */
 bool shouldYieldLease(const GatewayNode &node, Instant now);
 
+/** True if this VM, which yielded its lease, should leave it to those that hold it now. */
+bool shouldStayOut(const GatewayNode &node, Instant now);
+
 /** Releases the lease for good, so that the next lease holder need not wait for it to expire. */
 asio::awaitable<void> leaveLease(GatewayNode &node);
 
--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -115,6 +115,21 @@
     node.engineChanged.notifyAll();
 }
 
+/**
+ * Links to the service were lost or are back. Open connections to engines may have survived a loss,
+ * so each engine has to answer a report before it gets the next command of this VM.
+ */
+void recheckHeldEngines(GatewayNode &node, const std::string &service)
+{
+    for (const auto &[target, engine] : node.heldEngines) {
+        const TargetEntry *entry = entryOf(node, target);
+        if (entry == nullptr || entry->service != service)
+            continue;
+        invalidateSequence(engine->scheduler);
+        engine->unreachable = false;
+    }
+}
+
 asio::awaitable<void> probeLoop(GatewayNode &node, std::string service)
 {
     while (!node.stopped && areLinksLost(node, service)) {
@@ -125,6 +140,7 @@
         if (!recordProbes(links, round))
             continue;
         resetObservations(node, service);
+        recheckHeldEngines(node, service);
         logEvent(EventId::LinksBack,
                  {{"service", service}, {"lostMs", millisText(BootClock::now() - links.since)}});
         node.reportDue.notifyAll();
@@ -158,6 +174,7 @@
     links.lost = true;
     links.since = BootClock::now();
     links.goodRounds = 0;
+    recheckHeldEngines(node, service);
     logEvent(EventId::LinksLost,
              {{"service", service},
               {"listed", std::to_string(counts.listed)},
--- a/libs/serving/include/serving/PartitionLease.h
+++ b/libs/serving/include/serving/PartitionLease.h
@@ -15,7 +15,7 @@
 {
     int partition = 0;
     std::int64_t generation = 0; ///< last generation in which that VM held it
-    Instant at{}; ///< that VM sends no command after this
+    Instant at{}; ///< that VM has sent no command after this, and sends none
 
     auto operator<=>(const PartitionRelease &) const = default;
 };
@@ -65,6 +65,7 @@
     std::map<int, std::int64_t> acquiredIn; ///< generation of acquisition, by held partition
     std::set<int> recordsRead; ///< held partitions whose records were read since acquired
     std::set<int> recorded; ///< held partitions for which this VM has added its record
+    std::map<int, Instant> lastCommandAt; ///< of this VM, by held partition
     std::vector<PartitionRelease> releases; ///< of this VM, to be reported to the others
 
     bool operator==(const PartitionLease &) const = default;
@@ -136,6 +137,15 @@
 /** True if this VM may send a command to the partition now; check directly before each command. */
 bool mayCommand(const PartitionLease &lease, int partition, Instant now) noexcept;
 
+/**
+ * This VM is about to send a command to an engine of the partition. Returns when it sent the one
+ * before; zero: none in this lease.
+ */
+Instant recordCommand(PartitionLease &lease, int partition, Instant now);
+
+/** The command recorded at `sentAt` was not sent; `before` is what recordCommand() returned. */
+void retractCommand(PartitionLease &lease, int partition, Instant sentAt, Instant before);
+
 /** The partition of an engine. */
 int partitionOf(std::uint64_t targetHash, int partitions) noexcept;
 
--- a/libs/serving/src/PartitionLease.cpp
+++ b/libs/serving/src/PartitionLease.cpp
@@ -1,6 +1,7 @@
 #include "serving/PartitionLease.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace monsoonbay {
 
@@ -28,6 +29,17 @@
 /** Releases older than this no longer shorten the wait of any VM. */
 constexpr Duration releaseTtl = std::chrono::seconds(8);
 
+/** An earlier last command shortens no wait: by then the gap between two holders has passed. */
+constexpr Duration oldestLastCommand = releaseTtl / 2;
+
+/** After this time the VM has sent no command to a partition that it may command since `from`. */
+Instant lastCommandOf(const PartitionLease &lease, int partition, Instant from, Instant now)
+{
+    const auto sent = lease.lastCommandAt.find(partition);
+    const Instant last = sent == lease.lastCommandAt.end() ? from : std::max(from, sent->second);
+    return std::max(last, now - oldestLastCommand);
+}
+
 /** Adds releases for partitions that are given up, if commands could be sent to them until now. */
 void release(PartitionLease &lease, const std::map<int, Instant> &stillHeld, Instant now)
 {
@@ -37,8 +49,11 @@
     for (const auto &[partition, from] : lease.activeFrom) {
         const bool ordered = unbroken && now >= from && lease.recorded.count(partition) > 0;
         if (ordered && stillHeld.count(partition) == 0)
-            lease.releases.push_back({partition, lease.generation, now});
+            lease.releases.push_back(
+                {partition, lease.generation, lastCommandOf(lease, partition, from, now)});
     }
+    std::erase_if(lease.lastCommandAt,
+                  [&stillHeld](const auto &sent) { return stillHeld.count(sent.first) == 0; });
 }
 
 /** Time after which no former holder of a partition sends commands and the gap has passed. */
@@ -203,6 +218,18 @@
         && lease.recorded.count(partition) > 0;
 }
 
+Instant recordCommand(PartitionLease &lease, int partition, Instant now)
+{
+    return std::exchange(lease.lastCommandAt[partition], now);
+}
+
+void retractCommand(PartitionLease &lease, int partition, Instant sentAt, Instant before)
+{
+    const auto last = lease.lastCommandAt.find(partition);
+    if (last != lease.lastCommandAt.end() && last->second == sentAt)
+        last->second = before;
+}
+
 int partitionOf(std::uint64_t targetHash, int partitions) noexcept
 {
     return static_cast<int>(targetHash % static_cast<std::uint64_t>(std::max(partitions, 1)));
--- a/libs/serving/tests/LeaseModel.cpp
+++ b/libs/serving/tests/LeaseModel.cpp
@@ -8,6 +8,7 @@
 
 constexpr int renewEveryTicks = 5;
 constexpr int reportEveryTicks = 2;
+constexpr int yieldAfterTicks = 20;
 constexpr int recordTicks = 4; ///< from reading the records to adding one: a slow store
 
 struct Simulation
@@ -37,6 +38,11 @@
         return this->is(vm == 0 ? Fault::FirstDown : Fault::SecondDown);
     }
 
+    bool isUnlinked(int vm) const
+    {
+        return this->is(vm == 0 ? Fault::FirstUnlinked : Fault::SecondUnlinked);
+    }
+
     bool reachesStore(int vm) const
     {
         return !this->is(vm == 0 ? Fault::StoreUnreachableFromFirst
@@ -129,6 +135,8 @@
 
 void sendCommand(Simulation &simulation, int index, Instant now)
 {
+    if (!simulation.mutation.forgetsCommands)
+        recordCommand(simulation.vms[static_cast<std::size_t>(index)].lease, 0, now);
     if (simulation.lastSender >= 0 && simulation.lastSender != index)
         simulation.shortest = std::min(simulation.shortest, now - simulation.lastCommandAt);
     simulation.lastSender = index;
@@ -136,6 +144,23 @@
     ++simulation.activeTicks;
 }
 
+/** True if the VM has left the group as it reaches no engine; as leaseLoop() of the gateway. */
+bool hasYielded(Simulation &simulation, int index, Instant now)
+{
+    ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
+    vm.unlinkedTicks = simulation.isUnlinked(index) ? vm.unlinkedTicks + 1 : 0;
+    if (vm.unlinkedTicks < yieldAfterTicks)
+        return false;
+    if (vm.unlinkedTicks > yieldAfterTicks)
+        return true;
+    dropLease(vm.lease, now);
+    vm.renewalFailing = false;
+    vm.claims.clear();
+    if (simulation.reachesStore(index))
+        simulation.store.leave(index);
+    return true;
+}
+
 void tickVm(Simulation &simulation, int index, int tick, Instant now)
 {
     ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
@@ -148,12 +173,14 @@
     // The worst case: a VM that wakes up sends commands before it does anything else.
     const Duration pause =
         simulation.mutation.ignoresPause ? vm.totalPause.time_since_epoch() : Duration::zero();
-    if (mayCommand(vm.lease, 0, now - pause))
+    if (!simulation.isUnlinked(index) && mayCommand(vm.lease, 0, now - pause))
         sendCommand(simulation, index, now);
+    const bool yielded = hasYielded(simulation, index, now);
     // The VMs do not act in the same ticks.
-    if ((tick + 2 * index) % renewEveryTicks == 0)
+    if (!yielded && (tick + 2 * index) % renewEveryTicks == 0)
         renew(simulation, index, now);
-    addRecord(simulation, index, tick, now);
+    if (!yielded)
+        addRecord(simulation, index, tick, now);
     if ((tick + index) % reportEveryTicks == 0)
         reportToPeer(simulation, index, now);
     extend(simulation, vm, now - pause);
@@ -218,6 +245,17 @@
         this->assign(this->owner < 0 ? vm : this->owner);
 }
 
+void ModelStore::leave(int vm)
+{
+    if (!this->isMember(vm))
+        return;
+    this->joinedAt[static_cast<std::size_t>(vm)] = Instant{};
+    if (this->owner == vm)
+        this->assign(this->isMember(1 - vm) ? 1 - vm : -1);
+    else
+        ++this->generation;
+}
+
 void ModelStore::reassign()
 {
     const int other = 1 - this->owner;
--- a/libs/serving/tests/LeaseModel.h
+++ b/libs/serving/tests/LeaseModel.h
@@ -16,6 +16,8 @@
     AnswersLost, ///< the store executes renewals, but their answers are lost
     FirstFrozen,
     SecondFrozen,
+    FirstUnlinked, ///< it reaches no engine, sends no command, and yields after a while
+    SecondUnlinked,
     FirstDown, ///< the process ends; it restarts when the fault is turned off
     SecondDown,
     Count, ///< number of faults, not one of them
@@ -38,6 +40,7 @@
     bool trustsAnyPeer = false; ///< any report of the other VM extends the lease
     bool ignoresPause = false; ///< the clock of the lease stops while the VM is paused
     bool recordsBlindly = false; ///< records are added even if others were added since the read
+    bool forgetsCommands = false; ///< a release does not count the last command
 };
 
 /** The platform's store, as far as it assigns one partition. */
@@ -50,6 +53,7 @@
 
     void expire(Instant now, Duration ttl);
     void join(int vm, Instant now);
+    void leave(int vm);
     void reassign();
 
 private:
@@ -67,6 +71,7 @@
     std::vector<HolderClaim> claims; ///< about to be added to the store
     std::uint64_t readEnd = 0; ///< `logEnd` of the records that the claims are based on
     int addAt = 0; ///< tick in which they are added
+    int unlinkedTicks = 0; ///< since when it reaches no engine; 0: it does
 };
 
 std::string nameOf(int vm);
--- a/libs/serving/tests/Leases.cpp
+++ b/libs/serving/tests/Leases.cpp
@@ -143,6 +143,27 @@
     cr_assert(findsTwoHolders(LeaseTiming{}, mutation));
 }
 
+// Guards against a model that does not notice a release that does not count the last command.
+Test(leases, the_model_finds_a_release_that_forgets_commands)
+{
+    Mutation mutation;
+    mutation.forgetsCommands = true;
+    cr_assert(findsTwoHolders(LeaseTiming{}, mutation));
+}
+
+// Guards against engines that get no commands for most of a cut: their holder has lost its links,
+// and its successor waited from the release on, though the last command was sent before the cut.
+Test(leases, a_holder_without_links_is_succeeded_soon)
+{
+    const std::vector<Toggle> cut{toggleAt(100, int(Fault::FirstUnlinked)),
+                                  toggleAt(100 + 120, int(Fault::FirstUnlinked))};
+    const LeaseTiming timing;
+    const int ticksLost = ticksActive({}, 220, timing) - ticksActive(cut, 220, timing);
+    const Duration allowed = timing.handoverGap + timing.margin + 700ms;
+    cr_assert_leq(ticksLost, allowed / tickLength, "%d ticks without commands", ticksLost);
+    cr_assert_geq(shortestHandover(cut, ticks, timing, Mutation{}), timing.handoverGap);
+}
+
 // Guards against a needless wait: after a restart of all VMs, or after the store had reassigned a
 // partition and returned it, no VM sent commands for 5 s. The VM that the last record names as the
 // last holder may continue at once.
@@ -228,7 +249,10 @@
     grant.partitions = {1};
     renewLease(leaver, grant, timing, modelStart, modelStart);
     recordAll(leaver, recordsBy("vm-1", 4), "vm-1", modelStart);
-    dropLease(leaver, modelStart + 400ms);
+    recordCommand(leaver, 1, modelStart + 300ms);
+    const Instant before = recordCommand(leaver, 1, modelStart + 400ms);
+    retractCommand(leaver, 1, modelStart + 400ms, before);
+    dropLease(leaver, modelStart + 450ms);
     cr_assert_eq(leaver.releases.size(), 1);
     PartitionLease successor;
     grant.generation = 5;
@@ -238,7 +262,7 @@
     cr_assert(!mayCommand(successor, 1, modelStart + 500ms));
     cr_assert_eq(
         successor.activeFrom.at(1).time_since_epoch().count(),
-        (modelStart + 400ms + timing.handoverGap + timing.margin).time_since_epoch().count());
+        (modelStart + 300ms + timing.handoverGap + timing.margin).time_since_epoch().count());
     later.acquiredIn[1] = 6; // another VM may have held it in between
     applyRelease(later, leaver.releases.front(), timing);
     cr_assert(later.activeFrom.at(1) > successor.activeFrom.at(1));
