A VM with few calls of its own takes forwarded calls of several VMs

Callers saw: 503 "no other VM takes calls" at VMs without links, beside VMs with links that had room.

Cause: a VM took 16 forwarded calls and eight for each of its own. One that has just started, is about to end or has few callers has hardly any of its own, so the only VM with links refused as "busy" what it could serve. Class: room is worked out from a figure that falls when room is needed.

Change: 64 instead of 16, as many as several VMs have in flight.

Measured: the new test fails before (Busy at 60 in flight) and passes.

--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -29,9 +29,12 @@
 /** A call is forwarded after this many targets that only this VM does not reach. */
 constexpr int minUnreachable = 2;
 
-/** Forwarded calls that a VM accepts: so many for each of its own, and a few in any case. */
+/**
+ * Forwarded calls that a VM accepts: so many for each of its own, and in any case as many as several
+ * VMs have in flight, as it may have few of its own at night, after its start or before its end.
+ */
 constexpr int forwardedPerOwnCall = 8;
-constexpr int minForwarded = 16;
+constexpr int minForwarded = 64;
 
 /** A VM that shuts down accepts calls that end within this time; most answers take less. */
 constexpr Duration minTimeToFinish = std::chrono::milliseconds(2000);
