Harmful calls: evidence names the shared parts of prompts

Cause: what a target ran when it ended was told as hashes of content and caller only. Ends under calls of which no two are alike have nothing in common in the logs, so "one part of the prompts ends the engines" could not be told from "engines end for reasons of their own" or "different callers' calls end them".

Change: an identity has the ids of the prompt's parts as hashes, but the last part's: each by itself, whatever its case and place, 16 at most. Records and memory are bounded by hashes instead of calls. Nothing is judged by parts yet.

--- a/libs/gateway/src/ActiveCall.cpp
+++ b/libs/gateway/src/ActiveCall.cpp
@@ -50,7 +50,10 @@
 {
     const std::string_view method(call.request->method_string().data(),
                                   call.request->method_string().size());
-    return identifyCall(method, call.host, call.path, call.request->body(), callerAddressOf(call));
+    CallIdentity identity =
+        identifyCall(method, call.host, call.path, call.request->body(), callerAddressOf(call));
+    identity.parts = sharedPartsOf(call.metadata.prompt);
+    return identity;
 }
 
 Duration timeLeft(const ActiveCall &call)
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -375,7 +375,7 @@
     PrefillCounts prefill;
     HarmfulCalls harmful; ///< derived from the evidence
     bool evidenceChanged = false; ///< since the last evaluation
-    std::size_t evidenceCalls = 0; ///< number of calls named in all evidence
+    std::size_t evidenceSize = 0; ///< number of hashes in all evidence
     std::deque<Instant> modelLoads; ///< recent base model loads commanded by this VM
 
     Signal started; ///< the first configuration, or the first target list, has arrived
--- a/libs/gateway/src/HarmfulCallTracking.cpp
+++ b/libs/gateway/src/HarmfulCallTracking.cpp
@@ -9,18 +9,32 @@
 
 namespace {
 
-/** Calls in one record of evidence; 0.6 KB, so that an answer with many changes stays short. */
-constexpr std::size_t maxCallsPerRecord = 32;
+/** Size of one record of evidence; 0.6 KB, so that an answer with many changes stays short. */
+constexpr std::size_t maxRecordSize = 64;
 
-/** Bounds on the evidence kept, by records and by calls in them: 1 MB in all. */
+/** Bounds on the evidence kept, by records and by their size: 2 MB in all. */
 constexpr std::size_t maxEvidence = 2048;
-constexpr std::size_t maxCallsKept = 16384;
+constexpr std::size_t maxEvidenceSize = 32768;
+
+/** Hashes that an identity takes, if it has a few parts. */
+std::size_t sizeOf(const CallIdentity &call)
+{
+    return 2 + call.parts.size();
+}
+
+std::size_t sizeOf(const CallEvidence &evidence)
+{
+    std::size_t size = 0;
+    for (const CallIdentity &call : evidence.calls)
+        size += sizeOf(call);
+    return size;
+}
 
 void addEvidence(GatewayNode &node, std::uint64_t id, KnownEvidence known)
 {
     if (node.shared.evidence.find(id) != nullptr)
         return;
-    node.evidenceCalls += known.evidence.calls.size();
+    node.evidenceSize += sizeOf(known.evidence);
     node.shared.evidence.set(id, std::move(known), node.shared.counter);
     node.evidenceChanged = true;
 }
@@ -28,13 +42,20 @@
 /** Adds evidence of this VM, which it reports to the others. */
 void addOwnEvidence(GatewayNode &node, const CallEvidence &evidence)
 {
-    for (std::size_t from = 0; from < evidence.calls.size(); from += maxCallsPerRecord) {
-        const std::size_t to = std::min(from + maxCallsPerRecord, evidence.calls.size());
-        KnownEvidence record{evidence, true};
-        record.evidence.calls.assign(evidence.calls.begin() + static_cast<std::ptrdiff_t>(from),
-                                     evidence.calls.begin() + static_cast<std::ptrdiff_t>(to));
-        addEvidence(node, node.random(), std::move(record));
+    KnownEvidence record{evidence, true};
+    record.evidence.calls.clear();
+    std::size_t size = 0;
+    for (const CallIdentity &call : evidence.calls) {
+        if (size > 0 && size + sizeOf(call) > maxRecordSize) {
+            addEvidence(node, node.random(), record);
+            record.evidence.calls.clear();
+            size = 0;
+        }
+        record.evidence.calls.push_back(call);
+        size += sizeOf(call);
     }
+    if (size > 0)
+        addEvidence(node, node.random(), std::move(record));
     evaluateEvidence(node);
     node.reportDue.notifyAll();
 }
@@ -44,7 +65,7 @@
     const KnownEvidence *known = node.shared.evidence.find(id);
     if (known == nullptr)
         return;
-    node.evidenceCalls -= known->evidence.calls.size();
+    node.evidenceSize -= sizeOf(known->evidence);
     node.shared.evidence.erase(id);
     node.evidenceChanged = true;
 }
@@ -130,7 +151,8 @@
     for (const std::uint64_t id : expired)
         dropEvidence(node, id);
     const auto exceedsBounds = [&node] {
-        return node.evidenceCalls > maxCallsKept || node.shared.evidence.all().size() > maxEvidence;
+        return node.evidenceSize > maxEvidenceSize
+            || node.shared.evidence.all().size() > maxEvidence;
     };
     if (exceedsBounds()) {
         for (const std::uint64_t id : inEvictionOrder(node)) {
--- a/libs/gateway/src/PeerCodec.cpp
+++ b/libs/gateway/src/PeerCodec.cpp
@@ -309,6 +309,8 @@
         v1::CallId *named = message.add_calls();
         named->set_content(call.content);
         named->set_caller(call.caller);
+        for (const std::uint64_t part : call.parts)
+            named->add_parts(part);
     }
 }
 
@@ -319,7 +321,8 @@
     evidence.nextStartTime = message.next_born();
     evidence.at = now - std::chrono::milliseconds(message.ago_ms());
     for (const v1::CallId &named : message.calls())
-        evidence.calls.push_back({named.content(), named.caller()});
+        evidence.calls.push_back(
+            {named.content(), named.caller(), {named.parts().begin(), named.parts().end()}});
     return evidence;
 }
 
--- a/libs/gateway/tests/HarmfulWatches.cpp
+++ b/libs/gateway/tests/HarmfulWatches.cpp
@@ -158,7 +158,7 @@
     pruneEvidence(node, now + evidenceTtl + 1s);
     cr_assert_not(blocks(node, harmful));
     cr_assert(node.shared.evidence.all().empty());
-    cr_assert_eq(node.evidenceCalls, 0);
+    cr_assert_eq(node.evidenceSize, 0);
 }
 
 namespace {
