Harmful calls: whatever calls at crashes have in common can be blamed

Cause: evidence was judged by content, and content and caller. Calls with one harmful part in their prompts, no two alike, have neither in common, so each end was explained by a call of its own. Class: only what somebody thought of beforehand can be blamed.

Change: a call has attributes (content of one caller, content, each shared prompt part); one function explains crashes by attributes, the one that explains most first, and what a whole answer shows to be harmless is cleared, as before. Another attribute is a line in attributesOf(). An attribute that a narrower one brings along is not blamed for it. Parts that were at the same crashes are blamed together, from three ends on: refused is a call that has all of them, so those that share some with it are served, and their answers clear these. An answer names only what it clears.

--- a/libs/gateway/src/HarmfulCallTracking.cpp
+++ b/libs/gateway/src/HarmfulCallTracking.cpp
@@ -95,10 +95,11 @@
 
 void logVerdict(const HarmfulCall &call)
 {
-    const CallIdentity identity{call.content, call.caller.value_or(0)};
+    std::string attributes;
+    for (const CallAttribute &attribute : call.attributes)
+        attributes += (attributes.empty() ? "" : ", ") + attributeText(attribute);
     logEvent(EventId::CallFoundHarmful,
-             {{"identity", identityText(identity)},
-              {"callers", call.caller ? "this one" : "all"},
+             {{"attributes", attributes},
               {"targetsEnded", std::to_string(call.crashes)},
               {"firstEndAgoMs", std::to_string(toMillis(BootClock::now() - call.firstCrashAt))}});
 }
@@ -114,11 +115,11 @@
 void recordCompletedCall(ActiveCall &call)
 {
     GatewayNode &node = call.node;
-    if (node.harmful.suspectCalls.empty())
+    if (node.harmful.suspects.empty())
         return;
-    const CallIdentity identity = identityOf(call);
-    if (isSuspect(node.harmful, identity))
-        addOwnEvidence(node, {std::string(), 0, {identity}, BootClock::now()});
+    std::optional<CallIdentity> suspect = suspectPart(node.harmful, identityOf(call));
+    if (suspect)
+        addOwnEvidence(node, {std::string(), 0, {std::move(*suspect)}, BootClock::now()});
 }
 
 void addReceivedEvidence(GatewayNode &node, std::uint64_t id, CallEvidence evidence)
@@ -135,8 +136,11 @@
         evidence.push_back(&entry.value.evidence);
     const HarmfulCalls before = std::exchange(node.harmful, findHarmfulCalls(evidence));
     for (const HarmfulCall &call : node.harmful.calls) {
-        const CallIdentity identity{call.content, call.caller.value_or(0)};
-        if (findHarmful(before, identity) == nullptr)
+        const bool known =
+            std::any_of(before.calls.begin(), before.calls.end(), [&call](const HarmfulCall &old) {
+                return old.attributes == call.attributes;
+            });
+        if (!known)
             logVerdict(call);
     }
 }
--- a/libs/serving/include/serving/HarmfulCalls.h
+++ b/libs/serving/include/serving/HarmfulCalls.h
@@ -5,14 +5,15 @@
 #include <optional>
 #include <vector>
 
+#include "serving/CallAttribute.h"
 #include "serving/CallEvidence.h"
 
 namespace monsoonbay {
 
-/** Target crashes attributed to one call after which it is no longer sent to targets. */
+/** Target crashes attributed to a call or a prompt part after which such calls are refused. */
 constexpr int crashesToBlock = 3;
 
-/** The same if several calls were running at all of these crashes: one of them is the cause. */
+/** The same if several explain all of these crashes, and no call has them all: one is the cause. */
 constexpr int crashesToBlockTied = 5;
 
 /**
@@ -25,11 +26,10 @@
 /** Evidence expires after this. A call that is still harmful then crashes as many targets again. */
 constexpr Duration evidenceTtl = std::chrono::hours(1);
 
-/** A call that crashes the targets that run it. */
+/** Calls that crash the targets that run them. */
 struct HarmfulCall
 {
-    std::uint64_t content = 0;
-    std::optional<std::uint64_t> caller; ///< nullopt: any caller
+    std::vector<CallAttribute> attributes; ///< such a call has all of them; sorted
     int crashes = 0; ///< number of target crashes attributed to it
     Instant firstCrashAt{};
 
@@ -40,24 +40,26 @@
 struct HarmfulCalls
 {
     std::vector<HarmfulCall> calls;
-    // Running at crashes that no answer has cleared them of; sorted.
-    std::vector<CallIdentity> suspectCalls;
-    std::vector<std::uint64_t> suspectContents;
+    std::vector<CallAttribute> suspects; ///< of calls at crashes, not cleared by any answer; sorted
 
     auto operator<=>(const HarmfulCalls &) const = default;
 };
 
 /**
- * Attributes the crashes of targets to calls, beginning with the call that explains most of them.
- * The same evidence gives the same verdict at each VM, in whatever order it arrived.
+ * Attributes the crashes of targets to what the calls there had in common, beginning with the
+ * attribute that explains most of them. The same evidence gives the same verdict at each VM, in
+ * whatever order it arrived.
  */
 HarmfulCalls findHarmfulCalls(const std::vector<const CallEvidence *> &evidence);
 
 /** The entry that matches a call; null: the call may be sent to targets. */
-const HarmfulCall *findHarmful(const HarmfulCalls &harmful, const CallIdentity &call) noexcept;
+const HarmfulCall *findHarmful(const HarmfulCalls &harmful, const CallIdentity &call);
 
-/** True if an answer to the call would clear it of a crash; no other answer has to be reported. */
-bool isSuspect(const HarmfulCalls &harmful, const CallIdentity &call) noexcept;
+/**
+ * What an answer to the call would clear of a crash, as an identity that names only that; nullopt:
+ * the answer need not be reported.
+ */
+std::optional<CallIdentity> suspectPart(const HarmfulCalls &harmful, const CallIdentity &call);
 
 /** When a harmful call may be tried again, if it crashes no further target. */
 Instant blockedUntil(const HarmfulCall &call) noexcept;
--- a/libs/serving/src/HarmfulCalls.cpp
+++ b/libs/serving/src/HarmfulCalls.cpp
@@ -21,15 +21,10 @@
     Instant at{};
     std::int64_t nextStartTime = 0; ///< 0: not known
     std::set<CallIdentity> calls;
-    bool explained = false;
 };
 
-/** When calls were last answered, by content, and by content and caller. */
-struct Answers
-{
-    std::map<std::uint64_t, Instant> byContent;
-    std::map<CallIdentity, Instant> byCall;
-};
+/** When calls with an attribute were last answered. */
+using Answers = std::map<CallAttribute, Instant>;
 
 Answers answersOf(const std::vector<const CallEvidence *> &evidence)
 {
@@ -38,10 +33,10 @@
         if (!item->target.empty())
             continue;
         for (const CallIdentity &call : item->calls) {
-            Instant &content = answers.byContent[call.content];
-            content = std::max(content, item->at);
-            Instant &same = answers.byCall[call];
-            same = std::max(same, item->at);
+            for (const CallAttribute &attribute : attributesOf(call)) {
+                Instant &last = answers[attribute];
+                last = std::max(last, item->at);
+            }
         }
     }
     return answers;
@@ -93,136 +88,169 @@
     return crashes;
 }
 
-template <typename Key>
-bool isCleared(const std::map<Key, Instant> &answers, const Key &key, Instant crash)
+bool isCleared(const Answers &answers, const CallAttribute &attribute, Instant crash)
 {
-    const auto answered = answers.find(key);
+    const auto answered = answers.find(attribute);
     return answered != answers.end() && answered->second + answerClearsFor >= crash;
 }
 
-/** Crashes that a call could explain, as indices into the list of all crashes. */
+/** Crashes that an attribute could explain, as sorted indices into the list of all crashes. */
 using Explained = std::vector<std::size_t>;
 
-/** Crashes that each call could explain, for one caller's calls and for those of all callers. */
-struct Candidates
+struct Candidate
 {
-    std::map<CallIdentity, Explained> byCall;
-    std::map<std::uint64_t, Explained> byContent;
+    CallAttribute attribute;
+    Explained crashes;
 };
 
-Candidates candidatesOf(const std::vector<TargetCrash> &crashes, const Answers &answers)
+/** What could explain some crash, sorted by attribute. */
+std::vector<Candidate> candidatesOf(const std::vector<TargetCrash> &crashes, const Answers &answers)
 {
-    Candidates candidates;
+    std::vector<std::pair<CallAttribute, std::size_t>> pairs;
     for (std::size_t index = 0; index < crashes.size(); ++index) {
-        const TargetCrash &crash = crashes[index];
-        if (crash.explained)
-            continue;
-        std::set<std::uint64_t> contents;
-        for (const CallIdentity &call : crash.calls) {
-            contents.insert(call.content);
-            if (!isCleared(answers.byCall, call, crash.at))
-                candidates.byCall[call].push_back(index);
-        }
-        for (const std::uint64_t content : contents) {
-            if (!isCleared(answers.byContent, content, crash.at))
-                candidates.byContent[content].push_back(index);
+        for (const CallIdentity &call : crashes[index].calls) {
+            for (const CallAttribute &attribute : attributesOf(call))
+                pairs.emplace_back(attribute, index);
         }
     }
+    std::sort(pairs.begin(), pairs.end());
+    pairs.erase(std::unique(pairs.begin(), pairs.end()), pairs.end());
+    std::vector<Candidate> candidates;
+    for (const auto &[attribute, index] : pairs) {
+        if (isCleared(answers, attribute, crashes[index].at))
+            continue;
+        if (candidates.empty() || candidates.back().attribute != attribute)
+            candidates.push_back({attribute, {}});
+        candidates.back().crashes.push_back(index);
+    }
     return candidates;
 }
 
-/** The largest set of crashes that one call explains; empty: none explains any. */
-Explained largestExplained(const Candidates &candidates)
+/** The largest set of crashes that one attribute explains; empty: none explains any. */
+Explained largestExplained(const std::vector<Candidate> &candidates)
 {
-    Explained largest;
-    const auto consider = [&largest](const auto &explainedBy) {
-        for (const auto &[key, crashes] : explainedBy) {
-            if (crashes.size() > largest.size())
-                largest = crashes;
-        }
-    };
-    consider(candidates.byCall);
-    consider(candidates.byContent);
-    return largest;
+    const auto largest = std::max_element(candidates.begin(), candidates.end(),
+                                          [](const Candidate &left, const Candidate &right) {
+                                              return left.crashes.size() < right.crashes.size();
+                                          });
+    return largest == candidates.end() ? Explained() : largest->crashes;
 }
 
-/** Calls that explain exactly these crashes; by content alone only if no caller's call does. */
-std::vector<HarmfulCall> callsExplaining(const Candidates &candidates, const Explained &crashes,
-                                         Instant firstCrashAt)
+bool has(const std::vector<CallAttribute> &attributes, const CallAttribute &attribute)
 {
-    std::vector<HarmfulCall> found;
-    std::set<std::uint64_t> contents;
-    const int count = static_cast<int>(crashes.size());
-    for (const auto &[call, explained] : candidates.byCall) {
-        if (explained != crashes)
+    return std::binary_search(attributes.begin(), attributes.end(), attribute);
+}
+
+/** True if a call at the crash has both: the wider one is there because of the narrower one. */
+bool isImplied(const TargetCrash &crash, const CallAttribute &narrower, const CallAttribute &wider)
+{
+    return std::any_of(crash.calls.begin(), crash.calls.end(), [&](const CallIdentity &call) {
+        const std::vector<CallAttribute> attributes = attributesOf(call);
+        return has(attributes, narrower) && has(attributes, wider);
+    });
+}
+
+/** Attributes that explain exactly these crashes, but for those that a narrower one implies. */
+std::vector<CallAttribute> attributesExplaining(const std::vector<Candidate> &candidates,
+                                                const Explained &explained,
+                                                const TargetCrash &crash)
+{
+    std::vector<CallAttribute> found;
+    for (const Candidate &candidate : candidates) {
+        if (candidate.crashes != explained)
             continue;
-        found.push_back({call.content, call.caller, count, firstCrashAt});
-        contents.insert(call.content);
-    }
-    for (const auto &[content, explained] : candidates.byContent) {
-        if (explained == crashes && contents.count(content) == 0)
-            found.push_back({content, std::nullopt, count, firstCrashAt});
+        const bool implied =
+            std::any_of(found.begin(), found.end(), [&](const CallAttribute &narrower) {
+                return narrower.kind < candidate.attribute.kind
+                    && isImplied(crash, narrower, candidate.attribute);
+            });
+        if (!implied)
+            found.push_back(candidate.attribute);
     }
     return found;
 }
 
-bool matches(const HarmfulCall &harmful, const CallIdentity &call) noexcept
+/** One entry for each content, and one for all parts together: a harmful call has all of these. */
+std::vector<HarmfulCall> alternativesOf(const std::vector<CallAttribute> &attributes, int crashes,
+                                        Instant firstCrashAt)
 {
-    return harmful.content == call.content && (!harmful.caller || *harmful.caller == call.caller);
+    std::vector<HarmfulCall> alternatives;
+    HarmfulCall parts{{}, crashes, firstCrashAt};
+    for (const CallAttribute &attribute : attributes) {
+        if (attribute.kind == AttributeKind::PromptPart)
+            parts.attributes.push_back(attribute);
+        else
+            alternatives.push_back({{attribute}, crashes, firstCrashAt});
+    }
+    if (!parts.attributes.empty())
+        alternatives.push_back(std::move(parts));
+    return alternatives;
 }
 
-template <typename Key> std::vector<Key> keysOf(const std::map<Key, Explained> &explainedBy)
+void removeExplained(std::vector<Candidate> &candidates, const Explained &explained)
 {
-    std::vector<Key> keys;
-    for (const auto &[key, crashes] : explainedBy)
-        keys.push_back(key);
-    return keys;
+    for (Candidate &candidate : candidates) {
+        std::erase_if(candidate.crashes, [&explained](std::size_t crash) {
+            return std::binary_search(explained.begin(), explained.end(), crash);
+        });
+    }
 }
 
 } // namespace
 
 // A crash breaks off many calls, and only one of them is the cause. If crashes were counted for
-// each call by itself, calls that repeatedly ran next to a harmful one would be refused with it.
-// If two calls explain the same crashes, the next crash or an answer tells them apart, so the
-// verdict waits for it.
+// each attribute by itself, calls that repeatedly ran next to a harmful one would be refused with
+// it. If two calls explain the same crashes, the next crash or an answer tells them apart, so the
+// verdict waits for it. Parts that always came together need no wait: only calls with all of them
+// are refused, and the others' answers clear the harmless parts.
 HarmfulCalls findHarmfulCalls(const std::vector<const CallEvidence *> &evidence)
 {
     HarmfulCalls verdict;
-    std::vector<TargetCrash> crashes = crashesOf(evidence);
-    const Answers answers = answersOf(evidence);
-    Candidates candidates = candidatesOf(crashes, answers);
-    verdict.suspectCalls = keysOf(candidates.byCall);
-    verdict.suspectContents = keysOf(candidates.byContent);
+    const std::vector<TargetCrash> crashes = crashesOf(evidence);
+    std::vector<Candidate> candidates = candidatesOf(crashes, answersOf(evidence));
+    for (const Candidate &candidate : candidates)
+        verdict.suspects.push_back(candidate.attribute);
     while (true) {
         const Explained largest = largestExplained(candidates);
         const int count = static_cast<int>(largest.size());
         if (count < crashesToBlock)
             return verdict;
         Instant first = crashes[largest.front()].at;
-        for (const std::size_t crash : largest) {
-            crashes[crash].explained = true;
+        for (const std::size_t crash : largest)
             first = std::min(first, crashes[crash].at);
-        }
-        const std::vector<HarmfulCall> found = callsExplaining(candidates, largest, first);
-        if (found.size() == 1 || count >= crashesToBlockTied)
-            verdict.calls.insert(verdict.calls.end(), found.begin(), found.end());
-        candidates = candidatesOf(crashes, answers);
+        const std::vector<HarmfulCall> alternatives = alternativesOf(
+            attributesExplaining(candidates, largest, crashes[largest.front()]), count, first);
+        if (alternatives.size() == 1 || count >= crashesToBlockTied)
+            verdict.calls.insert(verdict.calls.end(), alternatives.begin(), alternatives.end());
+        removeExplained(candidates, largest);
     }
 }
 
-const HarmfulCall *findHarmful(const HarmfulCalls &harmful, const CallIdentity &call) noexcept
+const HarmfulCall *findHarmful(const HarmfulCalls &harmful, const CallIdentity &call)
 {
-    const auto found = std::find_if(harmful.calls.begin(), harmful.calls.end(),
-                                    [&](const HarmfulCall &known) { return matches(known, call); });
+    const std::vector<CallAttribute> attributes = attributesOf(call);
+    const auto found =
+        std::find_if(harmful.calls.begin(), harmful.calls.end(), [&](const HarmfulCall &known) {
+            return std::includes(attributes.begin(), attributes.end(), known.attributes.begin(),
+                                 known.attributes.end());
+        });
     return found == harmful.calls.end() ? nullptr : &*found;
 }
 
-bool isSuspect(const HarmfulCalls &harmful, const CallIdentity &call) noexcept
+std::optional<CallIdentity> suspectPart(const HarmfulCalls &harmful, const CallIdentity &call)
 {
-    const std::vector<CallIdentity> &calls = harmful.suspectCalls;
-    const std::vector<std::uint64_t> &contents = harmful.suspectContents;
-    return std::binary_search(calls.begin(), calls.end(), call)
-        || std::binary_search(contents.begin(), contents.end(), call.content);
+    CallIdentity suspect;
+    for (const CallAttribute &attribute : attributesOf(call)) {
+        if (!has(harmful.suspects, attribute))
+            continue;
+        if (attribute.kind == AttributeKind::PromptPart) {
+            suspect.parts.push_back(attribute.value);
+        } else {
+            suspect.content = call.content;
+            suspect.caller = call.caller;
+        }
+    }
+    return suspect == CallIdentity() ? std::nullopt : std::optional(std::move(suspect));
 }
 
 Instant blockedUntil(const HarmfulCall &call) noexcept
--- a/libs/serving/tests/HarmfulCalls.cpp
+++ b/libs/serving/tests/HarmfulCalls.cpp
@@ -55,7 +55,7 @@
     cr_assert(blockedUntil(verdict.calls[0]) == start + evidenceTtl);
     evidence.pop_back();
     cr_assert_null(findHarmful(judge(evidence), harmful));
-    cr_assert(isSuspect(judge(evidence), harmful));
+    cr_assert(suspectPart(judge(evidence), harmful).has_value());
 }
 
 // Guards against counting the observations of several VMs as several crashes.
@@ -146,11 +146,11 @@
     std::deque<CallEvidence> evidence = threeCrashes();
     evidence.push_back(answered(500ms, harmful));
     cr_assert(judge(evidence).calls.empty());
-    cr_assert_not(isSuspect(judge(evidence), harmful));
+    cr_assert_not(suspectPart(judge(evidence), harmful).has_value());
     for (const Duration at : {answerClearsFor, answerClearsFor + 1s, answerClearsFor + 2s})
         evidence.push_back(crashed("d", at, {harmful}));
     cr_assert(judge(evidence).calls.empty(), "two ends count");
-    cr_assert(isSuspect(judge(evidence), harmful));
+    cr_assert(suspectPart(judge(evidence), harmful).has_value());
     evidence.push_back(crashed("d", answerClearsFor + 3s, {harmful}));
     cr_assert(findHarmful(judge(evidence), harmful) != nullptr);
 }
@@ -162,13 +162,13 @@
 {
     const CallIdentity other{harmful.content, 2};
     std::deque<CallEvidence> evidence{crashed("a", 0s, {harmful})};
-    cr_assert(isSuspect(judge(evidence), other),
+    cr_assert(suspectPart(judge(evidence), other).has_value(),
               "the first answer clears the content for all callers");
     evidence.push_back(answered(1s, other));
-    cr_assert_not(isSuspect(judge(evidence), other));
-    cr_assert(isSuspect(judge(evidence), harmful), "not yet answered itself");
+    cr_assert_not(suspectPart(judge(evidence), other).has_value());
+    cr_assert(suspectPart(judge(evidence), harmful).has_value(), "not yet answered itself");
     evidence.push_back(answered(2s, harmful));
-    cr_assert_not(isSuspect(judge(evidence), harmful));
+    cr_assert_not(suspectPart(judge(evidence), harmful).has_value());
 }
 
 namespace {
@@ -226,9 +226,108 @@
         const bool mustBeFound = (ends >= crashesToBlock && alone) || ends >= crashesToBlockTied;
         RC_ASSERT((findHarmful(verdict, harmful) != nullptr) == mustBeFound);
         for (const HarmfulCall &call : verdict.calls)
-            RC_ASSERT(counts.at(call.content) == ends);
+            RC_ASSERT(counts.at(call.attributes.at(0).value) == ends);
         std::shuffle(evidence.begin(), evidence.end(), random);
         RC_ASSERT(judge(evidence) == verdict);
     });
     cr_assert(holds);
 }
+
+namespace {
+
+constexpr std::uint64_t commonPart = 1;
+constexpr std::uint64_t harmfulPart = 2;
+
+/** A call like no other, with these parts in its prompt. */
+CallIdentity callWith(std::vector<std::uint64_t> parts)
+{
+    static std::uint64_t contents = 1000;
+    std::sort(parts.begin(), parts.end());
+    return {++contents, 5, std::move(parts)};
+}
+
+/** Crashes under calls with the harmful part, each beside a harmless call of its own. */
+std::deque<CallEvidence> crashesUnderPart(int crashes)
+{
+    std::deque<CallEvidence> evidence;
+    for (int crash = 0; crash < crashes; ++crash) {
+        const std::uint64_t other = 100 + static_cast<std::uint64_t>(crash);
+        evidence.push_back(crashed(
+            std::to_string(crash), crash * 1s,
+            {callWith({commonPart, harmfulPart, other}), callWith({commonPart, other + 50})}));
+    }
+    return evidence;
+}
+
+bool refuses(const std::deque<CallEvidence> &evidence, std::vector<std::uint64_t> parts)
+{
+    return findHarmful(judge(evidence), callWith(std::move(parts))) != nullptr;
+}
+
+} // namespace
+
+// Guards against calls that crash target after target because no two of them are alike, and against
+// refusing those that share other parts with them.
+Test(harmful_calls, a_part_in_all_crashes_is_found_and_its_neighbors_are_not)
+{
+    std::deque<CallEvidence> evidence = crashesUnderPart(crashesToBlock - 1);
+    cr_assert(!refuses(evidence, {commonPart, harmfulPart}));
+    evidence = crashesUnderPart(crashesToBlock);
+    cr_assert(refuses(evidence, {commonPart, harmfulPart, 77}));
+    cr_assert(!refuses(evidence, {commonPart}), "not cleared yet, but not alone at any crash");
+    cr_assert(!refuses(evidence, {commonPart, 100}));
+    evidence.push_back(answered(4s, callWith({commonPart, 9})));
+    cr_assert(refuses(evidence, {harmfulPart}), "the common part is cleared");
+    cr_assert(!refuses(evidence, {commonPart, 9}));
+}
+
+// Guards against blaming a part of a call that crashes targets by itself, sent again and again.
+Test(harmful_calls, the_parts_of_a_harmful_call_are_not_blamed)
+{
+    const CallIdentity call{7, 1, {commonPart, harmfulPart}};
+    const std::deque<CallEvidence> evidence{crashed("a", 0s, {call}), crashed("b", 1s, {call}),
+                                            crashed("c", 2s, {call})};
+    cr_assert(findHarmful(judge(evidence), call) != nullptr);
+    cr_assert(!refuses(evidence, {commonPart, harmfulPart}));
+}
+
+// Guards against an answer to one call with a popular part that is reported for each further one.
+Test(harmful_calls, an_answer_names_only_what_it_clears)
+{
+    std::deque<CallEvidence> evidence = crashesUnderPart(1);
+    const auto suspect = suspectPart(judge(evidence), callWith({commonPart, 9}));
+    cr_assert(suspect == CallIdentity({0, 0, {commonPart}}));
+    evidence.push_back(answered(1s, *suspect));
+    cr_assert(!suspectPart(judge(evidence), callWith({commonPart, 9})).has_value());
+    cr_assert(suspectPart(judge(evidence), callWith({harmfulPart})).has_value());
+}
+
+// Compares verdicts with what was planted: two harmful parts, crashes for other reasons, answers to
+// harmless calls with the common part now and then.
+Test(harmful_calls, planted_parts_are_found_among_crashes_of_other_causes)
+{
+    const bool holds = rc::check("two planted parts", [] {
+        std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+        std::deque<CallEvidence> evidence;
+        std::map<std::uint64_t, int> crashesBy;
+        for (int step = 0; step < 24; ++step) {
+            const Duration at = step * 1s;
+            const std::uint64_t cause = random() % 4; // 2 and 3 are harmful; else another cause
+            std::vector<CallIdentity> calls;
+            for (std::uint64_t beside = random() % 5; beside > 0; --beside)
+                calls.push_back(callWith({commonPart, 100 + random() % 400}));
+            if (cause >= harmfulPart)
+                calls.push_back(callWith({commonPart, cause, 100 + random() % 400}));
+            evidence.push_back(crashed(std::to_string(step), at, calls));
+            ++crashesBy[cause];
+            evidence.push_back(answered(at + 500ms, callWith({commonPart, 600 + random() % 9})));
+        }
+        std::shuffle(evidence.begin(), evidence.end(), random);
+        for (const std::uint64_t part : {harmfulPart, harmfulPart + 1}) {
+            const bool mustBeFound = crashesBy[part] >= crashesToBlock;
+            RC_ASSERT(refuses(evidence, {commonPart, part}) == mustBeFound);
+        }
+        RC_ASSERT(!refuses(evidence, {commonPart, 999}));
+    });
+    cr_assert(holds);
+}
