--- a/libs/gateway/tests/LinkWatches.cpp
+++ b/libs/gateway/tests/LinkWatches.cpp
@@ -1,4 +1,5 @@
 #include "ActiveCall.h"
+#include "Feeds.h"
 #include "GatewayNode.h"
 #include "LeaseKeeping.h"
 #include "LinkWatch.h"
@@ -184,3 +185,56 @@
     holder.receiveReport(false);
     cr_assert_eq(holder.digest.linked_mates(), 1);
 }
+
+namespace {
+
+constexpr const char *heldEngine = "engine-1";
+
+/** The engine is listed in the VM's zone, in a partition that the VM holds. */
+void holdEngine(GatewayNode &node)
+{
+    TargetEntry entry;
+    entry.id = heldEngine;
+    entry.service = "engines";
+    entry.zone = "zone-a";
+    applyPeerTargets(node, {entry});
+    node.heldEngines[heldEngine] = std::make_unique<HeldEngine>(node.context);
+    for (int partition = 0; partition < node.settings.partitions; ++partition)
+        node.lease.activeFrom[partition] = BootClock::now();
+}
+
+} // namespace
+
+// Guards against a handover, and seconds without commands, where open connections to the engines
+// have survived the loss of all others.
+Test(link_watch, a_lease_holder_that_engines_still_answer_does_not_yield)
+{
+    HolderWithoutLinks holder;
+    holdEngine(holder.node);
+    holder.receiveReport(false);
+    cr_assert(!shouldYieldLease(holder.node, BootClock::now()));
+    holder.node.heldEngines[heldEngine]->unreachable = true;
+    cr_assert(shouldYieldLease(holder.node, BootClock::now()));
+}
+
+// Guards against a second handover when links are back, and against an engine that nobody commands
+// because its last holder is gone.
+Test(link_watch, a_vm_that_yielded_stays_out_while_another_one_holds)
+{
+    HolderWithoutLinks holder;
+    GatewayNode &node = holder.node;
+    holdEngine(node);
+    const Instant now = BootClock::now();
+    node.leaseYielded = true;
+    node.leaseYieldedAt = now;
+    cr_assert(!shouldStayOut(node, now), "nobody holds");
+    EngineRecord record;
+    record.holder = {"10.0.0.2", 7380};
+    record.holderLive = true;
+    node.shared.engines.set(heldEngine, record, node.shared.counter);
+    cr_assert(shouldStayOut(node, now));
+    cr_assert(!shouldStayOut(node, now + 61s), "not for good");
+    record.holderLive = false;
+    node.shared.engines.set(heldEngine, record, node.shared.counter);
+    cr_assert(!shouldStayOut(node, now));
+}
