--- a/libs/gateway/src/HarmfulCallTracking.cpp
+++ b/libs/gateway/src/HarmfulCallTracking.cpp
@@ -117,7 +117,7 @@
     GatewayNode &node = call.node;
     if (node.harmful.suspects.empty())
         return;
-    std::optional<CallIdentity> suspect = suspectPart(node.harmful, identityOf(call));
+    std::optional<CallIdentity> suspect = clearedByAnswer(node.harmful, identityOf(call));
     if (suspect)
         addOwnEvidence(node, {std::string(), 0, {std::move(*suspect)}, BootClock::now()});
 }
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -30,8 +30,9 @@
 constexpr int minUnreachable = 2;
 
 /**
- * Forwarded calls that a VM accepts: so many for each of its own, and in any case as many as several
- * VMs have in flight, as it may have few of its own at night, after its start or before its end.
+ * Forwarded calls that a VM accepts: so many for each of its own, and in any case as many as
+ * several VMs have in flight, as it may have few of its own at night, after its start or before its
+ * end.
  */
 constexpr int forwardedPerOwnCall = 8;
 constexpr int minForwarded = 64;
--- a/libs/serving/include/serving/HarmfulCalls.h
+++ b/libs/serving/include/serving/HarmfulCalls.h
@@ -59,7 +59,7 @@
  * What an answer to the call would clear of a crash, as an identity that names only that; nullopt:
  * the answer need not be reported.
  */
-std::optional<CallIdentity> suspectPart(const HarmfulCalls &harmful, const CallIdentity &call);
+std::optional<CallIdentity> clearedByAnswer(const HarmfulCalls &harmful, const CallIdentity &call);
 
 /** When a harmful call may be tried again, if it crashes no further target. */
 Instant blockedUntil(const HarmfulCall &call) noexcept;
--- a/libs/serving/src/HarmfulCalls.cpp
+++ b/libs/serving/src/HarmfulCalls.cpp
@@ -237,7 +237,7 @@
     return found == harmful.calls.end() ? nullptr : &*found;
 }
 
-std::optional<CallIdentity> suspectPart(const HarmfulCalls &harmful, const CallIdentity &call)
+std::optional<CallIdentity> clearedByAnswer(const HarmfulCalls &harmful, const CallIdentity &call)
 {
     CallIdentity suspect;
     for (const CallAttribute &attribute : attributesOf(call)) {
--- a/libs/serving/tests/HarmfulCalls.cpp
+++ b/libs/serving/tests/HarmfulCalls.cpp
@@ -55,7 +55,7 @@
     cr_assert(blockedUntil(verdict.calls[0]) == start + evidenceTtl);
     evidence.pop_back();
     cr_assert_null(findHarmful(judge(evidence), harmful));
-    cr_assert(suspectPart(judge(evidence), harmful).has_value());
+    cr_assert(clearedByAnswer(judge(evidence), harmful).has_value());
 }
 
 // Guards against counting the observations of several VMs as several crashes.
@@ -146,11 +146,11 @@
     std::deque<CallEvidence> evidence = threeCrashes();
     evidence.push_back(answered(500ms, harmful));
     cr_assert(judge(evidence).calls.empty());
-    cr_assert_not(suspectPart(judge(evidence), harmful).has_value());
+    cr_assert_not(clearedByAnswer(judge(evidence), harmful).has_value());
     for (const Duration at : {answerClearsFor, answerClearsFor + 1s, answerClearsFor + 2s})
         evidence.push_back(crashed("d", at, {harmful}));
     cr_assert(judge(evidence).calls.empty(), "two ends count");
-    cr_assert(suspectPart(judge(evidence), harmful).has_value());
+    cr_assert(clearedByAnswer(judge(evidence), harmful).has_value());
     evidence.push_back(crashed("d", answerClearsFor + 3s, {harmful}));
     cr_assert(findHarmful(judge(evidence), harmful) != nullptr);
 }
@@ -162,13 +162,13 @@
 {
     const CallIdentity other{harmful.content, 2};
     std::deque<CallEvidence> evidence{crashed("a", 0s, {harmful})};
-    cr_assert(suspectPart(judge(evidence), other).has_value(),
+    cr_assert(clearedByAnswer(judge(evidence), other).has_value(),
               "the first answer clears the content for all callers");
     evidence.push_back(answered(1s, other));
-    cr_assert_not(suspectPart(judge(evidence), other).has_value());
-    cr_assert(suspectPart(judge(evidence), harmful).has_value(), "not yet answered itself");
+    cr_assert_not(clearedByAnswer(judge(evidence), other).has_value());
+    cr_assert(clearedByAnswer(judge(evidence), harmful).has_value(), "not yet answered itself");
     evidence.push_back(answered(2s, harmful));
-    cr_assert_not(suspectPart(judge(evidence), harmful).has_value());
+    cr_assert_not(clearedByAnswer(judge(evidence), harmful).has_value());
 }
 
 namespace {
@@ -295,11 +295,11 @@
 Test(harmful_calls, an_answer_names_only_what_it_clears)
 {
     std::deque<CallEvidence> evidence = crashesUnderPart(1);
-    const auto suspect = suspectPart(judge(evidence), callWith({commonPart, 9}));
+    const auto suspect = clearedByAnswer(judge(evidence), callWith({commonPart, 9}));
     cr_assert(suspect == CallIdentity({0, 0, {commonPart}}));
     evidence.push_back(answered(1s, *suspect));
-    cr_assert(!suspectPart(judge(evidence), callWith({commonPart, 9})).has_value());
-    cr_assert(suspectPart(judge(evidence), callWith({harmfulPart})).has_value());
+    cr_assert(!clearedByAnswer(judge(evidence), callWith({commonPart, 9})).has_value());
+    cr_assert(clearedByAnswer(judge(evidence), callWith({harmfulPart})).has_value());
 }
 
 // Compares verdicts with what was planted: two harmful parts, crashes for other reasons, answers to
