--- a/libs/gateway/src/EngineCommands.cpp
+++ b/libs/gateway/src/EngineCommands.cpp
@@ -133,7 +133,7 @@
         ? BootClock::now() - slot->second.lastUsedAt
         : Duration::zero();
     const std::int64_t startBefore = held.scheduler.startTime;
-    const int partition = partitionOf(stableHash(target), node.settings.partitions);
+    const int partition = leasePartitionOf(node, target);
     const Instant sentAt = BootClock::now();
     const Instant before = recordCommand(node.lease, partition, sentAt);
     held.commandInFlight = true;
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -85,6 +85,11 @@
 
 } // namespace
 
+int leasePartitionOf(const GatewayNode &node, const std::string &target)
+{
+    return partitionOf(stableHash(target), node.settings.partitions);
+}
+
 bool mayCommandNow(const GatewayNode &node, const std::string &target)
 {
     const TargetEntry *entry = entryOf(node, target);
@@ -95,7 +100,7 @@
         return false;
     if (mayBeUnknownToHolder(node, BootClock::now()))
         return false;
-    const int partition = partitionOf(stableHash(target), node.settings.partitions);
+    const int partition = leasePartitionOf(node, target);
     return mayCommand(node.lease, partition, BootClock::now());
 }
 
@@ -214,7 +219,7 @@
         const TargetEntry *entry = entryOf(node, target);
         if (entry == nullptr || entry->zone != node.settings.zone)
             continue;
-        const int partition = partitionOf(stableHash(target), node.settings.partitions);
+        const int partition = leasePartitionOf(node, target);
         commanded += node.lease.activeFrom.count(partition);
         unreachable += engine->unreachable ? node.lease.activeFrom.count(partition) : 0;
     }
--- a/libs/gateway/src/LeaseKeeping.h
+++ b/libs/gateway/src/LeaseKeeping.h
@@ -9,6 +9,9 @@
 /** True if this VM holds the lease for the engine and may send commands to it now. */
 bool mayCommandNow(const GatewayNode &node, const std::string &target);
 
+/** The lease partition of an engine. */
+int leasePartitionOf(const GatewayNode &node, const std::string &target);
+
 /** Joins the lease group and renews the lease until this VM leaves the group or stops. */
 asio::awaitable<void> leaseLoop(GatewayNode &node);
 
