Call listener: one flag for its end

Cause: since idle connections may be closed without the end of the listener, two flags were always set together. Change: one of them; behaviour is the same.

--- a/libs/gateway/src/CallListener.cpp
+++ b/libs/gateway/src/CallListener.cpp
@@ -212,7 +212,7 @@
         self->open.insert(&connection);
         ++self->node.connections;
         bool keepOpen = true;
-        while (keepOpen && !self->closing) {
+        while (keepOpen && !self->stopping) {
             connection.busy = connection.buffer.size() > 0;
             http::request_parser<http::string_body> parser;
             keepOpen = co_await self->readRequest(connection, parser);
@@ -251,7 +251,6 @@
     tcp::acceptor acceptor;
     std::unordered_set<CallerConnection *> open;
     bool stopping = false;
-    bool closing = false;
 };
 
 CallListener::CallListener(GatewayNode &node, const Endpoint &address, ListenerKind kind)
@@ -276,7 +275,6 @@
 void CallListener::stopAccepting()
 {
     this->impl->stopping = true;
-    this->impl->closing = true;
     boost::system::error_code ignored;
     this->impl->acceptor.close(ignored);
 }
