Retries: one function moves a count, one field says where it is

Cause: recordRetrySent() and recordRetryArrived() were the same code, and a call held the time of its retry in one of two fields by its progress. Change: recountRetry() and retryCountedAt; behaviour is the same, the tests keep their assertions.

--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -102,25 +102,31 @@
     return metadata;
 }
 
-void recordAttempt(ActiveCall &call)
+namespace {
+
+/** Counts the call's latest retry from now on. */
+void recountLatestRetry(ActiveCall &call)
 {
-    ++call.attempts;
-    if (!call.retryTakenAt)
+    if (!call.retryCountedAt)
         return;
     const Instant now = BootClock::now();
-    recordRetrySent(call.node.retryBudgets[call.service], call.node.settings.retries,
-                    *call.retryTakenAt, now);
-    call.retryTakenAt.reset();
-    call.retrySentAt = now;
+    recountRetry(call.node.retryBudgets[call.service], call.node.settings.retries,
+                 *call.retryCountedAt, now);
+    call.retryCountedAt = now;
+}
+
+} // namespace
+
+void recordAttempt(ActiveCall &call)
+{
+    ++call.attempts;
+    recountLatestRetry(call);
 }
 
 void recordArrival(ActiveCall &call)
 {
-    if (!call.retrySentAt)
-        return;
-    recordRetryArrived(call.node.retryBudgets[call.service], call.node.settings.retries,
-                       *call.retrySentAt, BootClock::now());
-    call.retrySentAt.reset();
+    recountLatestRetry(call);
+    call.retryCountedAt.reset();
 }
 
 asio::awaitable<bool> readFully(TargetExchange &exchange, std::string &body)
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -235,7 +235,7 @@
             tryTakeRetry(this->node.retryBudgets[this->call.service], this->node.settings.retries,
                          slackSharing(this->node, now), now);
         if (taken)
-            this->call.retryTakenAt = now;
+            this->call.retryCountedAt = now;
         return taken;
     }
 
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -50,18 +50,11 @@
                   const SlackSharing &sharing, Instant now);
 
 /**
- * A retry granted at `takenAt` is sent only now, after waiting for capacity. It is counted from now
- * on, as it is at the target that receives it.
+ * Counts a retry at `now` instead of at `countedAt`: it was granted then and is sent only now, or
+ * it was sent then and may have been on its way to a target until now.
  */
-void recordRetrySent(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant takenAt,
-                     Instant now);
-
-/**
- * A retry counted at `sentAt` has arrived at a target by `now`, as an answer shows, or never will.
- * It is counted from now on, as it may have been on its way until now.
- */
-void recordRetryArrived(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant sentAt,
-                        Instant now);
+void recountRetry(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant countedAt,
+                  Instant now);
 
 /** Retries of this VM in the window, as of the last call or retry. */
 std::uint32_t retriesTaken(const ServiceRetryBudget &budget) noexcept;
--- a/libs/serving/src/ServiceRetryBudget.cpp
+++ b/libs/serving/src/ServiceRetryBudget.cpp
@@ -47,10 +47,10 @@
     return true;
 }
 
-namespace {
-
-/** Counts a retry at `now` that was counted at `countedAt`. */
-void recount(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant countedAt, Instant now)
+// Counted at an earlier time, the retry would leave the window less than a window after it arrived
+// at a target, and another one could be granted too early.
+void recountRetry(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant countedAt,
+                  Instant now)
 {
     std::uint32_t &newest = advance(budget.retries, policy.window, now);
     const std::int64_t age = ageOf(budget.retries, policy.window, countedAt);
@@ -59,23 +59,6 @@
     ++newest;
 }
 
-} // namespace
-
-// Counted at the time it was granted, the retry would leave the window less than a window after it
-// was sent, and another one could be granted too early.
-void recordRetrySent(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant takenAt,
-                     Instant now)
-{
-    recount(budget, policy, takenAt, now);
-}
-
-// Counted at the time it was sent, it would leave the window less than a window after it arrived.
-void recordRetryArrived(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant sentAt,
-                        Instant now)
-{
-    recount(budget, policy, sentAt, now);
-}
-
 std::uint32_t retriesTaken(const ServiceRetryBudget &budget) noexcept
 {
     return sumOf(budget.retries);
--- a/libs/serving/tests/Retries.cpp
+++ b/libs/serving/tests/Retries.cpp
@@ -104,7 +104,7 @@
         for (int step = 0; step < 400; ++step) {
             now += std::chrono::milliseconds(*rc::gen::inRange(0, 120));
             while (!waiting.empty() && waiting.begin()->first <= now) {
-                recordRetrySent(budget, policy, waiting.begin()->second, now);
+                recountRetry(budget, policy, waiting.begin()->second, now);
                 waiting.erase(waiting.begin());
                 sent.push_back(now);
             }
@@ -136,7 +136,7 @@
                 arriving.erase(arriving.begin());
             }
             while (!onTheWay.empty() && onTheWay.begin()->first <= now) {
-                recordRetryArrived(budget, policy, onTheWay.begin()->second, now);
+                recountRetry(budget, policy, onTheWay.begin()->second, now);
                 onTheWay.erase(onTheWay.begin());
             }
             if (tryTakeRetry(budget, policy, among(1), now)) {
