Retries: events and counters say what each one was granted from

Cause: the logs could not tell a retry that the ratio of the calls pays for from one that the slack pays for, nor for which service it was, so the hypotheses on retries beyond the budget could not be told apart. Change: tryTakeRetry() returns what was granted; call-bounced has service, grantedFrom and callsCounted; counters retries_from_calls, retries_from_slack, retries_refused. What is granted is as before. Build and the tests of retries pass.

--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -62,8 +62,8 @@
     std::vector<PromptPrefix> prefixes; ///< of its prompt, if the service has engines
     double cachedTokens = 0; ///< of its prompt, believed to be cached at its latest engine
     int attempts = 0;
-    /** When its latest retry was counted in the budget, if it may not have arrived since. */
-    std::optional<Instant> retryCountedAt;
+    /** Its latest retry, if that may not have arrived yet. */
+    std::optional<GrantedRetry> retry;
     Duration placementTime{}; ///< time spent on placement, adapter loads included
     int loads = 0; ///< adapter loads that were waited for
     Duration forecast{}; ///< from the choice of the engine to the first event; zero: none
--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -107,12 +107,10 @@
 /** Counts the call's latest retry from now on. */
 void recountLatestRetry(ActiveCall &call)
 {
-    if (!call.retryCountedAt)
+    if (!call.retry)
         return;
-    const Instant now = BootClock::now();
-    recountRetry(call.node.retryBudgets[call.service], call.node.settings.retries,
-                 *call.retryCountedAt, now);
-    call.retryCountedAt = now;
+    recountRetry(call.node.retryBudgets[call.service], call.node.settings.retries, *call.retry,
+                 BootClock::now());
 }
 
 } // namespace
@@ -126,7 +124,7 @@
 void recordArrival(ActiveCall &call)
 {
     recountLatestRetry(call);
-    call.retryCountedAt.reset();
+    call.retry.reset();
 }
 
 asio::awaitable<bool> readFully(TargetExchange &exchange, std::string &body)
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -87,6 +87,21 @@
     return sharing;
 }
 
+/** Whether a call goes on to another target after a failed attempt. */
+struct RetryDecision
+{
+    bool retrying = false;
+    std::optional<RetrySource> source{}; ///< nullopt: nothing was taken from the budget
+};
+
+Counter retryCounter(const std::optional<GrantedRetry> &retry)
+{
+    if (!retry)
+        return Counter::RetriesRefused;
+    return retry->source == RetrySource::Calls ? Counter::RetriesFromCalls
+                                               : Counter::RetriesFromSlack;
+}
+
 /** Serves one call once its route is known. */
 class CallServing
 {
@@ -150,9 +165,9 @@
                 || end == AttemptResult::CallerDisconnected;
             if (finished || this->call.callerDisconnected)
                 co_return;
-            const bool retrying = this->canRetry(end);
-            this->logFailedAttempt(target.id, target.software, end, retrying);
-            if (retrying)
+            const RetryDecision decision = this->decideRetry(end);
+            this->logFailedAttempt(target.id, target.software, end, decision);
+            if (decision.retrying)
                 continue;
             LocalReply last =
                 makeLocalReply(503, "the target did not accept the call", shortRetryAfter);
@@ -186,9 +201,9 @@
             || end == AttemptResult::Unverified || end == AttemptResult::CallerDisconnected;
         if (finished || this->call.callerDisconnected)
             co_return true;
-        const bool retrying = this->canRetry(end);
-        this->logFailedAttempt("another VM", "", end, retrying);
-        if (retrying)
+        const RetryDecision decision = this->decideRetry(end);
+        this->logFailedAttempt("another VM", "", end, decision);
+        if (decision.retrying)
             co_return false;
         LocalReply last = makeLocalReply(503, "the other VM lost the call", shortRetryAfter);
         co_await answerFailure(this->call, this->answer, std::move(last));
@@ -196,7 +211,7 @@
     }
 
     void logFailedAttempt(const std::string &target, const std::string &software, AttemptResult end,
-                          bool retrying)
+                          const RetryDecision &decision)
     {
         const ServiceRetryBudget &budget = this->node.retryBudgets[this->call.service];
         const TargetUsage others = othersUsageAt(this->node, target);
@@ -209,34 +224,43 @@
                   {"othersGood", std::to_string(others.successes)},
                   {"othersFailed", std::to_string(others.failures)},
                   {"sends", std::to_string(this->call.attempts)},
-                  {"again", retrying ? "yes" : "no"},
+                  {"again", decision.retrying ? "yes" : "no"},
+                  {"service", this->call.service},
+                  {"grantedFrom", decision.source ? std::string(sourceName(*decision.source)) : ""},
                   {"repeats", std::to_string(retriesTaken(budget))},
+                  {"callsCounted", std::to_string(callsCounted(budget))},
                   {"vmsCounted", std::to_string(slackSharing(this->node, BootClock::now()).vms)},
                   {"identity", identityText(identityOf(this->call))}});
     }
 
     // Whether the call may be retried and the retry budget allows it. A call that certainly has not
     // run may always go elsewhere; one that may have run only if its route lets it run twice.
-    bool canRetry(AttemptResult end)
+    RetryDecision decideRetry(AttemptResult end)
     {
         if (this->call.timedOut || timeLeft(this->call) < minTimeForRetry)
-            return false;
+            return {false};
         if (this->call.triedTargets.size() >= maxTargetsTried)
-            return false;
+            return {false};
         if (end == AttemptResult::Unreachable)
-            return true;
+            return {true};
         if (this->call.mayHaveRun && !mayRetry(*this->call.route))
-            return false;
+            return {false};
         const bool ran = end == AttemptResult::Failed || end == AttemptResult::Broken;
         if (ran && this->call.runsStarted >= this->call.route->maxAttempts)
-            return false;
+            return {false};
+        return this->takeRetry();
+    }
+
+    RetryDecision takeRetry()
+    {
         const Instant now = BootClock::now();
-        const bool taken =
+        this->call.retry =
             tryTakeRetry(this->node.retryBudgets[this->call.service], this->node.settings.retries,
                          slackSharing(this->node, now), now);
-        if (taken)
-            this->call.retryCountedAt = now;
-        return taken;
+        this->node.metrics.add(retryCounter(this->call.retry));
+        if (!this->call.retry)
+            return {false};
+        return {true, this->call.retry->source};
     }
 
     asio::awaitable<AttemptResult> sendTo(const TargetEntry &target)
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -57,6 +57,9 @@
     ForwardsRefusedConfig,
     ForwardsRefusedBusy,
     ForwardsUnplaced, ///< calls that no other VM accepted
+    RetriesFromCalls, ///< retries granted from the ratio of the calls
+    RetriesFromSlack, ///< retries granted from this VM's share of the slack
+    RetriesRefused, ///< retries that the budget did not allow
     // Bytes of state updates sent to VMs of the own zone, by kind; see gateway/UpdateBytes.h.
     NewsToMatesUses,
     NewsToMatesEngines,
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -178,9 +178,11 @@
     EventRow{EventId::CallFailed, "call-failed", EventLevel::Warning,
              "a call failed; it may have run", "look for call-bounced events of the same call"},
     EventRow{EventId::CallBounced, "call-bounced", EventLevel::Info,
-             "an attempt at a target did not give the caller an answer; `repeats` and `vmsCounted` "
-             "say how much of the retry budget this VM has used and among how many VMs the budget "
-             "is divided, `error` is the connection error, `othersGood` and `othersFailed` count, "
+             "an attempt at a target did not give the caller an answer; `repeats`, `callsCounted` "
+             "and `vmsCounted` say how much of the retry budget this VM has used, how many calls "
+             "earn it and among how many VMs the slack is divided, `grantedFrom` (calls, slack) "
+             "what the next attempt takes it from, `error` is the connection error, `othersGood` "
+             "and `othersFailed` count, "
              "in tenths, how calls of other VMs ended there recently",
              "none if it is rare"},
     EventRow{EventId::CallForwarded, "call-forwarded", EventLevel::Info,
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string_view>
 
 #include "core/Time.h"
 #include "core/WindowCounts.h"
@@ -45,17 +47,35 @@
  */
 Instant slackAvailableFrom(const RetryPolicy &policy, Instant start) noexcept;
 
-/** Takes one retry from this VM's share; false if the share is used up. */
-bool tryTakeRetry(ServiceRetryBudget &budget, const RetryPolicy &policy,
-                  const SlackSharing &sharing, Instant now);
+/** What a retry is granted from. */
+enum class RetrySource : std::uint8_t { Calls, Slack };
+
+/** Name of the source, as logged. */
+std::string_view sourceName(RetrySource source) noexcept;
+
+/** A retry that was granted. */
+struct GrantedRetry
+{
+    RetrySource source = RetrySource::Calls;
+    Instant countedAt{}; ///< time at which the budget counts it
+
+    auto operator<=>(const GrantedRetry &) const = default;
+};
+
+/** Takes one retry from this VM's share; nullopt if the share is used up. */
+std::optional<GrantedRetry> tryTakeRetry(ServiceRetryBudget &budget, const RetryPolicy &policy,
+                                         const SlackSharing &sharing, Instant now);
 
 /**
- * Counts a retry at `now` instead of at `countedAt`: it was granted then and is sent only now, or
- * it was sent then and may have been on its way to a target until now.
+ * Counts a retry at `now`: it was granted earlier and is sent only now, or it was sent earlier and
+ * may have been on its way to a target until now.
  */
-void recountRetry(ServiceRetryBudget &budget, const RetryPolicy &policy, Instant countedAt,
+void recountRetry(ServiceRetryBudget &budget, const RetryPolicy &policy, GrantedRetry &retry,
                   Instant now);
 
+/** Calls of this VM in the window, as of the last call or retry. */
+std::uint32_t callsCounted(const ServiceRetryBudget &budget) noexcept;
+
 /** Retries of this VM in the window, as of the last call or retry. */
 std::uint32_t retriesTaken(const ServiceRetryBudget &budget) noexcept;
 
--- a/libs/serving/tests/Retries.cpp
+++ b/libs/serving/tests/Retries.cpp
@@ -1,5 +1,6 @@
 #include <deque>
 #include <map>
+#include <set>
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -98,7 +99,7 @@
         RetryPolicy policy;
         policy.slack = *rc::gen::inRange(4, 30);
         ServiceRetryBudget budget;
-        std::multimap<Instant, Instant> waiting; // by time of sending: time of the grant
+        std::multimap<Instant, GrantedRetry> waiting; // by time of sending
         std::deque<Instant> sent;
         Instant now = Instant{} + 100s;
         for (int step = 0; step < 400; ++step) {
@@ -108,8 +109,10 @@
                 waiting.erase(waiting.begin());
                 sent.push_back(now);
             }
-            if (tryTakeRetry(budget, policy, among(1), now))
-                waiting.emplace(now + std::chrono::milliseconds(*rc::gen::inRange(0, 4200)), now);
+            const std::optional<GrantedRetry> granted = tryTakeRetry(budget, policy, among(1), now);
+            if (granted)
+                waiting.emplace(now + std::chrono::milliseconds(*rc::gen::inRange(0, 4200)),
+                                *granted);
             while (!sent.empty() && now - sent.front() > policy.window)
                 sent.pop_front();
             RC_ASSERT(static_cast<double>(sent.size()) <= policy.slack);
@@ -125,25 +128,26 @@
         RetryPolicy policy;
         policy.slack = *rc::gen::inRange(4, 30);
         ServiceRetryBudget budget;
-        std::multimap<Instant, Instant> onTheWay; // by time of the answer: time of sending
-        std::multimap<Instant, Instant> arriving; // by time of arrival: time of sending
+        std::multimap<Instant, GrantedRetry> onTheWay; // by time of the answer
+        std::multiset<Instant> arriving;
         std::deque<Instant> arrived;
         Instant now = Instant{} + 100s;
         for (int step = 0; step < 400; ++step) {
             now += std::chrono::milliseconds(*rc::gen::inRange(0, 120));
-            while (!arriving.empty() && arriving.begin()->first <= now) {
-                arrived.push_back(arriving.begin()->first);
+            while (!arriving.empty() && *arriving.begin() <= now) {
+                arrived.push_back(*arriving.begin());
                 arriving.erase(arriving.begin());
             }
             while (!onTheWay.empty() && onTheWay.begin()->first <= now) {
                 recountRetry(budget, policy, onTheWay.begin()->second, now);
                 onTheWay.erase(onTheWay.begin());
             }
-            if (tryTakeRetry(budget, policy, among(1), now)) {
+            const std::optional<GrantedRetry> granted = tryTakeRetry(budget, policy, among(1), now);
+            if (granted) {
                 const Instant arrival = now + std::chrono::milliseconds(*rc::gen::inRange(0, 4200));
-                arriving.emplace(arrival, now);
+                arriving.insert(arrival);
                 onTheWay.emplace(arrival + std::chrono::milliseconds(*rc::gen::inRange(0, 900)),
-                                 now);
+                                 *granted);
             }
             while (!arrived.empty() && now - arrived.front() > policy.window)
                 arrived.pop_front();
