--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -102,31 +102,6 @@
     return metadata;
 }
 
-namespace {
-
-/** Counts the call's latest retry from now on. */
-void recountLatestRetry(ActiveCall &call)
-{
-    if (!call.retry)
-        return;
-    recountRetry(call.node.retryBudgets[call.service], call.node.settings.retries, *call.retry,
-                 BootClock::now());
-}
-
-} // namespace
-
-void recordAttempt(ActiveCall &call)
-{
-    ++call.attempts;
-    recountLatestRetry(call);
-}
-
-void recordArrival(ActiveCall &call)
-{
-    recountLatestRetry(call);
-    call.retry.reset();
-}
-
 asio::awaitable<bool> readFully(TargetExchange &exchange, std::string &body)
 {
     std::string piece;
--- a/libs/gateway/src/CallAnswer.h
+++ b/libs/gateway/src/CallAnswer.h
@@ -34,12 +34,6 @@
 /** Metadata for the next attempt; the id of the target is left to set. */
 SendMetadata sendMetadataOf(const ActiveCall &call, const CallAnswer &answer);
 
-/** Counts an attempt that is about to be sent to a target or another VM. */
-void recordAttempt(ActiveCall &call);
-
-/** The latest attempt has reached a target by now, if it ever does. */
-void recordArrival(ActiveCall &call);
-
 /** Reads a body to its end; false if it broke off. */
 asio::awaitable<bool> readFully(TargetExchange &exchange, std::string &body);
 
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -5,9 +5,9 @@
 #include "AnswerHints.h"
 #include "CallAnswer.h"
 #include "CallPlacement.h"
+#include "CallRetries.h"
 #include "CallerAuthentication.h"
 #include "ConfigDownload.h"
-#include "FleetCount.h"
 #include "HarmfulCallTracking.h"
 #include "LinkWatch.h"
 #include "LostCalls.h"
@@ -21,12 +21,6 @@
 
 namespace {
 
-/** With less time left, another attempt cannot be answered in time. */
-constexpr Duration minTimeForRetry = std::chrono::milliseconds(60);
-
-/** Bounds the targets that one call tries, unreachable ones included. */
-constexpr std::size_t maxTargetsTried = 6;
-
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(300);
 
 void recordResult(ActiveCall &call, const TargetEntry &target, SendOutcome outcome)
@@ -77,31 +71,6 @@
                    : "no"}});
 }
 
-SlackSharing slackSharing(const GatewayNode &node, Instant now)
-{
-    SlackSharing sharing;
-    if (knowsFleetSize(node, now))
-        sharing.vms = knownVms(node, now);
-    if (!node.settings.firstStart)
-        sharing.from = slackAvailableFrom(node.settings.retries, node.bootedAt);
-    return sharing;
-}
-
-/** Whether a call goes on to another target after a failed attempt. */
-struct RetryDecision
-{
-    bool retrying = false;
-    std::optional<RetrySource> source{}; ///< nullopt: nothing was taken from the budget
-};
-
-Counter retryCounter(const std::optional<GrantedRetry> &retry)
-{
-    if (!retry)
-        return Counter::RetriesRefused;
-    return retry->source == RetrySource::Calls ? Counter::RetriesFromCalls
-                                               : Counter::RetriesFromSlack;
-}
-
 /** Serves one call once its route is known. */
 class CallServing
 {
@@ -165,9 +134,7 @@
                 || end == AttemptResult::CallerDisconnected;
             if (finished || this->call.callerDisconnected)
                 co_return;
-            const RetryDecision decision = this->decideRetry(end);
-            this->logFailedAttempt(target.id, target.software, end, decision);
-            if (decision.retrying)
+            if (this->goesOn({target.id, target.software, end, this->sendError}))
                 continue;
             LocalReply last =
                 makeLocalReply(503, "the target did not accept the call", shortRetryAfter);
@@ -201,66 +168,19 @@
             || end == AttemptResult::Unverified || end == AttemptResult::CallerDisconnected;
         if (finished || this->call.callerDisconnected)
             co_return true;
-        const RetryDecision decision = this->decideRetry(end);
-        this->logFailedAttempt("another VM", "", end, decision);
-        if (decision.retrying)
+        if (this->goesOn({"another VM", "", end, this->sendError}))
             co_return false;
         LocalReply last = makeLocalReply(503, "the other VM lost the call", shortRetryAfter);
         co_await answerFailure(this->call, this->answer, std::move(last));
         co_return true;
     }
 
-    void logFailedAttempt(const std::string &target, const std::string &software, AttemptResult end,
-                          const RetryDecision &decision)
-    {
-        const ServiceRetryBudget &budget = this->node.retryBudgets[this->call.service];
-        const TargetUsage others = othersUsageAt(this->node, target);
-        logEvent(EventId::CallBounced,
-                 {{"call", this->call.metadata.attemptId},
-                  {"target", target},
-                  {"software", software},
-                  {"end", std::to_string(static_cast<int>(end))},
-                  {"error", this->sendError ? this->sendError.message() : ""},
-                  {"othersGood", std::to_string(others.successes)},
-                  {"othersFailed", std::to_string(others.failures)},
-                  {"sends", std::to_string(this->call.attempts)},
-                  {"again", decision.retrying ? "yes" : "no"},
-                  {"service", this->call.service},
-                  {"grantedFrom", decision.source ? std::string(sourceName(*decision.source)) : ""},
-                  {"repeats", std::to_string(retriesTaken(budget))},
-                  {"callsCounted", std::to_string(callsCounted(budget))},
-                  {"vmsCounted", std::to_string(slackSharing(this->node, BootClock::now()).vms)},
-                  {"identity", identityText(identityOf(this->call))}});
-    }
-
-    // Whether the call may be retried and the retry budget allows it. A call that certainly has not
-    // run may always go elsewhere; one that may have run only if its route lets it run twice.
-    RetryDecision decideRetry(AttemptResult end)
-    {
-        if (this->call.timedOut || timeLeft(this->call) < minTimeForRetry)
-            return {false};
-        if (this->call.triedTargets.size() >= maxTargetsTried)
-            return {false};
-        if (end == AttemptResult::Unreachable)
-            return {true};
-        if (this->call.mayHaveRun && !mayRetry(*this->call.route))
-            return {false};
-        const bool ran = end == AttemptResult::Failed || end == AttemptResult::Broken;
-        if (ran && this->call.runsStarted >= this->call.route->maxAttempts)
-            return {false};
-        return this->takeRetry();
-    }
-
-    RetryDecision takeRetry()
+    /** True if the call goes on to another target after this attempt. */
+    bool goesOn(const FailedAttempt &attempt)
     {
-        const Instant now = BootClock::now();
-        this->call.retry =
-            tryTakeRetry(this->node.retryBudgets[this->call.service], this->node.settings.retries,
-                         slackSharing(this->node, now), now);
-        this->node.metrics.add(retryCounter(this->call.retry));
-        if (!this->call.retry)
-            return {false};
-        return {true, this->call.retry->source};
+        const RetryDecision decision = decideRetry(this->call, attempt.end);
+        logFailedAttempt(this->call, attempt, decision);
+        return decision.retrying;
     }
 
     asio::awaitable<AttemptResult> sendTo(const TargetEntry &target)
@@ -432,7 +352,7 @@
         co_return refused;
     const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
     call.service = pickService(*call.route, draw);
-    recordCall(node.retryBudgets[call.service], node.settings.retries, call.arrivedAt);
+    recordAcceptedCall(call);
     node.metrics.add(Counter::RequestsReceived);
     co_return std::nullopt;
 }
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/status.hpp>
 #include <nlohmann/json.hpp>
 
+#include "CallRetries.h"
 #include "CallerAuthentication.h"
 #include "LinkWatch.h"
 #include "observe/Events.h"
