Retries: shares of the slack in whole retries sum up to the whole slack

What callers saw: with many VMs fewer second attempts than the budget allows. Cause: since permits and slack are counted apart, a share of the slack below one retry is of no use to anybody: at 70 VMs and a slack of 50 each has 0.64. Change: a VM's rank by name decides who rounds its share up, so that all shares sum up to the used slack.

--- a/libs/gateway/src/CallRetries.cpp
+++ b/libs/gateway/src/CallRetries.cpp
@@ -18,6 +18,7 @@
     SlackSharing sharing;
     if (knowsFleetSize(node, now))
         sharing.vms = knownVms(node, now);
+    sharing.rank = rankAmongVms(node);
     if (!node.settings.firstStart)
         sharing.from = slackAvailableFrom(node.settings.retries, node.bootedAt);
     return sharing;
--- a/libs/gateway/src/FleetCount.cpp
+++ b/libs/gateway/src/FleetCount.cpp
@@ -43,6 +43,16 @@
     return std::max({node.fleet.known, reachableVms(node, now), listed});
 }
 
+int rankAmongVms(const GatewayNode &node)
+{
+    const std::string &own = node.settings.vm;
+    return static_cast<int>(
+        std::count_if(node.peers.begin(), node.peers.end(), [&own](const auto &entry) {
+            const std::string &name = entry.second.name;
+            return !name.empty() && name < own;
+        }));
+}
+
 // A relay may have just started as well, and know few VMs: without the store's list, its count is
 // trusted only after a while.
 bool knowsFleetSize(const GatewayNode &node, Instant now)
--- a/libs/gateway/src/FleetCount.h
+++ b/libs/gateway/src/FleetCount.h
@@ -15,6 +15,9 @@
 /** VMs that may run calls, whether they can be reached or not. */
 int knownVms(const GatewayNode &node, Instant now);
 
+/** Rank of this VM, by name, among the VMs that it knows by name; from 0. */
+int rankAmongVms(const GatewayNode &node);
+
 /** False while this VM has just started and cannot know how many others there are. */
 bool knowsFleetSize(const GatewayNode &node, Instant now);
 
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -45,6 +45,7 @@
 {
     int vms = 0; ///< VMs that may retry, including those that this VM does not hear from; 0: not
                  ///< known yet
+    int rank = 0; ///< of this VM among them, from 0; decides who rounds a fractional share up
     Instant from{}; ///< before this time the VM has no share of the slack
 
     auto operator<=>(const SlackSharing &) const = default;
--- a/libs/serving/src/ServiceRetryBudget.cpp
+++ b/libs/serving/src/ServiceRetryBudget.cpp
@@ -46,11 +46,14 @@
 
 namespace {
 
+// In whole retries: with many VMs a share may be below one. The shares of all ranks sum up to the
+// used slack.
 double slackShare(const RetryPolicy &policy, const SlackSharing &sharing, Instant now)
 {
     if (sharing.vms < 1 || now < sharing.from)
         return 0;
-    return policy.slack / sharing.vms;
+    const double equalShare = usedSlackShare * policy.slack / sharing.vms;
+    return std::floor(equalShare * (sharing.rank + 1)) - std::floor(equalShare * sharing.rank);
 }
 
 /** Uses the permit that lapses first; false if there is none. */
@@ -89,8 +92,7 @@
         ++newestFromCalls;
         return GrantedRetry{RetrySource::Calls, now};
     }
-    const double slack = usedSlackShare * slackShare(policy, sharing, now);
-    if (sumOf(budget.retriesFromSlack) + 1 > slack)
+    if (sumOf(budget.retriesFromSlack) + 1 > slackShare(policy, sharing, now))
         return std::nullopt;
     ++newestFromSlack;
     return GrantedRetry{RetrySource::Slack, now};
--- a/libs/serving/tests/Retries.cpp
+++ b/libs/serving/tests/Retries.cpp
@@ -217,6 +217,24 @@
               "the ratio of its own calls needs no other VM");
 }
 
+// Guards against slack that nobody can use where the share of one VM is below one retry.
+Test(retries, the_shares_of_many_vms_sum_up_to_the_used_slack)
+{
+    RetryPolicy policy;
+    policy.slack = 50;
+    for (const int vms : {1, 7, 70, 840}) {
+        int taken = 0;
+        for (int rank = 0; rank < vms; ++rank) {
+            ServiceRetryBudget budget;
+            SlackSharing sharing = among(vms);
+            sharing.rank = rank;
+            while (tryTakeRetry(budget, policy, sharing, start))
+                ++taken;
+        }
+        cr_assert_eq(taken, 45, "%d of %d VMs", taken, vms);
+    }
+}
+
 // Guards against a share of the slack for each start of a VM instead of one for each VM.
 Test(retries, a_vm_has_its_share_of_the_slack_a_window_after_its_start)
 {
--- a/libs/serving/tests/RetryModel.cpp
+++ b/libs/serving/tests/RetryModel.cpp
@@ -43,7 +43,10 @@
         : scenario(scenario)
         , vms(static_cast<std::size_t>(scenario.vms))
         , random(scenario.seed)
-    { }
+    {
+        for (std::size_t index = 0; index < this->vms.size(); ++index)
+            this->vms[index].sharing.rank = static_cast<int>(index);
+    }
 
     RetryArrivals run()
     {
@@ -100,8 +103,10 @@
     void restartVm(ModelVm &vm, Instant at) const
     {
         const int boot = vm.boot + 1;
+        const int rank = vm.sharing.rank;
         vm = ModelVm();
         vm.boot = boot;
+        vm.sharing.rank = rank;
         vm.sharing.from = slackAvailableFrom(this->scenario.policy, at);
         vm.knowsOthersAt = at + fleetSizeDelay;
     }
