Links: checks that confirm nothing are logged, and how silent targets are

Cause: the logs could not tell links whose loss is checked late from such whose checks do not confirm it, nor show that calls waited in vain meanwhile. Change: event links-found for a check that does not confirm a loss; links-lost and links-found say how many targets were silent with calls waiting and how many had just been heard; gauge longest_silence_ms. When links are checked is as it was. Link tests of gateway pass.

--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -7,6 +7,7 @@
 #include "Feeds.h"
 #include "GatewayNode.h"
 #include "LeaseKeeping.h"
+#include "LinkWatch.h"
 #include "PeerExchange.h"
 #include "PrefillReservation.h"
 #include "RelayLoops.h"
@@ -115,6 +116,7 @@
         spawn(this->node, "exchange with zones", otherZonesLoop(this->node));
         spawn(this->node, "read configuration", readConfigLoop(this->node));
         spawn(this->node, "probe zone peers", zonePeersLoop(this->node));
+        spawn(this->node, "watch links", watchLinksLoop(this->node));
         spawn(this->node, "sweep", sweepLoop(this->node));
         spawn(this->node, "write usage snapshots", usageSnapshotLoop(this->node));
         spawn(this->node, "log update bytes", updateLogLoop(this->node));
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -75,6 +75,8 @@
     auto operator<=>(const LostCalls &) const = default;
 };
 
+using AwaitedTargets = std::unordered_map<std::string, AwaitedAnswers>; ///< by target
+
 /** This VM's own state of one target, apart from the target's entry in the platform's list. */
 struct TargetRuntime
 {
@@ -334,6 +336,7 @@
 
     ResumeState resuming;
     std::unordered_map<std::string, ServiceLinks> serviceLinks; ///< by service
+    std::unordered_map<std::string, AwaitedTargets> awaitedAnswers; ///< by service
     std::map<Endpoint, ForwardPeer> forwardPeers; ///< by their address for forwarded calls
 
     std::map<Endpoint, PeerState> peers;
--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration probeInterval = std::chrono::milliseconds(300);
+constexpr Duration watchInterval = std::chrono::milliseconds(250);
 constexpr Duration probeTimeout = std::chrono::milliseconds(250);
 constexpr std::size_t maxConcurrentProbes = 6;
 
@@ -30,6 +31,16 @@
     return othersUsageAt(node, target).successes > 0;
 }
 
+AwaitedAnswers awaitedAnswersOf(const GatewayNode &node, const std::string &service,
+                                const std::string &target)
+{
+    const auto targets = node.awaitedAnswers.find(service);
+    if (targets == node.awaitedAnswers.end())
+        return {};
+    const auto answers = targets->second.find(target);
+    return answers != targets->second.end() ? answers->second : AwaitedAnswers();
+}
+
 LinkCounts countLinks(const GatewayNode &node, const std::string &service, Instant now)
 {
     LinkCounts counts;
@@ -40,10 +51,15 @@
         if (runtime == node.targets.end())
             continue;
         const LinkState state = linkState(runtime->second->link, now);
+        const AwaitedAnswers answers = awaitedAnswersOf(node, service, id);
         if (state == LinkState::Reached)
             ++counts.reached;
         else if (state == LinkState::Failed && othersReach(node, id))
             ++counts.failed;
+        else if (isHeard(answers, now))
+            ++counts.heard;
+        else if (isSilent(answers, now) && othersReach(node, id))
+            ++counts.silent;
     }
     counts.otherServiceLost = isAnyServiceLost(node);
     return counts;
@@ -169,18 +185,21 @@
     const ProbeRound round = co_await probeAll(node, std::move(targets));
     ServiceLinks &links = node.serviceLinks[service];
     links.checking = false;
-    if (!confirmsLoss(round))
-        co_return;
-    links.lost = true;
-    links.since = BootClock::now();
-    links.goodRounds = 0;
-    recheckHeldEngines(node, service);
-    logEvent(EventId::LinksLost,
+    const bool lost = confirmsLoss(round);
+    logEvent(lost ? EventId::LinksLost : EventId::LinksFound,
              {{"service", service},
               {"listed", std::to_string(counts.listed)},
               {"failed", std::to_string(counts.failed)},
+              {"heard", std::to_string(counts.heard)},
+              {"silent", std::to_string(counts.silent)},
               {"probed", std::to_string(round.tried)},
               {"reached", std::to_string(round.reached)}});
+    if (!lost)
+        co_return;
+    links.lost = true;
+    links.since = BootClock::now();
+    links.goodRounds = 0;
+    recheckHeldEngines(node, service);
     node.reportDue.notifyAll();
     spawn(node, "probe targets", probeLoop(node, service));
     // A network outage seldom affects one service alone, and the others may have few calls.
@@ -207,6 +226,38 @@
     runtimeOf(node, target).link.reachedAt = BootClock::now();
 }
 
+void recordAwaiting(GatewayNode &node, const TargetName &target)
+{
+    beginAwaiting(node.awaitedAnswers[target.service][target.id], BootClock::now());
+}
+
+void recordAwaitingEnd(GatewayNode &node, const TargetName &target)
+{
+    endAwaiting(node.awaitedAnswers[target.service][target.id]);
+}
+
+void recordHeard(GatewayNode &node, const TargetName &target)
+{
+    node.awaitedAnswers[target.service][target.id].heardAt = BootClock::now();
+}
+
+asio::awaitable<void> watchLinksLoop(GatewayNode &node)
+{
+    while (!node.stopped) {
+        const Instant now = BootClock::now();
+        Duration longest = Duration::zero();
+        for (auto &[service, targets] : node.awaitedAnswers) {
+            std::erase_if(targets, [now](const auto &entry) {
+                return entry.second.calls == 0 && !isHeard(entry.second, now);
+            });
+            for (const auto &[target, answers] : targets)
+                longest = std::max(longest, silenceOf(answers, now));
+        }
+        node.metrics.set(Gauge::LongestSilence, static_cast<std::uint64_t>(toMillis(longest)));
+        co_await pauseFor(node, watchInterval);
+    }
+}
+
 bool areLinksLost(const GatewayNode &node, const std::string &service)
 {
     const auto found = node.serviceLinks.find(service);
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -14,12 +14,29 @@
  * links are healthy, nothing is sent for this.
  */
 
+/** A target, and the service that it belongs to. */
+struct TargetName
+{
+    std::string id;
+    std::string service;
+};
+
 /** Records that a connection to the target failed, or was closed because it was silent. */
 void recordLinkFailure(GatewayNode &node, const std::string &target);
 
 /** Records that the target accepted a connection. */
 void recordLinkSuccess(GatewayNode &node, const std::string &target);
 
+/** Records that a call begins to wait for a target's answer, or no longer does. */
+void recordAwaiting(GatewayNode &node, const TargetName &target);
+void recordAwaitingEnd(GatewayNode &node, const TargetName &target);
+
+/** Records that a part of an answer was received from the target. */
+void recordHeard(GatewayNode &node, const TargetName &target);
+
+/** Watches for services from which nothing is received while calls wait. */
+asio::awaitable<void> watchLinksLoop(GatewayNode &node);
+
 bool areLinksLost(const GatewayNode &node, const std::string &service);
 
 /** When the links to engines were lost; nothing: they are not lost. */
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -11,7 +11,6 @@
 #include <boost/beast/http/write.hpp>
 
 #include "ForwardedCall.h"
-#include "LinkWatch.h"
 
 namespace monsoonbay {
 
@@ -61,7 +60,7 @@
 
 TargetExchange::TargetExchange(GatewayNode &node, const TargetEntry &target, std::string attemptId)
     : node(node)
-    , targetId(target.id)
+    , target{target.id, target.service}
     , targetSoftware(target.software)
     , endpoint(target.endpoint)
     , attemptId(std::move(attemptId))
@@ -75,6 +74,8 @@
 
 TargetExchange::~TargetExchange()
 {
+    if (this->awaiting)
+        recordAwaitingEnd(this->node, this->target);
     if (!this->link)
         return;
     const bool reusable = this->complete && !this->unusable && *this->written
@@ -90,8 +91,8 @@
 
 TargetPool &TargetExchange::pool()
 {
-    return this->targetId.empty() ? this->node.forwardPeers[this->endpoint].pool
-                                  : runtimeOf(this->node, this->targetId).pool;
+    return this->target.id.empty() ? this->node.forwardPeers[this->endpoint].pool
+                                   : runtimeOf(this->node, this->target.id).pool;
 }
 
 TargetConnectionPtr TargetExchange::connection() const noexcept
@@ -114,13 +115,14 @@
 {
     if (this->parser->need_eof())
         return BodyDelimiter::CloseDelimited;
-    return this->targetId.empty() ? readForwardReport(this->head()).delimiter
-                                  : BodyDelimiter::SelfDelimited;
+    return this->target.id.empty() ? readForwardReport(this->head()).delimiter
+                                   : BodyDelimiter::SelfDelimited;
 }
 
 std::string TargetExchange::software() const
 {
-    return this->targetId.empty() ? readForwardReport(this->head()).software : this->targetSoftware;
+    return this->target.id.empty() ? readForwardReport(this->head()).software
+                                   : this->targetSoftware;
 }
 
 int TargetExchange::status() const
@@ -146,14 +148,27 @@
             co_await connectTo(this->node.context, this->endpoint, connectTimeout);
         this->link = std::move(result.connection);
         this->lastError = result.error;
-        if (this->link && !this->targetId.empty())
-            recordLinkSuccess(this->node, this->targetId);
+        if (this->link && !this->target.id.empty())
+            recordLinkSuccess(this->node, this->target.id);
     }
     co_return this->link != nullptr;
 }
 
+void TargetExchange::beginAwaiting()
+{
+    recordAwaiting(this->node, this->target);
+    this->awaiting = true;
+}
+
+void TargetExchange::recordHeard()
+{
+    if (this->awaiting)
+        monsoonbay::recordHeard(this->node, this->target);
+}
+
 asio::awaitable<bool> TargetExchange::send(std::shared_ptr<HttpRequest> request)
 {
+    this->beginAwaiting();
     if (request->body().size() > longRequestBytes)
         spawn(this->node, "write request", writeRequest(this->link, request, this->written));
     else
@@ -232,6 +247,7 @@
         this->lastError = error;
         co_return false;
     }
+    this->recordHeard();
     this->answerMetadata =
         this->node.platform->readAnswerMetadata(this->status(), this->parser->get());
     co_return true;
@@ -253,6 +269,8 @@
             this->lastError = error;
             co_return BodyRead::Broken;
         }
+        if (!piece.empty())
+            this->recordHeard();
         if (!piece.empty() && !this->parser->is_done())
             co_return BodyRead::Some;
     }
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -11,6 +11,7 @@
 
 #include "BodyDelimiter.h"
 #include "GatewayNode.h"
+#include "LinkWatch.h"
 #include "transport/HttpServer.h"
 
 namespace monsoonbay {
@@ -84,11 +85,14 @@
     using Serializer = boost::beast::http::request_serializer<boost::beast::http::string_body>;
 
     asio::awaitable<bool> readHead();
+    void beginAwaiting();
+    void recordHeard();
     asio::awaitable<bool> readMatchingHead();
     TargetPool &pool();
 
     GatewayNode &node;
-    std::string targetId; ///< empty: another VM
+    TargetName target; ///< its id is empty: another VM
+    bool awaiting = false; ///< an answer of the target
     std::string targetSoftware;
     Endpoint endpoint;
     std::string attemptId;
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -66,6 +66,7 @@
     LeaseChanged = 7030,
     OrderGiven = 7031,
     OrdersNoted = 7032,
+    LinksFound = 7034,
     CallRefused = 7040,
     CallFailed = 7041,
     CallBounced = 7042,
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -82,6 +82,7 @@
 /** Values that can go up and down. */
 enum class Gauge : std::uint8_t {
     CallsWaiting, ///< calls that wait for capacity at an engine
+    LongestSilence, ///< milliseconds for which calls to some service have waited in vain
     Count, ///< number of gauges, not one of them
 };
 
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -189,10 +189,17 @@
              "a call was offered to another VM, as this VM does not reach the targets; `refusal` "
              "says why it was not accepted",
              "none if links-lost reports a cut; otherwise check the links of this VM"},
-    EventRow{EventId::LinksLost, "links-lost", EventLevel::Warning,
-             "this VM does not reach the targets of a service that other VMs reach; its calls are "
-             "forwarded to other VMs",
-             "check the links between this VM and the targets"},
+    EventRow{
+        EventId::LinksLost, "links-lost", EventLevel::Warning,
+        "this VM does not reach the targets of a service that other VMs reach; its calls are "
+        "forwarded to other VMs; of `listed` targets, connects to `failed` had failed, calls "
+        "waited in vain at `silent` and had just received something from `heard` when the links "
+        "were checked",
+        "check the links between this VM and the targets"},
+    EventRow{EventId::LinksFound, "links-found", EventLevel::Info,
+             "the links to a service seemed lost and probes did not confirm it; fields as in "
+             "links-lost",
+             "none if it is rare"},
     EventRow{EventId::LinksBack, "links-back", EventLevel::Info,
              "this VM reaches the targets of a service again", "none"},
     EventRow{EventId::StreamCut, "stream-cut", EventLevel::Warning,
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -91,7 +91,7 @@
                                                                   "news_to_zones_rest_bytes"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Count)> gaugeNames{
-    "calls_waiting"};
+    "calls_waiting", "longest_silence_ms"};
 
 constexpr std::array<std::string_view, timingCount> timingNames{
     "load_stall_seconds", "first_piece_seconds",    "between_pieces_seconds",
--- a/libs/serving/include/serving/TargetLinks.h
+++ b/libs/serving/include/serving/TargetLinks.h
@@ -24,12 +24,37 @@
 /** State of this VM's link to a target by the newest result. */
 LinkState linkState(const LinkObservation &observation, Instant now) noexcept;
 
+/** Answers of one target that calls of this VM wait for. */
+struct AwaitedAnswers
+{
+    int calls = 0;
+    Instant since{}; ///< start of the first of these calls
+    Instant heardAt{}; ///< last received byte; zero: none yet
+
+    auto operator<=>(const AwaitedAnswers &) const = default;
+};
+
+void beginAwaiting(AwaitedAnswers &answers, Instant now) noexcept;
+void endAwaiting(AwaitedAnswers &answers) noexcept;
+
+/** Time for which calls have waited and nothing was received; zero: no call waits. */
+Duration silenceOf(const AwaitedAnswers &answers, Instant now) noexcept;
+
+/** True if calls have waited in vain for so long that the link may have failed. */
+bool isSilent(const AwaitedAnswers &answers, Instant now) noexcept;
+
+/** True if something was received a moment ago. */
+bool isHeard(const AwaitedAnswers &answers, Instant now) noexcept;
+
 /** States of this VM's links to the targets of one service. */
 struct LinkCounts
 {
     int listed = 0; ///< targets that may take work
     int reached = 0;
     int failed = 0; ///< unreachable from here although other VMs recently got answers there
+    int heard = 0; ///< neither of these, and a part of an answer was received a moment ago
+    int silent = 0; ///< none of these, and calls wait there in vain although other VMs recently
+                    ///< got answers there
     bool otherServiceLost = false; ///< this VM has lost its links to another service
 
     auto operator<=>(const LinkCounts &) const = default;
--- a/libs/serving/src/TargetLinks.cpp
+++ b/libs/serving/src/TargetLinks.cpp
@@ -9,6 +9,9 @@
 constexpr Duration reachedValidity = std::chrono::milliseconds(500);
 constexpr Duration failureValidity = std::chrono::milliseconds(3000);
 
+/** Events of streams follow each other sooner, and most first ones come sooner. */
+constexpr Duration minSilence = std::chrono::milliseconds(500);
+
 /** A single target may just have ended, before other VMs report it. */
 constexpr int minFailed = 2;
 
@@ -32,6 +35,35 @@
     return failed ? LinkState::Failed : LinkState::Unknown;
 }
 
+void beginAwaiting(AwaitedAnswers &answers, Instant now) noexcept
+{
+    if (answers.calls == 0)
+        answers.since = now;
+    ++answers.calls;
+}
+
+void endAwaiting(AwaitedAnswers &answers) noexcept
+{
+    --answers.calls;
+}
+
+Duration silenceOf(const AwaitedAnswers &answers, Instant now) noexcept
+{
+    if (answers.calls == 0)
+        return Duration::zero();
+    return now - std::max(answers.since, answers.heardAt);
+}
+
+bool isSilent(const AwaitedAnswers &answers, Instant now) noexcept
+{
+    return silenceOf(answers, now) >= minSilence;
+}
+
+bool isHeard(const AwaitedAnswers &answers, Instant now) noexcept
+{
+    return answers.heardAt != Instant{} && now - answers.heardAt < minSilence;
+}
+
 bool linksSeemLost(const LinkCounts &counts) noexcept
 {
     const int threshold = counts.otherServiceLost ? 1 : minFailed;
