Failing test: calls that wait in vain on open connections

Cause: lost links are checked when connects fail; a VM whose calls find open connections learns nothing until these are given up after 4 s. Measured: after 1 s with calls waiting at two targets the links are not checked.

--- a/libs/gateway/tests/LinkWatches.cpp
+++ b/libs/gateway/tests/LinkWatches.cpp
@@ -84,6 +84,33 @@
     cr_assert(areLinksLost(node, "engines"));
 }
 
+// Guards against lost links that go unnoticed while calls wait on open connections.
+Test(link_watch, calls_that_wait_in_vain_make_the_links_be_checked)
+{
+    GatewayNode node((GatewaySettings()));
+    listTargets(node, 5, 30);
+    spawn(node, "watch links", watchLinksLoop(node));
+    recordAwaiting(node, {"t0", "engines"});
+    recordAwaiting(node, {"t1", "engines"});
+    node.context.run_for(1s);
+    cr_assert(areLinksLost(node, "engines"));
+}
+
+// Guards against checks of healthy links whenever some targets are slow.
+Test(link_watch, slow_targets_beside_one_that_answers_are_not_checked)
+{
+    GatewayNode node((GatewaySettings()));
+    listTargets(node, 5, 30);
+    recordAwaiting(node, {"t0", "engines"});
+    recordAwaiting(node, {"t1", "engines"});
+    node.context.run_for(600ms);
+    recordHeard(node, {"t2", "engines"});
+    spawn(node, "watch links", watchLinksLoop(node));
+    node.context.restart();
+    node.context.run_for(100ms);
+    cr_assert(!areLinksLost(node, "engines"));
+}
+
 // Guards against an extra hop for each call while targets are down for all VMs.
 Test(link_watch, targets_that_fail_for_all_vms_are_not_a_link_fault)
 {
