Links: calls that wait in vain on open connections make them be checked

What callers saw: at a VM whose links were cut one way, calls of up to 4 s were lost with their connections, "the answer was lost; the call may have run". Cause: only failed connects made a VM check its links. Calls take open connections first, and these count for nothing until they are given up after 4 s. Class: what fails is noticed, what stays silent is not. Change: targets at which calls wait and from which nothing came for 0.5 s count beside failed connects, against all targets that were reached or heard; others must reach them. The probes decide as before, so slow targets are not taken for lost links. countLinks() no longer passes over targets that were never connected.

--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -41,16 +41,20 @@
     return answers != targets->second.end() ? answers->second : AwaitedAnswers();
 }
 
+LinkState linkStateOf(const GatewayNode &node, const std::string &target, Instant now)
+{
+    const auto runtime = node.targets.find(target);
+    return runtime != node.targets.end() ? linkState(runtime->second->link, now)
+                                         : LinkState::Unknown;
+}
+
 LinkCounts countLinks(const GatewayNode &node, const std::string &service, Instant now)
 {
     LinkCounts counts;
     for (const TargetRecord *record : targetsOf(node, service)) {
         const std::string &id = record->entry.id;
         ++counts.listed;
-        const auto runtime = node.targets.find(id);
-        if (runtime == node.targets.end())
-            continue;
-        const LinkState state = linkState(runtime->second->link, now);
+        const LinkState state = linkStateOf(node, id, now);
         const AwaitedAnswers answers = awaitedAnswersOf(node, service, id);
         if (state == LinkState::Reached)
             ++counts.reached;
@@ -207,6 +211,24 @@
         beginCheck(node, other.name);
 }
 
+void checkIfLost(GatewayNode &node, const std::string &service, Instant now)
+{
+    if (!areLinksLost(node, service) && linksSeemLost(countLinks(node, service, now)))
+        beginCheck(node, service);
+}
+
+/** Cheaper than countLinks(), and true whenever that finds links lost because of silence alone. */
+bool isMostlySilent(const AwaitedTargets &targets, Instant now)
+{
+    int silent = 0;
+    int heard = 0;
+    for (const auto &[target, answers] : targets) {
+        silent += isSilent(answers, now) ? 1 : 0;
+        heard += isHeard(answers, now) ? 1 : 0;
+    }
+    return silent > heard;
+}
+
 } // namespace
 
 void recordLinkFailure(GatewayNode &node, const std::string &target)
@@ -216,9 +238,7 @@
     const TargetEntry *entry = entryOf(node, target);
     if (entry == nullptr)
         return;
-    const std::string service = entry->service;
-    if (!areLinksLost(node, service) && linksSeemLost(countLinks(node, service, now)))
-        beginCheck(node, service);
+    checkIfLost(node, std::string(entry->service), now);
 }
 
 void recordLinkSuccess(GatewayNode &node, const std::string &target)
@@ -252,6 +272,8 @@
             });
             for (const auto &[target, answers] : targets)
                 longest = std::max(longest, silenceOf(answers, now));
+            if (isMostlySilent(targets, now))
+                checkIfLost(node, service, now);
         }
         node.metrics.set(Gauge::LongestSilence, static_cast<std::uint64_t>(toMillis(longest)));
         co_await pauseFor(node, watchInterval);
@@ -293,10 +315,7 @@
 
 bool isOwnLinkFault(const GatewayNode &node, const std::string &target, Instant now)
 {
-    const auto runtime = node.targets.find(target);
-    if (runtime == node.targets.end())
-        return false;
-    return linkState(runtime->second->link, now) == LinkState::Failed && othersReach(node, target);
+    return linkStateOf(node, target, now) == LinkState::Failed && othersReach(node, target);
 }
 
 bool isObservationDoubtful(const GatewayNode &node, const std::string &target)
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -9,9 +9,9 @@
 
 /**
  * Detects that this VM has lost its links to the targets of a service while other VMs reach them.
- * The evidence is this VM's own connection attempts and the usage that other VMs report; see
- * serving/TargetLinks.h. Open connections may survive a network outage, and do not count. While
- * links are healthy, nothing is sent for this.
+ * The evidence is this VM's own connection attempts, calls that wait in vain on open connections,
+ * and the usage that other VMs report; see serving/TargetLinks.h. Probes decide, as open
+ * connections may survive a network outage and targets may be slow.
  */
 
 /** A target, and the service that it belongs to. */
--- a/libs/serving/src/TargetLinks.cpp
+++ b/libs/serving/src/TargetLinks.cpp
@@ -68,7 +68,10 @@
 {
     const int threshold = counts.otherServiceLost ? 1 : minFailed;
     const int enough = std::max(std::min(threshold, counts.listed), 1);
-    return counts.failed >= enough && counts.failed >= failedPerReached * counts.reached;
+    if (counts.failed >= enough && counts.failed >= failedPerReached * counts.reached)
+        return true;
+    const int suspect = counts.failed + counts.silent;
+    return suspect >= enough && suspect >= failedPerReached * (counts.reached + counts.heard);
 }
 
 bool confirmsLoss(const ProbeRound &round) noexcept
