Calls: the end of a cancelled call is logged and counted

Cause: no line named a call whose caller had left or whose time was over, the step that it was in, or how long it was still served; nothing showed how late a VM begins what is due. So the hypotheses could not be told apart. Change: one function cancels a call, for both reasons, and keeps when and in which step; event call-cancelled, two counters, a histogram from cancellation to end, and one of the loop's delay.

--- a/libs/gateway/src/ActiveCall.cpp
+++ b/libs/gateway/src/ActiveCall.cpp
@@ -1,9 +1,5 @@
 #include "ActiveCall.h"
 
-#include <cerrno>
-
-#include <sys/socket.h>
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/write.hpp>
@@ -15,7 +11,6 @@
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
 
 namespace {
 
@@ -74,37 +69,6 @@
     call.lastPieceAt = now;
 }
 
-void cancelActiveCall(ActiveCall &call)
-{
-    if (call.connection)
-        closeConnection(*call.connection);
-}
-
-// The wait may end for bytes that were read long before, so the peek never blocks and the wait is
-// repeated. A caller that has already sent its next call is not watched further: the end of its
-// connection cannot be seen behind those bytes.
-void watchCaller(const ActiveCallPtr &call)
-{
-    call->caller.socket().async_wait(
-        tcp::socket::wait_read,
-        [weak = std::weak_ptr<ActiveCall>(call)](boost::system::error_code error) {
-            const ActiveCallPtr watched = weak.lock();
-            if (!watched || watched->ended || error == asio::error::operation_aborted)
-                return;
-            char byte = 0;
-            const int descriptor = watched->caller.socket().native_handle();
-            const auto peeked = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            if (peeked > 0)
-                return;
-            if (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-                watchCaller(watched);
-                return;
-            }
-            watched->callerDisconnected = true;
-            cancelActiveCall(*watched);
-        });
-}
-
 namespace {
 
 void setResetOnClose(ActiveCall &call, bool reset)
--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -29,6 +29,26 @@
     Duration forecast{}; ///< expected wait when it last found no capacity; zero: not known
 };
 
+/** What is being done for a call. */
+enum class CallStep : std::uint8_t {
+    Accepting, ///< it waits for a configuration, or for its key
+    Placing, ///< it waits for a target, or for a load there
+    Connecting, ///< to its target
+    Offering, ///< to other VMs
+    Running, ///< it was sent, to a target or another VM
+};
+
+/** Why a call was cancelled before it was answered. */
+enum class CancelReason : std::uint8_t { None, CallerLeft, TimedOut };
+
+/** The first cancellation of a call. */
+struct Cancellation
+{
+    CancelReason reason = CancelReason::None;
+    Instant at{};
+    CallStep step = CallStep::Accepting; ///< under way at that time
+};
+
 /** One caller's call while it is being served. */
 struct ActiveCall
 {
@@ -76,6 +96,9 @@
     std::size_t trailingBytes = 0; ///< bytes of that answer after its last complete event
     bool mayHaveRun = false;
     int runsStarted = 0; ///< runs that may have begun, other VMs' attempts included
+    CallStep step = CallStep::Accepting;
+    std::string servedBy; ///< target or VM of the attempt under way; empty: none yet
+    Cancellation cancellation;
     bool callerDisconnected = false;
     bool timedOut = false;
     bool ended = false;
@@ -106,12 +129,6 @@
 /** Time until the deadline, never negative. */
 Duration timeLeft(const ActiveCall &call);
 
-/** Cancels the attempt under way by closing its connection. */
-void cancelActiveCall(ActiveCall &call);
-
-/** Cancels the call if its caller closes the connection while the call is being served. */
-void watchCaller(const ActiveCallPtr &call);
-
 /**
  * An answer of this VM instead of a target's. `notRun` in its body promises that the call has not
  * run and never will.
--- /dev/null
+++ b/libs/gateway/src/CallCancellation.cpp
@@ -0,0 +1,119 @@
+#include "CallCancellation.h"
+
+#include <cerrno>
+
+#include <sys/socket.h>
+
+#include "observe/Events.h"
+
+namespace monsoonbay {
+
+namespace {
+
+using tcp = asio::ip::tcp;
+
+std::string_view stepName(CallStep step) noexcept
+{
+    switch (step) {
+    case CallStep::Accepting:
+        return "accepting";
+    case CallStep::Placing:
+        return "placing";
+    case CallStep::Connecting:
+        return "connecting";
+    case CallStep::Offering:
+        return "offering";
+    case CallStep::Running:
+        return "running";
+    }
+    return "";
+}
+
+std::string_view reasonName(CancelReason reason) noexcept
+{
+    switch (reason) {
+    case CancelReason::CallerLeft:
+        return "caller left";
+    case CancelReason::TimedOut:
+        return "timed out";
+    case CancelReason::None:
+        break;
+    }
+    return "";
+}
+
+} // namespace
+
+void cancelCall(ActiveCall &call, CancelReason reason)
+{
+    if (reason == CancelReason::CallerLeft)
+        call.callerDisconnected = true;
+    else
+        call.timedOut = true;
+    if (call.cancellation.reason == CancelReason::None)
+        call.cancellation = {reason, BootClock::now(), call.step};
+    if (call.connection)
+        closeConnection(*call.connection);
+}
+
+// The wait may end for bytes that were read long before, so the peek never blocks and the wait is
+// repeated. A caller that has already sent its next call is not watched further: the end of its
+// connection cannot be seen behind those bytes.
+void watchCaller(const ActiveCallPtr &call)
+{
+    call->caller.socket().async_wait(
+        tcp::socket::wait_read,
+        [weak = std::weak_ptr<ActiveCall>(call)](boost::system::error_code error) {
+            const ActiveCallPtr watched = weak.lock();
+            if (!watched || watched->ended || error == asio::error::operation_aborted)
+                return;
+            char byte = 0;
+            const int descriptor = watched->caller.socket().native_handle();
+            const auto peeked = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (peeked > 0)
+                return;
+            if (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+                watchCaller(watched);
+                return;
+            }
+            cancelCall(*watched, CancelReason::CallerLeft);
+        });
+}
+
+void startDeadline(const ActiveCallPtr &call, asio::steady_timer &timer)
+{
+    timer.expires_after(timeLeft(*call));
+    timer.async_wait([weak = std::weak_ptr<ActiveCall>(call)](boost::system::error_code cancelled) {
+        const ActiveCallPtr timedOutCall = weak.lock();
+        if (cancelled || !timedOutCall || timedOutCall->ended)
+            return;
+        cancelCall(*timedOutCall, CancelReason::TimedOut);
+    });
+}
+
+void recordCancelledCall(const ActiveCall &call)
+{
+    const Cancellation &cancellation = call.cancellation;
+    if (cancellation.reason == CancelReason::None)
+        return;
+    const Instant now = BootClock::now();
+    GatewayNode &node = call.node;
+    const bool timedOut = cancellation.reason == CancelReason::TimedOut;
+    node.metrics.add(timedOut ? Counter::CallsTimedOut : Counter::CallersLeft);
+    node.metrics.record(Timing::CancelledCallEnd, toSeconds(now - cancellation.at));
+    logEvent(EventId::CallCancelled,
+             {{"call", call.metadata.attemptId},
+              {"route", call.route != nullptr ? call.route->name : call.host + call.path},
+              {"reason", std::string(reasonName(cancellation.reason))},
+              {"step", std::string(stepName(cancellation.step))},
+              {"servedBy", call.servedBy},
+              {"forwarded", call.forwarded ? "yes" : "no"},
+              {"afterMs", millisText(cancellation.at - call.arrivedAt)},
+              {"pastDeadlineMs", millisText(timedOut ? now - call.deadline : Duration::zero())},
+              {"endedInMs", millisText(now - cancellation.at)},
+              {"sends", std::to_string(call.attempts)},
+              {"mayHaveRun", call.mayHaveRun ? "yes" : "no"},
+              {"loopDelayMs", millisText(node.loopDelay)}});
+}
+
+} // namespace monsoonbay
--- /dev/null
+++ b/libs/gateway/src/CallCancellation.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "ActiveCall.h"
+
+namespace monsoonbay {
+
+/** Cancels the call; ends the attempt under way by closing its connection. */
+void cancelCall(ActiveCall &call, CancelReason reason);
+
+/** Cancels the call if its caller closes the connection while the call is being served. */
+void watchCaller(const ActiveCallPtr &call);
+
+/** Cancels the call at its deadline, unless `timer` is cancelled before. */
+void startDeadline(const ActiveCallPtr &call, asio::steady_timer &timer);
+
+/** Logs and counts the call, which has ended, if it was cancelled. */
+void recordCancelledCall(const ActiveCall &call);
+
+} // namespace monsoonbay
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -4,6 +4,7 @@
 
 #include "AnswerHints.h"
 #include "CallAnswer.h"
+#include "CallCancellation.h"
 #include "CallPlacement.h"
 #include "CallRetries.h"
 #include "CallerAuthentication.h"
@@ -103,6 +104,7 @@
                     co_return;
                 continue;
             }
+            this->call.step = CallStep::Placing;
             const Instant placementStart = BootClock::now();
             Placement placement = co_await placeCall(this->call);
             this->call.placementTime += BootClock::now() - placementStart;
@@ -187,6 +189,8 @@
     {
         // Counted from here on; else the engine's lease holder may reassign its slot meanwhile.
         InFlightGuard inFlight(this->call, target.id);
+        this->call.step = CallStep::Connecting;
+        this->call.servedBy = target.id;
         TargetExchange exchange(this->node, target, this->call.metadata.attemptId);
         const bool connected = co_await exchange.connect();
         this->sendError = exchange.error();
@@ -203,6 +207,7 @@
             this->answer.refusal = std::move(*keyRefusal);
             co_return AttemptResult::Refused;
         }
+        this->call.step = CallStep::Running;
         SendMetadata metadata = sendMetadataOf(this->call, this->answer);
         metadata.targetId = target.id;
         recordAttempt(this->call);
@@ -295,18 +300,6 @@
     boost::system::error_code sendError; ///< of the latest attempt
 };
 
-void startDeadline(const ActiveCallPtr &call, asio::steady_timer &timer)
-{
-    timer.expires_after(timeLeft(*call));
-    timer.async_wait([weak = std::weak_ptr<ActiveCall>(call)](boost::system::error_code cancelled) {
-        const ActiveCallPtr timedOutCall = weak.lock();
-        if (cancelled || !timedOutCall || timedOutCall->ended)
-            return;
-        timedOutCall->timedOut = true;
-        cancelActiveCall(*timedOutCall);
-    });
-}
-
 /** In most cases a newer configuration is in force this soon after another VM has reported it. */
 constexpr Duration maxNewRouteWait = std::chrono::milliseconds(600);
 constexpr double newRouteWaitShare = 0.35; ///< of the time that the caller will wait
@@ -442,6 +435,7 @@
         refundQuota(*call);
     call->ended = true;
     timer.cancel();
+    recordCancelledCall(*call);
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -8,6 +8,7 @@
 #include "GatewayNode.h"
 #include "LeaseKeeping.h"
 #include "LinkWatch.h"
+#include "LoopDelay.h"
 #include "PeerExchange.h"
 #include "PrefillReservation.h"
 #include "RelayLoops.h"
@@ -120,6 +121,7 @@
         spawn(this->node, "sweep", sweepLoop(this->node));
         spawn(this->node, "write usage snapshots", usageSnapshotLoop(this->node));
         spawn(this->node, "log update bytes", updateLogLoop(this->node));
+        spawn(this->node, "measure loop delay", loopDelayLoop(this->node));
     }
 
     asio::awaitable<void> shutDown()
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -396,6 +396,7 @@
     int callsInFlight = 0;
     int forwardedInFlight = 0; ///< those of them that other VMs forwarded
     int connections = 0;
+    Duration loopDelay{}; ///< by which a task that was due last began late
 };
 
 /** This VM's state of a target; created on first use. */
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -191,6 +191,7 @@
                                              TargetExchange &exchange)
 {
     const bool mayHaveRunBefore = call.mayHaveRun;
+    call.step = CallStep::Running;
     recordAttempt(call);
     ++call.runsStarted;
     call.mayHaveRun = true;
@@ -242,6 +243,8 @@
         if (!peer)
             break;
         tried.push_back(*peer);
+        call.step = CallStep::Offering;
+        call.servedBy = peer->text();
         TargetExchange exchange(node, *peer, call.metadata.attemptId);
         OfferResult end = OfferResult::NoReply;
         const bool connected = co_await exchange.connect();
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -76,6 +76,7 @@
     CallOverLimit = 7046,
     CallForwarded = 7047,
     StreamTakenUp = 7048,
+    CallCancelled = 7049,
     SpendNoted = 7050,
     SpendNoteFailed = 7051,
     UseCountedAtStart = 7052,
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -60,6 +60,8 @@
     RetriesFromCalls, ///< retries granted from the ratio of the calls
     RetriesFromSlack, ///< retries granted from this VM's share of the slack
     RetriesRefused, ///< retries that the budget did not allow
+    CallersLeft, ///< calls whose callers closed the connection before the answer was complete
+    CallsTimedOut, ///< calls that were not answered by their deadline
     // Bytes of state updates sent to VMs of the own zone, by kind; see gateway/UpdateBytes.h.
     NewsToMatesUses,
     NewsToMatesEngines,
@@ -93,6 +95,8 @@
     Refusal, ///< seconds from arrival to a refusal
     ForecastError, ///< seconds by which a first event came earlier or later than expected
     SnapshotAge, ///< seconds from a usage snapshot until a VM receives the permit based on it
+    CancelledCallEnd, ///< seconds from the cancellation of a call until this VM stops serving it
+    LoopDelay, ///< seconds by which a task that was due began late
     Count, ///< number of timings, not one of them
 };
 
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -205,6 +205,15 @@
     EventRow{EventId::StreamCut, "stream-cut", EventLevel::Warning,
              "a stream to the caller was aborted after it had started",
              "look for call-bounced events of the same call"},
+    EventRow{
+        EventId::CallCancelled, "call-cancelled", EventLevel::Info,
+        "a call ended before its answer was complete, as its caller had left or its time was "
+        "over; `step` was under way then (accepting, placing, connecting, offering, running), "
+        "`servedBy` is the target or VM of its latest attempt, `endedInMs` how long this VM "
+        "still served it, `pastDeadlineMs` how long after its deadline it ended, "
+        "`loopDelayMs` how late this VM last began a task that was due",
+        "none if `endedInMs` and `pastDeadlineMs` are small; if `loopDelayMs` is large, the VM "
+        "has too little processor time"},
     EventRow{EventId::StreamTakenUp, "stream-taken-up", EventLevel::Info,
              "a caller resumes a stream; `began` is the software version that began it, `knownBy` "
              "says how this VM knows; call-answered of the same call names the version of the "
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -75,6 +75,8 @@
                                                                   "retries_from_calls",
                                                                   "retries_from_slack",
                                                                   "retries_refused",
+                                                                  "callers_left",
+                                                                  "calls_timed_out",
                                                                   "news_to_mates_uses_bytes",
                                                                   "news_to_mates_engines_bytes",
                                                                   "news_to_mates_targets_bytes",
@@ -94,8 +96,10 @@
     "calls_waiting", "longest_silence_ms"};
 
 constexpr std::array<std::string_view, timingCount> timingNames{
-    "load_stall_seconds", "first_piece_seconds",    "between_pieces_seconds",
-    "refusal_seconds",    "forecast_error_seconds", "spend_note_age_seconds"};
+    "load_stall_seconds",         "first_piece_seconds",
+    "between_pieces_seconds",     "refusal_seconds",
+    "forecast_error_seconds",     "spend_note_age_seconds",
+    "cancelled_call_end_seconds", "loop_delay_seconds"};
 
 struct Shard
 {
