Calls: the deadline ends a stream that its caller does not read

What callers saw: one that reads slowly was held past its route's time-out. Cause: at the deadline the target's connection was closed, but the write to the caller went on until its own limit of 10 s, and then closed in order, behind bytes that nobody took; the place in the VM was taken meanwhile. Change: a write of a stream under way is ended by a reset when the call's time is over; the writes of a stream are one function.

--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -103,6 +103,7 @@
     bool timedOut = false;
     bool ended = false;
     bool answerStarted = false;
+    bool writingStream = false; ///< a part of a stream is being written to its caller
     bool closeConnection = false; ///< the caller's connection is closed after this call
     TargetConnectionPtr connection; ///< of the attempt under way; closed to cancel it
 
--- a/libs/gateway/src/CallCancellation.cpp
+++ b/libs/gateway/src/CallCancellation.cpp
@@ -54,6 +54,9 @@
         call.cancellation = {reason, BootClock::now(), call.step};
     if (call.connection)
         closeConnection(*call.connection);
+    // A caller that does not read would delay the end of its call until the write times out.
+    if (call.writingStream)
+        abortAnswer(call);
 }
 
 // The wait may end for bytes that were read long before, so the peek never blocks and the wait is
--- a/libs/gateway/src/CallerStream.cpp
+++ b/libs/gateway/src/CallerStream.cpp
@@ -101,9 +101,8 @@
 asio::awaitable<AttemptResult> CallerStream::writeEnd(BodyDelimiter delimiter)
 {
     if (this->chunked) {
-        const auto last = http::make_chunk_last();
-        auto [error, bytes] = co_await asio::async_write(this->call.caller, last, nothrowAwaitable);
-        if (error)
+        const bool written = co_await this->writeAll(http::make_chunk_last());
+        if (!written)
             co_return AttemptResult::CallerDisconnected;
     } else {
         stopResetOnClose(this->call);
@@ -145,15 +144,18 @@
 }
 
 asio::awaitable<bool> CallerStream::writeEvents(std::string text)
+{
+    if (this->chunked)
+        co_return co_await this->writeAll(http::make_chunk(asio::buffer(text)));
+    co_return co_await this->writeAll(asio::buffer(text));
+}
+
+template <typename Buffers> asio::awaitable<bool> CallerStream::writeAll(const Buffers &buffers)
 {
     this->call.caller.expires_after(callerWriteTimeout);
-    if (!this->chunked) {
-        auto [error, bytes] =
-            co_await asio::async_write(this->call.caller, asio::buffer(text), nothrowAwaitable);
-        co_return !error;
-    }
-    const auto chunk = http::make_chunk(asio::buffer(text));
-    auto [error, bytes] = co_await asio::async_write(this->call.caller, chunk, nothrowAwaitable);
+    this->call.writingStream = true;
+    auto [error, bytes] = co_await asio::async_write(this->call.caller, buffers, nothrowAwaitable);
+    this->call.writingStream = false;
     co_return !error;
 }
 
--- a/libs/gateway/src/CallerStream.h
+++ b/libs/gateway/src/CallerStream.h
@@ -44,6 +44,7 @@
 private:
     asio::awaitable<bool> writeHead(const TargetExchange &exchange);
     asio::awaitable<bool> writeEvents(std::string text);
+    template <typename Buffers> asio::awaitable<bool> writeAll(const Buffers &buffers);
     asio::awaitable<AttemptResult> writeEnd(BodyDelimiter delimiter);
     bool isUnproved(BodyDelimiter delimiter) const noexcept;
 
