Targets: an attempt that is given up is taken back, not only closed

What callers saw: nothing; targets ran requests whose callers had left before they arrived, and calls that were not to run twice could run after their time. Cause: an attempt was ended by a plain close. The kernel goes on sending what the target has not received, for up to a second. Change: the connection is reset and what waits to be sent is discarded. Evidence: ended_calls/a_request_still_on_its_way_is_taken_back_when_its_caller_leaves failed before, passes now; the nine tests of calls pass. The request is held up by a target that does not read. What is on its way beyond the kernel, or behind a cut that the reset does not cross, can't be taken back.

--- a/libs/gateway/src/TargetPool.cpp
+++ b/libs/gateway/src/TargetPool.cpp
@@ -107,10 +107,13 @@
     co_return result;
 }
 
+// After a plain close the kernel goes on sending what has not arrived: the request of a caller that
+// has left would still run.
 void closeConnection(TargetConnection &connection)
 {
     // An error on closing leaves nothing to do.
     boost::system::error_code ignored;
+    connection.socket.set_option(asio::socket_base::linger(true, 0), ignored);
     connection.socket.close(ignored);
 }
 
--- a/libs/gateway/src/TargetPool.h
+++ b/libs/gateway/src/TargetPool.h
@@ -53,7 +53,8 @@
 asio::awaitable<ConnectResult> connectTo(asio::io_context &context, Endpoint endpoint,
                                          Duration timeout);
 
-/** Closes at once; pending operations end with an error. */
+/** Resets the connection and discards what waits to be sent; pending operations end with an error.
+ */
 void closeConnection(TargetConnection &connection);
 
 } // namespace monsoonbay
