Calls: callers that send more than their call are watched too

What callers saw: nothing; a target worked to its end for a caller that had left, if two bytes stood behind the request. Cause: the end of a connection can't be seen behind unread bytes, so the watch ended for good with the first of them. Change: up to 64 KB of what follows is read into the connection's buffer, where the next call is read from anyway; a caller that sends more is not watched on. Evidence: ended_calls/a_caller_that_leaves_after_more_bytes_ends_its_run failed before, passes now; a call sent before the answer of the one before it is served as well. Open: an empty line before a next call is answered 400, as before.

--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "BodyDelimiter.h"
@@ -56,6 +57,8 @@
 
     GatewayNode &node;
     boost::beast::tcp_stream &caller;
+    /** Receives what the caller sends before its answer; null: that stays unread. */
+    boost::beast::flat_buffer *callerBuffer = nullptr;
     std::shared_ptr<HttpRequest> request; ///< shared with a write that may outlive an attempt
     std::string host;
     std::string path;
--- a/libs/gateway/src/CallCancellation.cpp
+++ b/libs/gateway/src/CallCancellation.cpp
@@ -42,6 +42,10 @@
     return "";
 }
 
+/** Bytes that are read of what a caller sends before its answer. */
+constexpr std::size_t maxReadAheadBytes = 64 * 1024;
+constexpr std::size_t readAheadBytes = 8 * 1024;
+
 /** What the caller's connection holds. */
 enum class CallerState : std::uint8_t { Waiting, MoreBytes, Closed };
 
@@ -56,6 +60,20 @@
     return waiting ? CallerState::Waiting : CallerState::Closed;
 }
 
+/** Reads what has arrived after the call; false if there is no more room for it. */
+bool readAhead(ActiveCall &call)
+{
+    boost::beast::flat_buffer *buffer = call.callerBuffer;
+    if (buffer == nullptr || buffer->size() + readAheadBytes > maxReadAheadBytes)
+        return false;
+    const auto space = buffer->prepare(readAheadBytes);
+    const auto bytes =
+        ::recv(call.caller.socket().native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+    if (bytes > 0)
+        buffer->commit(static_cast<std::size_t>(bytes));
+    return bytes > 0;
+}
+
 } // namespace
 
 void cancelCall(ActiveCall &call, CancelReason reason)
@@ -74,8 +92,8 @@
 }
 
 // The wait may end for bytes that were read long before, so the peek never blocks and the wait is
-// repeated. A caller that has already sent its next call is not watched further: the end of its
-// connection cannot be seen behind those bytes.
+// repeated. The end of the connection cannot be seen behind unread bytes, such as the caller's next
+// call, so these are read. A caller that sends more than is kept of them is not watched further.
 void watchCaller(const ActiveCallPtr &call)
 {
     call->caller.socket().async_wait(
@@ -85,7 +103,8 @@
             if (!watched || watched->ended || error == asio::error::operation_aborted)
                 return;
             const CallerState state = callerState(*watched);
-            if (state == CallerState::Waiting)
+            const bool moreRead = state == CallerState::MoreBytes && readAhead(*watched);
+            if (state == CallerState::Waiting || moreRead)
                 watchCaller(watched);
             if (state == CallerState::Closed)
                 cancelCall(*watched, CancelReason::CallerLeft);
--- a/libs/gateway/src/CallListener.cpp
+++ b/libs/gateway/src/CallListener.cpp
@@ -230,6 +230,7 @@
     {
         const auto call =
             std::make_shared<ActiveCall>(this->node, connection.stream, std::move(request));
+        call->callerBuffer = &connection.buffer;
         call->host = hostOf(*call->request);
         call->path = std::string(call->request->target());
         const int forwarded = this->kind == ListenerKind::Peers ? 1 : 0;
