Answers: what is held of one is bounded; a long success is passed on as it comes

What callers saw: 504 at their deadline where another target could have answered; a VM of 120 MB ended, as an answer without end was kept whole. Cause: bodies were read to their end, whatever their length, before anything was passed on; so were refusals and answers to other calls, that nobody waits for. Change: heldAnswerKb (256) of a body; beyond it a success streams to its caller at the caller's pace, an error ends the attempt; of what nobody waits for 64 KB and 150 ms are read, then the connection is closed.

--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -47,6 +47,8 @@
     LeaseTiming lease;
     EngineWeights weights;
     PlacementSettings placement;
+    /** Bytes held of an answer before its caller gets them: a body, or an event of a stream. */
+    std::size_t maxHeldAnswerBytes = 256UL * 1024;
     int logLinesPerSecond = 40; ///< limit for each kind of event
 
     bool operator==(const GatewaySettings &) const = default;
--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -107,6 +107,7 @@
     bool ended = false;
     bool answerStarted = false;
     bool writingStream = false; ///< a part of a stream is being written to its caller
+    bool cannotContinue = false; ///< a part of its answer was passed on that no other run continues
     bool closeConnection = false; ///< the caller's connection is closed after this call
     TargetConnectionPtr connection; ///< of the attempt under way; closed to cancel it
 
--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -20,6 +20,44 @@
     return head[http::field::content_type].starts_with("text/event-stream");
 }
 
+/** Passes on the answer piece by piece; `piece` was read already and `end` is the result of that.
+ */
+asio::awaitable<AttemptResult> passPieces(ActiveCall &call, CallerStream &callerStream,
+                                          TargetExchange &exchange,
+                                          const std::function<void()> &onPiece, std::string piece,
+                                          BodyRead end)
+{
+    while (true) {
+        if (!piece.empty()) {
+            onPiece();
+            const bool passed = co_await callerStream.pass(exchange, std::move(piece));
+            if (!passed) {
+                exchange.abandon();
+                call.closeConnection = true;
+                co_return AttemptResult::CallerDisconnected;
+            }
+        }
+        if (end == BodyRead::Broken)
+            co_return AttemptResult::Broken;
+        if (end == BodyRead::End)
+            break;
+        end = co_await exchange.read(piece);
+    }
+    call.bodyDelimiter = exchange.bodyDelimiter();
+    call.trailingBytes = callerStream.trailingBytes();
+    co_return co_await callerStream.finish(exchange);
+}
+
+asio::awaitable<AttemptResult> passStream(ActiveCall &call, CallerStream &callerStream,
+                                          TargetExchange &exchange,
+                                          const std::function<void()> &onPiece)
+{
+    callerStream.restart();
+    std::string piece;
+    const BodyRead end = co_await exchange.read(piece);
+    co_return co_await passPieces(call, callerStream, exchange, onPiece, std::move(piece), end);
+}
+
 asio::awaitable<AttemptResult> passBuffered(ActiveCall &call, CallAnswer &answer,
                                             TargetExchange &exchange)
 {
@@ -27,9 +65,20 @@
     reply.status = exchange.status();
     reply.contentType.clear();
     reply.headers = endToEndHeaders(exchange.head());
-    const bool complete = co_await readFully(exchange, reply.body);
-    if (!complete)
+    const BodyEnd end =
+        co_await readFully(exchange, reply.body, call.node.settings.maxHeldAnswerBytes);
+    const bool succeeds = reply.status < 300;
+    if (end == BodyEnd::TooLong && succeeds && !answer.callerStream.started()) {
+        answer.callerStream.passWhole();
+        const std::function<void()> onPiece = [] {
+        };
+        co_return co_await passPieces(call, answer.callerStream, exchange, onPiece,
+                                      std::move(reply.body), BodyRead::Some);
+    }
+    if (end != BodyEnd::Complete) {
+        exchange.abandon();
         co_return AttemptResult::Broken;
+    }
     call.bodyDelimiter = exchange.bodyDelimiter();
     const BodyDelimiter delimiter = call.bodyDelimiter;
     if (reply.status >= 500 && !answer.callerStream.started()) {
@@ -46,33 +95,6 @@
                                                         : AttemptResult::Unverified;
 }
 
-asio::awaitable<AttemptResult> passStream(ActiveCall &call, CallerStream &callerStream,
-                                          TargetExchange &exchange,
-                                          const std::function<void()> &onPiece)
-{
-    callerStream.restart();
-    std::string piece;
-    while (true) {
-        const BodyRead end = co_await exchange.read(piece);
-        if (!piece.empty()) {
-            onPiece();
-            const bool passed = co_await callerStream.pass(exchange, std::move(piece));
-            if (!passed) {
-                exchange.abandon();
-                call.closeConnection = true;
-                co_return AttemptResult::CallerDisconnected;
-            }
-        }
-        if (end == BodyRead::Broken)
-            co_return AttemptResult::Broken;
-        if (end == BodyRead::Some)
-            continue;
-        call.bodyDelimiter = exchange.bodyDelimiter();
-        call.trailingBytes = callerStream.trailingBytes();
-        co_return co_await callerStream.finish(exchange);
-    }
-}
-
 } // namespace
 
 std::shared_ptr<HttpRequest> requestFor(const ActiveCall &call, const SendMetadata &metadata)
@@ -102,16 +124,19 @@
     return metadata;
 }
 
-asio::awaitable<bool> readFully(TargetExchange &exchange, std::string &body)
+asio::awaitable<BodyEnd> readFully(TargetExchange &exchange, std::string &body,
+                                   std::size_t maxBytes)
 {
     std::string piece;
     while (true) {
         const BodyRead end = co_await exchange.read(piece);
         body += piece;
-        if (end == BodyRead::End)
-            co_return true;
         if (end == BodyRead::Broken)
-            co_return false;
+            co_return BodyEnd::Broken;
+        if (end == BodyRead::End)
+            co_return BodyEnd::Complete;
+        if (body.size() > maxBytes)
+            co_return BodyEnd::TooLong;
     }
 }
 
--- a/libs/gateway/src/CallAnswer.h
+++ b/libs/gateway/src/CallAnswer.h
@@ -34,8 +34,16 @@
 /** Metadata for the next attempt; the id of the target is left to set. */
 SendMetadata sendMetadataOf(const ActiveCall &call, const CallAnswer &answer);
 
-/** Reads a body to its end; false if it broke off. */
-asio::awaitable<bool> readFully(TargetExchange &exchange, std::string &body);
+/** How the reading of a whole body ended. */
+enum class BodyEnd : std::uint8_t {
+    Complete,
+    Broken, ///< it broke off
+    TooLong, ///< there is more than may be held
+};
+
+/** Reads a body to its end, or until more than `maxBytes` were read. */
+asio::awaitable<BodyEnd> readFully(TargetExchange &exchange, std::string &body,
+                                   std::size_t maxBytes);
 
 /** Passes on the answer whose head was read; calls `onPiece` for each piece of a stream. */
 asio::awaitable<AttemptResult> passAnswer(ActiveCall &call, CallAnswer &answer,
--- a/libs/gateway/src/CallRetries.cpp
+++ b/libs/gateway/src/CallRetries.cpp
@@ -59,7 +59,7 @@
 // route lets it run twice.
 RetryDecision decideRetry(ActiveCall &call, AttemptResult end)
 {
-    if (call.timedOut || timeLeft(call) < minTimeForRetry)
+    if (call.cannotContinue || call.timedOut || timeLeft(call) < minTimeForRetry)
         return {false};
     if (call.triedTargets.size() >= maxTargetsTried)
         return {false};
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -273,10 +273,7 @@
 
     asio::awaitable<void> handleNotRun(TargetExchange &exchange, const TargetEntry &target)
     {
-        std::string body;
-        const bool complete = co_await readFully(exchange, body);
-        if (!complete)
-            exchange.abandon();
+        co_await exchange.discardBody();
         const AnswerMetadata &metadata = exchange.metadata();
         const bool otherTarget = !metadata.answeredBy.empty() && metadata.answeredBy != target.id;
         if (metadata.misdirected && otherTarget) {
--- a/libs/gateway/src/CallerStream.cpp
+++ b/libs/gateway/src/CallerStream.cpp
@@ -49,14 +49,20 @@
     this->eventReceived = false;
 }
 
+void CallerStream::passWhole()
+{
+    this->splitsEvents = false;
+    this->call.cannotContinue = true;
+}
+
 asio::awaitable<bool> CallerStream::pass(const TargetExchange &exchange, std::string piece)
 {
-    std::string out = takeEvents(this->events, piece);
+    std::string out = this->splitsEvents ? takeEvents(this->events, piece) : std::move(piece);
     if (out.empty())
         co_return true;
     this->eventReceived = true;
     recordPiece(this->call);
-    if (!this->call.origin)
+    if (this->splitsEvents && !this->call.origin)
         recordStreamStart(this->call, exchange.software());
     const bool headWritten = co_await this->writeHead(exchange);
     if (!headWritten)
--- a/libs/gateway/src/CallerStream.h
+++ b/libs/gateway/src/CallerStream.h
@@ -28,6 +28,9 @@
     /** Begins a further run; drops what was received of an incomplete event. */
     void restart();
 
+    /** The answer is passed on as it comes, not in events; no other run can continue it. */
+    void passWhole();
+
     /** Passes on the events that `piece` completes; false if the caller cannot be reached. */
     asio::awaitable<bool> pass(const TargetExchange &exchange, std::string piece);
 
@@ -54,6 +57,7 @@
     bool chunked = true; ///< the caller's answer; otherwise its connection delimits it
     BodyDelimiter announced =
         BodyDelimiter::SelfDelimited; ///< what delimits the answer, by the head sent
+    bool splitsEvents = true;
     bool eventReceived = false; ///< in the run under way
 };
 
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -143,12 +143,12 @@
     const Json root = reader.parseObject(json);
     if (reader.problems.empty()) {
         GatewaySettings &settings = parsed.value;
-        reader.onlyKeys(root, "", {"vm",          "zone",       "platform",  "callers",
-                                   "readiness",   "operators",  "peers",     "peersListen",
-                                   "forwards",    "seeds",      "store",     "partitions",
-                                   "heartbeatMs", "shutdownMs", "retries",   "access",
-                                   "quota",       "lease",      "placement", "logLinesPerSecond",
-                                   "capacity",    "firstStart"});
+        reader.onlyKeys(root, "", {"vm",          "zone",       "platform",    "callers",
+                                   "readiness",   "operators",  "peers",       "peersListen",
+                                   "forwards",    "seeds",      "store",       "partitions",
+                                   "heartbeatMs", "shutdownMs", "retries",     "access",
+                                   "quota",       "lease",      "placement",   "logLinesPerSecond",
+                                   "capacity",    "firstStart", "heldAnswerKb"});
         settings.vm = reader.text(root, "", "vm");
         settings.zone = reader.text(root, "", "zone");
         settings.firstStart = reader.boolean(root, "", "firstStart", settings.firstStart);
@@ -176,6 +176,9 @@
         settings.hasQuotaPolicy = root.contains("quota");
         readLease(reader, root, settings.lease);
         readPlacement(reader, root, settings.placement);
+        const double heldKb = static_cast<double>(settings.maxHeldAnswerBytes) / 1024;
+        settings.maxHeldAnswerBytes = static_cast<std::size_t>(
+            1024 * reader.number(root, "", "heldAnswerKb", heldKb, 16, 65536));
         settings.logLinesPerSecond = static_cast<int>(
             reader.number(root, "", "logLinesPerSecond", settings.logLinesPerSecond, 1, 100000));
         if (findPlatform(settings.platform) == nullptr) {
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -213,8 +213,10 @@
         co_return co_await passAnswer(call, answer, exchange, onPiece);
     }
     std::string body;
-    const bool complete = co_await readFully(exchange, body);
-    if (!complete || report.outcome == ForwardOutcome::MayHaveRun)
+    const BodyEnd end = co_await readFully(exchange, body, call.node.settings.maxHeldAnswerBytes);
+    if (end != BodyEnd::Complete)
+        exchange.abandon();
+    if (end != BodyEnd::Complete || report.outcome == ForwardOutcome::MayHaveRun)
         co_return AttemptResult::Broken;
     call.mayHaveRun = mayHaveRunBefore;
     call.runsStarted = report.runs;
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -31,6 +31,10 @@
 
 constexpr std::uint32_t headerLimit = 64 * 1024;
 
+/** Of an answer that nobody waits for, only a short one that comes at once is read to its end. */
+constexpr std::size_t maxDiscardedBytes = 64 * 1024;
+constexpr Duration discardTimeout = std::chrono::milliseconds(150);
+
 // A target may answer a long request before it has read all of it, and read the rest later. The
 // write must then neither delay the answer nor be cut short while the connection is still in use.
 asio::awaitable<void> writeRequest(TargetConnectionPtr link, std::shared_ptr<HttpRequest> request,
@@ -40,6 +44,16 @@
     *written = !error;
 }
 
+void closeOnExpiry(asio::steady_timer &limit, const TargetConnectionPtr &link)
+{
+    limit.async_wait(
+        [weak = std::weak_ptr<TargetConnection>(link)](boost::system::error_code cancelled) {
+            const TargetConnectionPtr connection = weak.lock();
+            if (!cancelled && connection)
+                closeConnection(*connection);
+        });
+}
+
 Duration keepAliveOf(const ResponseHead &head)
 {
     const auto found = head.find(http::field::keep_alive);
@@ -182,12 +196,7 @@
     this->offered = std::move(request);
     this->rest.emplace(*this->offered);
     asio::steady_timer limit(this->node.context, replyTimeout);
-    limit.async_wait(
-        [weak = std::weak_ptr<TargetConnection>(this->link)](boost::system::error_code cancelled) {
-            const TargetConnectionPtr connection = weak.lock();
-            if (!cancelled && connection)
-                closeConnection(*connection);
-        });
+    closeOnExpiry(limit, this->link);
     auto [error, bytes] =
         co_await http::async_write_header(this->link->socket, *this->rest, nothrowAwaitable);
     bool headReceived = false;
@@ -223,11 +232,8 @@
         if (isOwn)
             co_return true;
         // A second answer to an earlier call on this connection: no call waits for it.
-        std::string dropped;
-        BodyRead end = BodyRead::Some;
-        while (end == BodyRead::Some)
-            end = co_await this->read(dropped);
-        if (end == BodyRead::Broken)
+        const bool discarded = co_await this->discardBody();
+        if (!discarded)
             co_return false;
     }
     this->unusable = true;
@@ -253,6 +259,23 @@
     co_return true;
 }
 
+asio::awaitable<bool> TargetExchange::discardBody()
+{
+    asio::steady_timer limit(this->node.context, discardTimeout);
+    closeOnExpiry(limit, this->link);
+    std::string piece;
+    std::size_t discarded = 0;
+    BodyRead end = BodyRead::Some;
+    while (end == BodyRead::Some && discarded <= maxDiscardedBytes) {
+        end = co_await this->read(piece);
+        discarded += piece.size();
+    }
+    limit.cancel();
+    if (end != BodyRead::End)
+        this->unusable = true;
+    co_return end == BodyRead::End;
+}
+
 asio::awaitable<BodyRead> TargetExchange::read(std::string &piece)
 {
     piece.clear();
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -65,6 +65,12 @@
     /** Reads what has arrived of the body. */
     asio::awaitable<BodyRead> read(std::string &piece);
 
+    /**
+     * Reads and drops the rest of the answer, for the connection's next call; false if it is long
+     * or slow: then the connection is not reused.
+     */
+    asio::awaitable<bool> discardBody();
+
     /** What delimits the answer whose head has been read. */
     BodyDelimiter bodyDelimiter() const;
 
