Event streams: an event has a bound, and is searched once

What callers saw: all calls of a VM stood while one target sent an event without end. Cause: for each piece all bytes since the last event were searched again, without a bound on them. Change: the search goes on where it ended; an event longer than heldAnswerKb ends the attempt, and the stream goes on elsewhere if it may. Evidence: endless_answers/event failed before (504 at the deadline), passes now (502 at once); the property tests of events pass unchanged.

--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -37,7 +37,9 @@
                 co_return AttemptResult::CallerDisconnected;
             }
         }
-        if (end == BodyRead::Broken)
+        if (callerStream.isEventTooLong())
+            exchange.abandon();
+        if (end == BodyRead::Broken || callerStream.isEventTooLong())
             co_return AttemptResult::Broken;
         if (end == BodyRead::End)
             break;
--- a/libs/gateway/src/CallerStream.cpp
+++ b/libs/gateway/src/CallerStream.cpp
@@ -43,6 +43,11 @@
     return this->events.pending.size();
 }
 
+bool CallerStream::isEventTooLong() const noexcept
+{
+    return this->events.pending.size() > this->call.node.settings.maxHeldAnswerBytes;
+}
+
 void CallerStream::restart()
 {
     restartEvents(this->events);
--- a/libs/gateway/src/CallerStream.h
+++ b/libs/gateway/src/CallerStream.h
@@ -25,6 +25,9 @@
     /** Bytes received after the last complete event. */
     std::size_t trailingBytes() const noexcept;
 
+    /** True if an event is longer than what may be held of an answer. */
+    bool isEventTooLong() const noexcept;
+
     /** Begins a further run; drops what was received of an incomplete event. */
     void restart();
 
--- a/libs/serving/include/serving/EventStream.h
+++ b/libs/serving/include/serving/EventStream.h
@@ -14,6 +14,8 @@
 struct EventStream
 {
     std::string pending; ///< bytes after the last complete event
+    std::size_t lineStart = 0; ///< in `pending`, of the line that is not complete
+    std::size_t searched = 0; ///< bytes of `pending` that were searched for the line's end
     std::optional<std::uint64_t> lastId; ///< of the last event returned that has one
 };
 
--- a/libs/serving/src/EventStream.cpp
+++ b/libs/serving/src/EventStream.cpp
@@ -17,22 +17,22 @@
     return text;
 }
 
-/** Length of the first event of `text`, including its empty line; 0: it is incomplete. */
-std::size_t firstEventLength(std::string_view text)
+/** Searches on for the end of the first event; its end in `pending`, or nullopt: not yet there. */
+std::optional<std::size_t> findEventEnd(EventStream &stream)
 {
-    std::size_t line = 0;
-    while (line < text.size()) {
-        const std::string_view rest = text.substr(line);
-        if (rest.starts_with("\n"))
-            return line + 1;
-        if (rest.starts_with("\r\n"))
-            return line + 2;
-        const std::size_t lineEnd = text.find('\n', line);
-        if (lineEnd == std::string_view::npos)
-            return 0;
-        line = lineEnd + 1;
+    while (true) {
+        const std::size_t lineEnd = stream.pending.find('\n', stream.searched);
+        if (lineEnd == std::string::npos) {
+            stream.searched = stream.pending.size();
+            return std::nullopt;
+        }
+        const std::string_view line =
+            std::string_view(stream.pending).substr(stream.lineStart, lineEnd - stream.lineStart);
+        stream.lineStart = lineEnd + 1;
+        stream.searched = stream.lineStart;
+        if (line.empty() || line == "\r")
+            return stream.lineStart;
     }
-    return 0;
 }
 
 } // namespace
@@ -61,12 +61,9 @@
     stream.pending.append(bytes);
     std::string out;
     std::size_t begin = 0;
-    while (true) {
-        const std::string_view left = std::string_view(stream.pending).substr(begin);
-        const std::string_view event = left.substr(0, firstEventLength(left));
-        if (event.empty())
-            break;
-        begin += event.size();
+    while (const std::optional<std::size_t> end = findEventEnd(stream)) {
+        const std::string_view event = std::string_view(stream.pending).substr(begin, *end - begin);
+        begin = *end;
         const std::optional<std::uint64_t> id = eventId(event);
         const bool repeated = id && stream.lastId && *id <= *stream.lastId;
         if (repeated)
@@ -76,6 +73,8 @@
         out.append(event);
     }
     stream.pending.erase(0, begin);
+    stream.lineStart -= begin;
+    stream.searched -= begin;
     return out;
 }
 
@@ -87,6 +86,8 @@
 void restartEvents(EventStream &stream)
 {
     stream.pending.clear();
+    stream.lineStart = 0;
+    stream.searched = 0;
 }
 
 } // namespace monsoonbay
