Targets: the read buffer of a connection is bounded

Cause: a chunk's extension has to be read whole before its chunk; the buffer for it had no bound. Evidence: endless_answers/chunk_extension and no_other_target failed before and pass now.

--- a/libs/gateway/src/TargetPool.h
+++ b/libs/gateway/src/TargetPool.h
@@ -15,6 +15,9 @@
 
 namespace asio = boost::asio;
 
+/** The longest head of an answer, and room to read what follows it. */
+constexpr std::size_t maxReadBufferBytes = 128UL * 1024;
+
 /** A connection to a target; one call at a time uses it. */
 struct TargetConnection
 {
@@ -23,7 +26,7 @@
     { }
 
     asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{maxReadBufferBytes};
     Instant idleUntil{}; ///< the target may close it after this
 };
 
