Targets: interim answers are passed over

What callers saw: 502 for a call whose target had sent 102 Processing before its 200. Cause: the first head was taken for the answer, whatever its status. Change: up to eight heads of status 1xx are passed over, but for 101, and for the 100 that an offered call waits for.

--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -26,6 +26,9 @@
 /** Larger requests are still written while their answer is already read. */
 constexpr std::size_t longRequestBytes = 4096;
 
+/** Interim answers (1xx) that may precede an answer. */
+constexpr int maxInterimHeads = 8;
+
 /** Answers to other calls that may precede the expected one. */
 constexpr int maxForeignAnswers = 3;
 
@@ -200,8 +203,10 @@
     auto [error, bytes] =
         co_await http::async_write_header(this->link->socket, *this->rest, nothrowAwaitable);
     bool headReceived = false;
+    this->awaitsContinue = true;
     if (!error)
-        headReceived = co_await this->readHead();
+        headReceived = co_await this->readFinalHead();
+    this->awaitsContinue = false;
     limit.cancel();
     if (!headReceived || !this->link->socket.is_open()) {
         this->unusable = true;
@@ -224,7 +229,7 @@
 asio::awaitable<bool> TargetExchange::readMatchingHead()
 {
     for (int foreign = 0; foreign <= maxForeignAnswers; ++foreign) {
-        const bool read = co_await this->readHead();
+        const bool read = co_await this->readFinalHead();
         if (!read)
             co_return false;
         const bool isOwn = this->answerMetadata.attemptId.empty()
@@ -240,6 +245,25 @@
     co_return false;
 }
 
+bool TargetExchange::isInterim() const
+{
+    const bool informs = this->status() < 200 && this->status() != 101;
+    return informs && !(this->awaitsContinue && this->status() == 100);
+}
+
+asio::awaitable<bool> TargetExchange::readFinalHead()
+{
+    for (int interim = 0; interim <= maxInterimHeads; ++interim) {
+        const bool read = co_await this->readHead();
+        if (!read)
+            co_return false;
+        if (!this->isInterim())
+            co_return true;
+    }
+    this->unusable = true;
+    co_return false;
+}
+
 asio::awaitable<bool> TargetExchange::readHead()
 {
     this->complete = false;
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -91,6 +91,8 @@
     using Serializer = boost::beast::http::request_serializer<boost::beast::http::string_body>;
 
     asio::awaitable<bool> readHead();
+    asio::awaitable<bool> readFinalHead();
+    bool isInterim() const;
     void beginAwaiting();
     void recordHeard();
     asio::awaitable<bool> readMatchingHead();
@@ -109,6 +111,7 @@
     std::optional<Parser> parser;
     AnswerMetadata answerMetadata;
     std::array<char, 8192> readBuffer{};
+    bool awaitsContinue = false; ///< a request was offered: "100 Continue" is its reply
     bool complete = false;
     bool unusable = false;
     boost::system::error_code lastError;
