HTTP client: a call that times out is taken back

What callers saw: nothing; an order, or a write to the store, that was given up could arrive later, after newer ones. Change: a call that times out or is cancelled resets its connection. Evidence: http_calls/a_call_that_timed_out_is_taken_back failed before, passes now.

--- a/libs/transport/src/HttpClient.cpp
+++ b/libs/transport/src/HttpClient.cpp
@@ -41,6 +41,14 @@
     return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/** Closes the socket and discards what waits to be sent, which must not arrive any more. */
+void abortConnection(tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 } // namespace
 
 struct HttpClient::Impl
@@ -117,8 +125,7 @@
 void HttpClientStream::cancel()
 {
     this->impl->cancelled = true;
-    boost::system::error_code ignored;
-    this->impl->socket.close(ignored);
+    abortConnection(this->impl->socket);
 }
 
 void HttpClientStream::resetTimeout(Duration timeout)
@@ -130,8 +137,7 @@
             if (error || !stream)
                 return;
             stream->cancelled = true;
-            boost::system::error_code ignored;
-            stream->socket.close(ignored);
+            abortConnection(stream->socket);
         });
 }
 
