HTTP client: what an answer may hold is bounded

What callers saw: nothing yet; a store, a VM or a target that answers without end occupied the memory of its VM: 256 MB of body, a chunk's extension without bound.

--- a/libs/transport/include/transport/HttpClient.h
+++ b/libs/transport/include/transport/HttpClient.h
@@ -21,6 +21,7 @@
     std::string path;
     std::string body;
     std::vector<HttpHeader> headers;
+    std::uint64_t maxResponseBytes = 256ULL * 1024 * 1024; ///< a longer body ends the call
 };
 
 /** Timeouts of a call whose response may be long. */
--- a/libs/transport/src/HttpClient.cpp
+++ b/libs/transport/src/HttpClient.cpp
@@ -30,7 +30,8 @@
 
 constexpr auto nothrowAwaitable = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxIdlePerEndpoint = 512;
-constexpr std::uint64_t maxResponseBytes = 256ULL * 1024 * 1024;
+/** Heads, chunk sizes and trailers that are longer end the call. */
+constexpr std::size_t maxReadBufferBytes = 128UL * 1024;
 
 // If the server closed a connection while it was idle, this shows only when reading the response
 // fails, and by then the request may have run. Peeking first avoids sending on such a connection.
@@ -94,7 +95,7 @@
     std::shared_ptr<HttpClient::Impl> client;
     Endpoint endpoint;
     tcp::socket socket;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maxReadBufferBytes};
     http::response_parser<http::buffer_body> parser;
     std::optional<asio::steady_timer> timer;
     bool cancelled = false;
@@ -182,7 +183,7 @@
         result.error = writeError;
         co_return result;
     }
-    stream->parser.body_limit(maxResponseBytes);
+    stream->parser.body_limit(call.maxResponseBytes);
     auto [readError, read] = co_await http::async_read_header(stream->socket, stream->buffer,
                                                               stream->parser, nothrowAwaitable);
     if (readError) {
