--- a/libs/gateway/src/CallCancellation.cpp
+++ b/libs/gateway/src/CallCancellation.cpp
@@ -42,8 +42,6 @@
     return "";
 }
 
-/** Bytes that are read of what a caller sends before its answer. */
-constexpr std::size_t maxReadAheadBytes = 64 * 1024;
 constexpr std::size_t readAheadBytes = 8 * 1024;
 
 /** What the caller's connection holds. */
--- a/libs/gateway/src/CallCancellation.h
+++ b/libs/gateway/src/CallCancellation.h
@@ -4,6 +4,9 @@
 
 namespace monsoonbay {
 
+/** Bytes that are read of what a caller sends before its answer. */
+constexpr std::size_t maxReadAheadBytes = 64UL * 1024;
+
 /** Cancels the call; ends the attempt under way by closing its connection. */
 void cancelCall(ActiveCall &call, CancelReason reason);
 
--- a/libs/gateway/src/CallListener.cpp
+++ b/libs/gateway/src/CallListener.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "CallCancellation.h"
 #include "CallServing.h"
 #include "PeerForwarding.h"
 
@@ -35,6 +36,8 @@
 /** Room for what another VM adds to the header of a call that it forwards, long names included. */
 constexpr std::uint32_t forwardedHeaderBytes = 2048;
 
+constexpr std::size_t readBufferBytes = 64 * 1024;
+
 constexpr std::string_view expectContinue = "100-continue";
 
 struct CallerConnection
@@ -148,6 +151,9 @@
     {
         const CallerLimits limits = this->node.routes->config().limits;
         beast::tcp_stream &stream = connection.stream;
+        // The size and the extension of a chunk are read whole, whatever their length.
+        connection.buffer.max_size(limits.maxHeaderBytes + this->addedHeaderBytes()
+                                   + maxReadAheadBytes + readBufferBytes);
         if (connection.buffer.size() == 0) {
             stream.expires_after(limits.idleTimeout);
             auto [error, bytes] =
