Call answers: clearer name and brief of what passes an answer on unsplit

Cause: reading the change as a newcomer, passWhole said the opposite of what it does. Change: passUnsplit; the brief of passPieces.

--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -20,8 +20,7 @@
     return head[http::field::content_type].starts_with("text/event-stream");
 }
 
-/** Passes on the answer piece by piece; `piece` was read already and `end` is the result of that.
- */
+/** Passes on the answer as it comes, from `piece` on, whose read had the result `end`. */
 asio::awaitable<AttemptResult> passPieces(ActiveCall &call, CallerStream &callerStream,
                                           TargetExchange &exchange,
                                           const std::function<void()> &onPiece, std::string piece,
@@ -71,7 +70,7 @@
         co_await readFully(exchange, reply.body, call.node.settings.maxHeldAnswerBytes);
     const bool succeeds = reply.status < 300;
     if (end == BodyEnd::TooLong && succeeds && !answer.callerStream.started()) {
-        answer.callerStream.passWhole();
+        answer.callerStream.passUnsplit();
         const std::function<void()> onPiece = [] {
         };
         co_return co_await passPieces(call, answer.callerStream, exchange, onPiece,
--- a/libs/gateway/src/CallerStream.cpp
+++ b/libs/gateway/src/CallerStream.cpp
@@ -54,7 +54,7 @@
     this->eventReceived = false;
 }
 
-void CallerStream::passWhole()
+void CallerStream::passUnsplit()
 {
     this->splitsEvents = false;
     this->call.cannotContinue = true;
--- a/libs/gateway/src/CallerStream.h
+++ b/libs/gateway/src/CallerStream.h
@@ -32,7 +32,7 @@
     void restart();
 
     /** The answer is passed on as it comes, not in events; no other run can continue it. */
-    void passWhole();
+    void passUnsplit();
 
     /** Passes on the events that `piece` completes; false if the caller cannot be reached. */
     asio::awaitable<bool> pass(const TargetExchange &exchange, std::string piece);
