--- a/review/standins/Case1.cpp
+++ b/review/standins/Case2.cpp
@@ -73,7 +73,7 @@
 int main(int argc, char **argv)
 {
     if (argc < 4) {
-        std::cerr << "usage: case1 DAEMON RECORD FOLDER\n";
+        std::cerr << "usage: case2 DAEMON RECORD FOLDER\n";
         return 2;
     }
     const char *trouble = std::getenv("TROUBLE");
