--- a/review/standins/Platform.cpp
+++ b/review/standins/Platform.cpp
@@ -79,23 +79,77 @@
     this->topics[topic].push_back({key, value});
 }
 
+void Store::rebalance()
+{
+    const std::lock_guard guard(this->mutex);
+    for (auto &[name, group] : this->groups) {
+        this->deal(group);
+        for (std::string &wanted : group.wanted) {
+            auto next = std::next(group.members.find(wanted));
+            wanted = next == group.members.end() ? group.members.begin()->first : next->first;
+        }
+        group.owner = group.wanted;
+    }
+}
+
+void Store::copy()
+{
+    const std::lock_guard guard(this->mutex);
+    this->copiedTopics = this->topics;
+    this->copiedGroups = this->groups;
+}
+
+void Store::setAway(bool away)
+{
+    this->away = away;
+}
+
+void Store::restore()
+{
+    const std::lock_guard guard(this->mutex);
+    const std::map<std::string, std::vector<Record>> lost =
+        std::exchange(this->topics, this->copiedTopics);
+    this->groups = this->copiedGroups;
+    for (auto &[name, group] : this->groups) {
+        for (auto &[member, state] : group.members)
+            state.lastJoin = nowMs(); // the times of members pause while the store is away
+    }
+    for (const char *topic : {"keyed.op", "keyed.servers"}) {
+        std::map<std::string, std::string> newest;
+        for (const Record &record : lost.at(topic))
+            newest[record.key] = record.value;
+        for (const auto &[key, value] : newest)
+            this->topics[topic].push_back({key, value});
+    }
+    ++this->era;
+}
+
 bool Store::handle(Connection &connection, const Message &request)
+{
+    std::string answer =
+        this->away ? answerText(503, "Service Unavailable", {}, "") : this->answerTo(request);
+    const std::size_t lineEnd = answer.find("\r\n");
+    answer.insert(lineEnd + 2, "Store-Era: " + std::to_string(this->era) + "\r\n");
+    return connection.write(answer);
+}
+
+std::string Store::answerTo(const Message &request)
 {
     const std::string target = request.word(1);
     const std::string path = target.substr(0, target.find('?'));
     const std::string topic = parameter(target, "Topic");
     if (path == "/log-newest")
-        return connection.write(this->newest(topic));
+        return this->newest(topic);
     if (path == "/log-read")
-        return connection.write(this->read(topic, std::stoul(parameter(target, "StartFrom")),
-                                           std::atoll(parameter(target, "WaitMs").c_str())));
+        return this->read(topic, std::stoul(parameter(target, "StartFrom")),
+                          std::atoll(parameter(target, "WaitMs").c_str()));
     if (path == "/log-append")
-        return connection.write(this->append(topic, parameter(target, "At"), request.body));
+        return this->append(topic, parameter(target, "At"), request.body);
     if (path == "/log-join")
-        return connection.write(this->join(request.body));
+        return this->join(request.body);
     if (path == "/log-leave")
-        return connection.write(this->leave(request.body));
-    return connection.write(jsonAnswer(404, Json::object()));
+        return this->leave(request.body);
+    return jsonAnswer(404, Json::object());
 }
 
 std::string Store::newest(const std::string &topic)
@@ -120,6 +174,10 @@
         {
             const std::lock_guard guard(this->mutex);
             const std::vector<Record> &records = this->topics[topic];
+            if (records.size() < from)
+                return jsonAnswer(410, {{"First", 0}});
+            if (this->away)
+                return answerText(503, "Service Unavailable", {}, "");
             if (records.size() > from || nowMs() >= limit) {
                 std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
                 for (std::size_t index = from; index < records.size(); ++index) {
--- a/review/standins/Platform.h
+++ b/review/standins/Platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -25,6 +26,21 @@
     /** Appends a record, as the operator and the runners do; an empty value drops the key. */
     void put(const std::string &topic, const std::string &key, const std::string &value);
 
+    /** Assigns all partitions of each group anew at once, to the next member. */
+    void rebalance();
+
+    /** Keeps a copy of all that the store holds. */
+    void copy();
+
+    /** While it is away, it answers everything with 503. */
+    void setAway(bool away);
+
+    /**
+     * Comes back from the copy: what was written since is gone, but for what the operator and the
+     * runners wrote, which they write again. The era rises by one.
+     */
+    void restore();
+
 private:
     struct Record
     {
@@ -48,6 +64,7 @@
     };
 
     bool handle(Connection &connection, const Message &request);
+    std::string answerTo(const Message &request);
     std::string newest(const std::string &topic);
     std::string read(const std::string &topic, std::size_t from, long long waitMs);
     std::string append(const std::string &topic, const std::string &at, const std::string &body);
@@ -60,6 +77,10 @@
     std::mutex mutex;
     std::map<std::string, std::vector<Record>> topics;
     std::map<std::string, Group> groups;
+    std::map<std::string, std::vector<Record>> copiedTopics;
+    std::map<std::string, Group> copiedGroups;
+    std::atomic<bool> away{false};
+    std::atomic<int> era{1};
     std::unique_ptr<Server> server;
 };
 
