--- a/review/standins/Case2.cpp
+++ b/review/standins/Case2.cpp
@@ -24,6 +24,7 @@
 constexpr int groups = 4;
 constexpr long long groupPauseMs = 700;
 constexpr int adaptersPerCaller = 8;
+constexpr int rounds = 3; ///< of fresh deployments, until the rule breaks
 constexpr long long startToTrafficMs = 10000;
 constexpr long long untilAdaptersMs = 1700;
 
@@ -34,24 +35,17 @@
                          {"LoadS", 0.6},
                          {"Adapters", 3000},
                          {"AdapterSizeMb", 66}};
-    const Json engine{{"Slots", 64},       {"KvCapacity", 245433},
+    const Json engine{{"Slots", 64},        {"KvCapacity", 245433},
                       {"WeightsMb", 44000}, {"AdapterSlots", 9},
                       {"LoadsPerS", 2.1},   {"Models", Json::array({modelJson})}};
-    const Json route{{"Name", "once"},
-                     {"Host", sceneHost},
-                     {"PathPrefix", "/once/"},
-                     {"RouteType", "streaming"},
-                     {"TimeoutMs", 6000},
-                     {"TargetLatencyMs", 1000},
-                     {"Priority", 1},
-                     {"Service", service},
-                     {"MaxAttempts", 1},
-                     {"Resumable", false},
+    const Json route{{"Name", "once"},         {"Host", sceneHost},
+                     {"PathPrefix", "/once/"}, {"RouteType", "streaming"},
+                     {"TimeoutMs", 6000},      {"TargetLatencyMs", 1000},
+                     {"Priority", 1},          {"Service", service},
+                     {"MaxAttempts", 1},       {"Resumable", false},
                      {"GapTargetMs", 400}};
-    const Json serviceJson{{"Name", service},
-                           {"HealthPath", "/health"},
-                           {"MaxConnections", 360},
-                           {"Engine", engine}};
+    const Json serviceJson{
+        {"Name", service}, {"HealthPath", "/health"}, {"MaxConnections", 360}, {"Engine", engine}};
     return {{"Version", 3},
             {"Routes", Json::array({route})},
             {"Services", Json::array({serviceJson})},
@@ -68,17 +62,11 @@
     return call;
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+/** Starts a deployment and plays the case once; the exit status. */
+int play(Log &log, const std::string &program, const std::string &folder, const std::string &round,
+         bool spoils)
 {
-    if (argc < 4) {
-        std::cerr << "usage: case2 DAEMON RECORD FOLDER\n";
-        return 2;
-    }
-    const char *trouble = std::getenv("TROUBLE");
-    const bool spoils = trouble == nullptr || std::string(trouble) != "0";
-    Log log(argv[2]);
+    log.line("round " + round);
     RunLog runs(log);
     LoadCount loads{0};
     Store store("127.0.0.1", 12);
@@ -102,10 +90,11 @@
             const long long from = spoilFrom;
             const bool now = from >= 0 && nowMs() >= from && nowMs() < from + spoilFor;
             const bool retryMayRun = loadedInMs > 0 && loadedInMs <= spoilWithinMs;
-            return now && retryMayRun && runner.spoiled + 1 <= spoiledShare * (runner.answers - before);
+            return now && retryMayRun
+                && runner.spoiled + 1 <= spoiledShare * (runner.answers - before);
         };
     }
-    Vms vms(argv[1], argv[3], 2, store.port());
+    Vms vms(program, folder, 2, store.port());
     if (!vms.start())
         return 2;
     sleepMs(startToTrafficMs);
@@ -114,11 +103,11 @@
     std::atomic<bool> stop{false};
     std::vector<std::thread> threads;
     for (int caller = 0; caller < backgroundCallers; ++caller) {
-        threads.emplace_back([&callers, &stop, caller] {
+        threads.emplace_back([&callers, &stop, &round, caller] {
             std::unique_ptr<Connection> connection;
             for (int number = 0; !stop; ++number) {
                 const std::string attempt =
-                    "base-" + std::to_string(caller) + "-" + std::to_string(number);
+                    round + "-base-" + std::to_string(caller) + "-" + std::to_string(number);
                 callers.call(connection, 0, streamCall(attempt, model, 1));
                 sleepMs(backgroundPauseMs);
             }
@@ -134,12 +123,12 @@
                  + std::to_string(spoilFor) + " ms");
     sleepMs(untilAdaptersMs);
     for (int caller = 0; caller < adapterCallers; ++caller) {
-        threads.emplace_back([&callers, caller] {
+        threads.emplace_back([&callers, &round, caller] {
             sleepMs(groupPauseMs * (caller % groups));
             std::unique_ptr<Connection> connection;
             for (int number = 0; number < adaptersPerCaller; ++number) {
                 const std::string attempt =
-                    "adapter-" + std::to_string(caller) + "-" + std::to_string(number);
+                    round + "-adapter-" + std::to_string(caller) + "-" + std::to_string(number);
                 const std::string name = std::string(model) + "/a"
                     + std::to_string(1 + caller + number * adapterCallers);
                 callers.call(connection, 1, streamCall(attempt, name, 20));
@@ -157,3 +146,22 @@
                  + std::to_string(runner->spoiled) + " with a stray second one");
     return judge(log, runs, callers);
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc < 4) {
+        std::cerr << "usage: case2 DAEMON RECORD FOLDER\n";
+        return 2;
+    }
+    const char *trouble = std::getenv("TROUBLE");
+    const bool spoils = trouble == nullptr || std::string(trouble) != "0";
+    Log log(argv[2]);
+    for (int round = 1; round <= rounds; ++round) {
+        const int status = play(log, argv[1], argv[3], "r" + std::to_string(round), spoils);
+        if (status != 0)
+            return status;
+    }
+    return 0;
+}
--- a/review/standins/Case3.cpp
+++ b/review/standins/Case3.cpp
@@ -32,24 +32,17 @@
                          {"LoadS", 0.6},
                          {"Adapters", 3000},
                          {"AdapterSizeMb", 66}};
-    const Json engine{{"Slots", 64},       {"KvCapacity", 245433},
+    const Json engine{{"Slots", 64},        {"KvCapacity", 245433},
                       {"WeightsMb", 44000}, {"AdapterSlots", 9},
                       {"LoadsPerS", 2.1},   {"Models", Json::array({modelJson})}};
-    const Json route{{"Name", "plan"},
-                     {"Host", sceneHost},
-                     {"PathPrefix", "/plan/"},
-                     {"RouteType", "streaming"},
-                     {"TimeoutMs", 6000},
-                     {"TargetLatencyMs", 1000},
-                     {"Priority", 1},
-                     {"Service", service},
-                     {"MaxAttempts", 1},
-                     {"Resumable", false},
+    const Json route{{"Name", "plan"},         {"Host", sceneHost},
+                     {"PathPrefix", "/plan/"}, {"RouteType", "streaming"},
+                     {"TimeoutMs", 6000},      {"TargetLatencyMs", 1000},
+                     {"Priority", 1},          {"Service", service},
+                     {"MaxAttempts", 1},       {"Resumable", false},
                      {"GapTargetMs", 400}};
-    const Json serviceJson{{"Name", service},
-                           {"HealthPath", "/health"},
-                           {"MaxConnections", 360},
-                           {"Engine", engine}};
+    const Json serviceJson{
+        {"Name", service}, {"HealthPath", "/health"}, {"MaxConnections", 360}, {"Engine", engine}};
     return {{"Version", 3},
             {"Routes", Json::array({route})},
             {"Services", Json::array({serviceJson})},
@@ -66,8 +59,8 @@
         const Order &order = orders[index];
         if (order.at >= healedAt && order.at < healedAt + thawMs)
             continue;
-        const std::string what = order.holder + " with token " + std::to_string(order.token)
-            + " at runner " + runner.id;
+        const std::string what =
+            order.holder + " with token " + std::to_string(order.token) + " at runner " + runner.id;
         const std::string &first = holderOf.try_emplace(order.token, order.holder).first->second;
         if (first != order.holder) {
             ++found;
--- a/review/standins/Net.cpp
+++ b/review/standins/Net.cpp
@@ -83,8 +83,8 @@
 {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
-        const ssize_t count = ::send(this->descriptor, bytes.data() + sent, bytes.size() - sent,
-                                     MSG_NOSIGNAL);
+        const ssize_t count =
+            ::send(this->descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
         if (count <= 0)
             return false;
         sent += static_cast<std::size_t>(count);
--- a/review/standins/Platform.cpp
+++ b/review/standins/Platform.cpp
@@ -67,8 +67,8 @@
 Store::Store(const std::string &address, int partitions)
     : partitions(partitions)
 {
-    this->server = std::make_unique<Server>(
-        address, [this](Connection &connection, const Message &request) {
+    this->server =
+        std::make_unique<Server>(address, [this](Connection &connection, const Message &request) {
             return this->handle(connection, request);
         });
 }
@@ -162,7 +162,8 @@
     Json items = Json::array();
     for (const auto &[key, index] : last) {
         if (!records[index].value.empty())
-            items.push_back({{"Key", key}, {"Value", base64(records[index].value)}, {"Offset", index}});
+            items.push_back(
+                {{"Key", key}, {"Value", base64(records[index].value)}, {"Offset", index}});
     }
     return jsonAnswer(200, {{"items", items}, {"HasMore", false}, {"End", records.size()}});
 }
@@ -203,7 +204,8 @@
     for (std::size_t position = 0; position + 4 <= body.size();) {
         std::size_t length = 0;
         for (int byte = 0; byte < 4; ++byte)
-            length = (length << 8) | static_cast<unsigned char>(body[position + static_cast<std::size_t>(byte)]);
+            length = (length << 8)
+                | static_cast<unsigned char>(body[position + static_cast<std::size_t>(byte)]);
         const std::string content = body.substr(position + 4, length);
         const auto keyLength = static_cast<unsigned char>(content.at(0));
         records.push_back({content.substr(1, keyLength), content.substr(1 + keyLength)});
@@ -262,7 +264,8 @@
         if (owner == name && wanted == name)
             parts.push_back({request["Topics"][0], partition, 0});
     }
-    return jsonAnswer(200, {{"Generation", group.generation}, {"TtlMs", request["TtlMs"]}, {"parts", parts}});
+    return jsonAnswer(
+        200, {{"Generation", group.generation}, {"TtlMs", request["TtlMs"]}, {"parts", parts}});
 }
 
 std::string Store::leave(const std::string &body)
--- a/review/standins/Platform.h
+++ b/review/standins/Platform.h
@@ -54,7 +54,8 @@
         long long ttlMs = 0;
     };
 
-    /** A partition moves when its owner has joined with the newest generation, has left or lapsed. */
+    /** A partition moves when its owner has joined with the newest generation, has left or lapsed.
+     */
     struct Group
     {
         long long generation = 0;
--- a/review/standins/Runner.cpp
+++ b/review/standins/Runner.cpp
@@ -45,10 +45,10 @@
     , log(log)
     , freeSlots(this->settings.slots)
 {
-    this->server = std::make_unique<Server>(
-        this->settings.address, [this](Connection &connection, const Message &request) {
-            return this->handle(connection, request);
-        });
+    this->server = std::make_unique<Server>(this->settings.address,
+                                            [this](Connection &connection, const Message &request) {
+                                                return this->handle(connection, request);
+                                            });
     this->report = this->description();
     this->beats = std::thread([this] { this->heartbeat(); });
 }
@@ -89,8 +89,8 @@
                 incoming.push_back(this->settings.model + "/" + text);
         }
         json["Stage"] = "combined";
-        json["Models"] = Json::array(
-            {{{"Name", this->settings.model}, {"Version", 1}, {"Adapters", held}}});
+        json["Models"] =
+            Json::array({{{"Name", this->settings.model}, {"Version", 1}, {"Adapters", held}}});
         json["Incoming"] = incoming;
     }
     return json.dump();
@@ -155,8 +155,7 @@
         const long long share = std::max(over, this->settings.loadsAtFullSpeed);
         Adapter &adapter = this->adapters[name];
         adapter.version = order.value("Version", 1LL);
-        adapter.readyAt =
-            nowMs() + this->settings.loadMs * share / this->settings.loadsAtFullSpeed;
+        adapter.readyAt = nowMs() + this->settings.loadMs * share / this->settings.loadsAtFullSpeed;
         ++this->sequence;
         entry.status = 202;
     } else if (held != this->adapters.end() && held->second.runs == 0 && held->second.loaded) {
@@ -167,8 +166,8 @@
         entry.status = held == this->adapters.end() ? 200 : 409;
     }
     this->orderLog.push_back(entry);
-    this->log.line("order " + order.value("Operation", "") + " " + name + " at " + this->id
-                   + " by " + entry.holder + " token " + std::to_string(entry.token) + " -> "
+    this->log.line("order " + order.value("Operation", "") + " " + name + " at " + this->id + " by "
+                   + entry.holder + " token " + std::to_string(entry.token) + " -> "
                    + std::to_string(entry.status));
     return entry.status;
 }
@@ -178,8 +177,8 @@
     const std::string path = request.word(1);
     const std::string named = request.header("X-Target-Instance");
     if (!named.empty() && named != this->id)
-        return connection.write(answerText(421, "Misdirected Request",
-                                           {{"X-Instance-Id", this->id}}, ""));
+        return connection.write(
+            answerText(421, "Misdirected Request", {{"X-Instance-Id", this->id}}, ""));
     if (path == "/report") {
         std::string body;
         {
@@ -268,10 +267,10 @@
     sleepMs(this->settings.workMs);
     this->freeSlots.release();
     --this->taken;
-    return this->answer(connection,
-                        answerText(200, "OK",
-                                   {{"X-Attempt-Id", attempt}, {"X-Server-Seal", "seal-" + this->id}},
-                                   "answer to " + attempt));
+    return this->answer(
+        connection,
+        answerText(200, "OK", {{"X-Attempt-Id", attempt}, {"X-Server-Seal", "seal-" + this->id}},
+                   "answer to " + attempt));
 }
 
 bool Runner::stream(Connection &connection, const Message &request)
--- a/review/standins/Scene.cpp
+++ b/review/standins/Scene.cpp
@@ -37,26 +37,27 @@
     for (const std::string &address : addresses)
         seeds.push_back(address + ":" + std::to_string(control));
     for (const std::string &address : addresses) {
-        const auto at = [&address](int port) { return address + ":" + std::to_string(port); };
+        const auto at = [&address](int port) {
+            return address + ":" + std::to_string(port);
+        };
         const std::string name =
             std::string("edge-") + sceneZone + "-" + std::to_string(this->daemons.size() + 1);
-        const Json settings{
-            {"vm", name},
-            {"zone", sceneZone},
-            {"capacity", 0.25},
-            {"firstStart", true},
-            {"platform", "metadata-store"},
-            {"callers", at(this->callersPort)},
-            {"readiness", at(this->readyPort)},
-            {"operators", at(control)},
-            {"peers", at(peers)},
-            {"forwards", at(forwards)},
-            {"seeds", seeds},
-            {"store", "127.0.0.1:" + std::to_string(storePort)},
-            {"partitions", 12},
-            {"heartbeatMs", 1200},
-            {"retries", {{"ratio", 0.2}, {"slack", 54}, {"windowSeconds", 10}}},
-            {"lease", {{"apartMs", 3000}}}};
+        const Json settings{{"vm", name},
+                            {"zone", sceneZone},
+                            {"capacity", 0.25},
+                            {"firstStart", true},
+                            {"platform", "metadata-store"},
+                            {"callers", at(this->callersPort)},
+                            {"readiness", at(this->readyPort)},
+                            {"operators", at(control)},
+                            {"peers", at(peers)},
+                            {"forwards", at(forwards)},
+                            {"seeds", seeds},
+                            {"store", "127.0.0.1:" + std::to_string(storePort)},
+                            {"partitions", 12},
+                            {"heartbeatMs", 1200},
+                            {"retries", {{"ratio", 0.2}, {"slack", 54}, {"windowSeconds", 10}}},
+                            {"lease", {{"apartMs", 3000}}}};
         this->daemons.push_back(std::make_unique<Daemon>(program, folder, name, settings.dump()));
     }
 }
