Store: each answer names its era, and logs tell a restored record from a fresh one

No line told from which era of the store a grant, a holder record or the answer to a claim was.

Change: HttpClient returns one header that the caller of it names; each result of the store's client holds the era of the answer, the 503, 410 and 412 too. A malformed or missing one counts as 0. The gateway keeps the highest; an answer with a lower one, or none after others, is an event (E7018), a rise is another (E7017). orders-noted names the latest records that a claim rests on, the era in which they were read and that of the answer. Nothing decides by it yet.

At 15:06:00.113 and .288 each logs store-restored (era 2 after 1); 18 and 41 ms later each adds records for its six old partitions: the latest record is its own of generation 2 (era 1, from the copy), read and answered in era 2, all six "orderedLastByThisVm", still with generation 3. So the cause is not the deal nor a late append: a record of the lost history is taken as proof, and the generation of the lost history stays as token.

--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -120,7 +120,7 @@
     auto operator<=>(const EngineAddress &) const = default;
 };
 
-/** Request to renew a lease; there is no grant if the store does not answer it. */
+/** Request to renew a lease. */
 struct LeaseRenewal
 {
     std::string group;
@@ -131,6 +131,15 @@
     auto operator<=>(const LeaseRenewal &) const = default;
 };
 
+/** Result of a renewal. */
+struct RenewalResult
+{
+    StoreEra era; ///< of the answer
+    std::optional<LeaseGrant> grant; ///< empty: the store did not execute the request, or may not
+
+    auto operator<=>(const RenewalResult &) const = default;
+};
+
 /** Partitions for which this VM records in the store that it is the lease holder. */
 struct HolderClaims
 {
@@ -141,6 +150,15 @@
     auto operator<=>(const HolderClaims &) const = default;
 };
 
+/** Result of recording this VM as lease holder. */
+struct ClaimResult
+{
+    StoreEra era; ///< of the answer
+    bool added = false; ///< the records were added
+
+    auto operator<=>(const ClaimResult &) const = default;
+};
+
 /** The interface to a platform, implemented by a plug-in. */
 struct PlatformPort
 {
@@ -161,18 +179,17 @@
     asio::awaitable<std::optional<EngineReport>> (*report)(HttpClient &, EngineAddress, Duration);
 
     // Leases in the store.
-    asio::awaitable<std::optional<LeaseGrant>> (*renew)(HttpClient &, const GatewaySettings &,
-                                                        LeaseRenewal, Duration);
+    asio::awaitable<RenewalResult> (*renew)(HttpClient &, const GatewaySettings &, LeaseRenewal,
+                                            Duration);
     asio::awaitable<void> (*leave)(HttpClient &, const GatewaySettings &, LeaseRenewal, Duration);
     /** Reads, for each partition of the zone, which VM recorded itself last as lease holder. */
     asio::awaitable<std::optional<HolderRecords>> (*readHolderClaims)(HttpClient &,
                                                                       const GatewaySettings &);
     /**
-     * Records this VM as lease holder, unless another record was added since that read. True if it
-     * was added.
+     * Records this VM as lease holder, unless another record was added since that read.
      */
-    asio::awaitable<bool> (*recordHolderClaims)(HttpClient &, const GatewaySettings &,
-                                                HolderClaims);
+    asio::awaitable<ClaimResult> (*recordHolderClaims)(HttpClient &, const GatewaySettings &,
+                                                       HolderClaims);
 
     /** Replaces the usage snapshot of this VM's zone; true if the store acknowledged it. */
     asio::awaitable<bool> (*writeUsageSnapshot)(HttpClient &, const GatewaySettings &,
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -386,6 +386,8 @@
     Signal callStartedWaiting; ///< a call has started to wait for capacity
     Signal reportDue; ///< a change should reach the relay before the next regular report
     bool storeUp = false;
+    StoreEra storeEra; ///< highest of all answers of the store
+    bool storeEraInvalid = false; ///< the latest answer was of a lower one
     Instant storeFailedAt{}; ///< latest failed read since the store last answered; zero: none
     Instant storeFailingSince{}; ///< first failed read since the store last answered; zero: none
     Instant storeReachedAt{}; ///< when the store last answered this VM; zero: never
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -7,6 +7,7 @@
 #include "PeerCodec.h"
 #include "PeerExchange.h"
 #include "SharedEngines.h"
+#include "StoreHistory.h"
 #include "ZonePeers.h"
 #include "observe/Events.h"
 
@@ -144,6 +145,18 @@
                        [&vm](const auto &record) { return record.second.vm == vm; });
 }
 
+/** The latest holder records that claims are based on, as "PARTITION VM GENERATION, ...". */
+std::string describeLast(const std::vector<HolderClaim> &claims)
+{
+    std::string text;
+    for (const HolderClaim &claim : claims) {
+        text += text.empty() ? "" : ", ";
+        text += std::to_string(claim.partition) + " " + claim.last.vm + " "
+            + std::to_string(claim.last.generation);
+    }
+    return text;
+}
+
 /** Records in the store which partitions this VM is about to command; see claimsToRecord(). */
 asio::awaitable<void> recordClaims(GatewayNode &node)
 {
@@ -165,11 +178,11 @@
     claimed.end = records->logEnd;
     for (const HolderClaim &claim : claims)
         claimed.partitions.push_back(claim.partition);
-    const bool added =
+    const ClaimResult result =
         co_await node.platform->recordHolderClaims(node.http, node.settings, claimed);
     node.recordingClaims = false;
     const Instant now = BootClock::now();
-    if (added) {
+    if (result.added) {
         confirmClaims(node.lease, claims, now);
         node.claimRetryAt = Instant{};
     }
@@ -179,7 +192,10 @@
              {{"generation", std::to_string(claimed.generation)},
               {"partitions", std::to_string(claims.size())},
               {"orderedLastByThisVm", std::to_string(again)},
-              {"added", added ? "yes" : "no"}});
+              {"lastRecords", describeLast(claims)},
+              {"readInEra", describeEra(records->era)},
+              {"answeredInEra", describeEra(result.era)},
+              {"added", result.added ? "yes" : "no"}});
     node.reportDue.notifyAll();
 }
 
@@ -303,7 +319,10 @@
             node.joinedLeaseGroupAt = BootClock::now();
         const LeaseRenewal renewal = renewalOf(node);
         const Instant sentAt = BootClock::now();
-        auto grant = co_await node.platform->renew(node.http, node.settings, renewal, renewTimeout);
+        const RenewalResult result =
+            co_await node.platform->renew(node.http, node.settings, renewal, renewTimeout);
+        acceptStoreEra(node, result.era);
+        const std::optional<LeaseGrant> &grant = result.grant;
         node.leaseRenewed = grant.has_value();
         node.renewalFailing = !grant;
         if (grant)
@@ -313,7 +332,8 @@
             renewLease(node.lease, *grant, node.settings.lease, sentAt, BootClock::now());
             if (before != node.lease.activeFrom.size())
                 logEvent(EventId::LeaseChanged,
-                         {{"generation", std::to_string(grant->generation)},
+                         {{"era", describeEra(grant->era)},
+                          {"generation", std::to_string(grant->generation)},
                           {"partitions", std::to_string(grant->partitions.size())},
                           {"ordersAllInMs", std::to_string(waitMs(node.lease, BootClock::now()))},
                           {"before", std::to_string(before)}});
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -54,6 +54,8 @@
     ConfigRead = 7014,
     ConfigUnread = 7015,
     NewsSent = 7016,
+    StoreRestored = 7017,
+    StoreEraInvalid = 7018,
     TargetListed = 7020,
     TargetGone = 7021,
     TargetEjected = 7022,
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -142,6 +142,16 @@
     EventRow{EventId::NewsSent, "news-sent", EventLevel::Info,
              "bytes of state updates that this relay sent in the last 5 s, by kind of update",
              "none"},
+    EventRow{
+        EventId::StoreRestored, "store-restored", EventLevel::Warning,
+        "the store has come back from an older copy and lost what was written since; `era` and "
+        "`before` are its eras, `partitions` and `commanded` how many this VM held and could "
+        "send commands to when it noticed",
+        "none; check the platform's store if it was not planned"},
+    EventRow{EventId::StoreEraInvalid, "store-era-invalid", EventLevel::Error,
+             "an answer of the store names an earlier era than answers before it, or none although "
+             "these did; it is not used",
+             "check the platform's store; this VM keeps what it knows"},
     EventRow{EventId::TargetListed, "target-listed", EventLevel::Info,
              "a target is new in the target list", "none"},
     EventRow{EventId::TargetGone, "target-gone", EventLevel::Info,
--- a/libs/serving/include/serving/PartitionLease.h
+++ b/libs/serving/include/serving/PartitionLease.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/Time.h"
+#include "serving/StoreEra.h"
 
 namespace monsoonbay {
 
@@ -32,6 +33,7 @@
 /** The holder records of all partitions of a zone, from one read. */
 struct HolderRecords
 {
+    StoreEra era; ///< of the store that was read
     std::map<int, HolderRecord> byPartition; ///< by partition
     std::uint64_t logEnd = 0; ///< log position: a record is added only if none was added since
 
@@ -44,6 +46,7 @@
     int partition = 0;
     std::int64_t acquiredIn = 0;
     bool resumes = false; ///< no other VM has sent commands since this one did
+    HolderRecord last; ///< the latest record that was read
 
     auto operator<=>(const HolderClaim &) const = default;
 };
@@ -86,6 +89,7 @@
 /** The store's answer to a renewal of the lease. */
 struct LeaseGrant
 {
+    StoreEra era; ///< of the store that gave out the generation
     std::int64_t generation = 0;
     std::vector<int> partitions;
 
--- a/libs/serving/src/PartitionLease.cpp
+++ b/libs/serving/src/PartitionLease.cpp
@@ -179,7 +179,9 @@
         }
         if (reassigned || (!wasHolder && now < from))
             continue;
-        claims.push_back({partition, acquiredIn, wasHolder});
+        const HolderRecord last =
+            record == records.byPartition.end() ? HolderRecord() : record->second;
+        claims.push_back({partition, acquiredIn, wasHolder, last});
     }
     return claims;
 }
--- a/libs/transport/include/transport/HttpClient.h
+++ b/libs/transport/include/transport/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -22,6 +23,7 @@
     std::string body;
     std::vector<HttpHeader> headers;
     std::uint64_t maxResponseBytes = 256ULL * 1024 * 1024; ///< a longer body ends the call
+    std::string wantedHeader; ///< name of a response header to return; empty: none
 };
 
 /** Timeouts of a call whose response may be long. */
@@ -40,6 +42,7 @@
     bool sent = false; ///< part of the request may have reached the server
     int status = 0;
     std::string contentType;
+    std::optional<std::string> wantedHeader; ///< its value; empty: the response lacks it
     std::string body;
 
     bool ok() const noexcept
--- a/libs/transport/src/HttpClient.cpp
+++ b/libs/transport/src/HttpClient.cpp
@@ -192,7 +192,12 @@
         co_return result;
     }
     result.status = static_cast<int>(stream->parser.get().result_int());
-    result.contentType = std::string(stream->parser.get()[http::field::content_type]);
+    const auto &head = stream->parser.get();
+    result.contentType = std::string(head[http::field::content_type]);
+    const auto wanted =
+        call.wantedHeader.empty() ? head.end() : head.find(std::string_view(call.wantedHeader));
+    if (wanted != head.end())
+        result.wantedHeader = std::string(wanted->value());
     co_return result;
 }
 
