Readers of the store: an offset belongs to the log of one era

A reader goes on from an offset of the lost history. A log that is shorter answers 410 and is read whole; one that has grown past the offset again answers 200 with what follows, and what was written again below it is never read.

Change: the position of a reader names the era that its offset belongs to; an answer of another era is taken like 410: the newest record of each key is read. An answer of an earlier era than one before counts as refused. What a VM knows does not go back by that: versions of configurations and adapters only rise, and leaving stays until a new start (as before).

--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -83,6 +83,8 @@
     /** This VM's own record in the store; its boot count includes the current boot. */
     std::function<void(OwnRecord)> ownRecord;
     std::function<void(bool reachable, std::string why)> storeReachable;
+    /** An answer of the store is of this era; false if it must not be used. */
+    std::function<bool(StoreEra)> storeEra;
 };
 
 /** A command to load or unload an adapter or, without an adapter, a base model. */
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -7,6 +7,7 @@
 #include "HarmfulCallTracking.h"
 #include "LostCalls.h"
 #include "PeerExchange.h"
+#include "StoreHistory.h"
 #include "TargetRestarts.h"
 #include "UsageSnapshots.h"
 #include "ZonePeers.h"
@@ -269,6 +270,9 @@
         node.storeUp = reachable;
         logEvent(reachable ? EventId::StoreReachable : EventId::StoreUnreachable, {{"why", why}});
     };
+    sink.storeEra = [&node](StoreEra era) {
+        return acceptStoreEra(node, era);
+    };
     co_await node.platform->follow(node.http, node.settings, sink);
 }
 
