--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -85,6 +85,7 @@
     std::function<void(bool reachable, std::string why)> storeReachable;
     /** An answer of the store is of this era; false if it must not be used. */
     std::function<bool(StoreEra)> storeEra;
+    std::function<StoreEra()> newestStoreEra; ///< highest of all answers of the store
 };
 
 /** A command to load or unload an adapter or, without an adapter, a base model. */
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -273,6 +273,9 @@
     sink.storeEra = [&node](StoreEra era) {
         return acceptStoreEra(node, era);
     };
+    sink.newestStoreEra = [&node] {
+        return node.storeEra;
+    };
     co_await node.platform->follow(node.http, node.settings, sink);
 }
 
