Targets: a connection carries one attempt of a call at most

Cause: an id tells calls apart, not the attempts of one call. A target refuses (421), the connection goes back to the pool, and the next attempt of the same call takes it as the last one given back. A second copy of the refusal that comes late bears the same id, so it passes for the answer to the second attempt, which runs.

Change: a connection remembers the calls that it has carried, by a hash of their ids, and is not given to another attempt of one of them, be it a retry here or one of the caller's with the same id. It is closed after 512 calls, which bounds that memory to 4 KB. Calls without an id are not told apart, as before.

Why it works: whatever comes late on a connection for an earlier attempt meets a call with another id, and is dropped as foreign.

Suspected, by reading only: HttpClient checks no id, so a late second answer to an order or a report on its connection would pass for that to the next one.

--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -159,7 +159,7 @@
 
 asio::awaitable<bool> TargetExchange::connect()
 {
-    this->link = acquireIdle(this->pool(), BootClock::now());
+    this->link = acquireIdle(this->pool(), this->attemptId, BootClock::now());
     if (!this->link) {
         ConnectResult result =
             co_await connectTo(this->node.context, this->endpoint, connectTimeout);
@@ -168,6 +168,8 @@
         if (this->link && !this->target.id.empty())
             recordLinkSuccess(this->node, this->target.id);
     }
+    if (this->link)
+        recordCarried(*this->link, this->attemptId);
     co_return this->link != nullptr;
 }
 
--- a/libs/gateway/src/TargetPool.cpp
+++ b/libs/gateway/src/TargetPool.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/Ids.h"
+
 namespace monsoonbay {
 
 namespace {
@@ -20,6 +22,9 @@
 
 constexpr std::size_t maxIdle = 64;
 
+/** A connection that has carried this many calls is closed, as it remembers each of them. */
+constexpr std::size_t maxCarried = 512;
+
 /** Idle connections are kept this long where the target does not announce its own timeout. */
 constexpr Duration defaultIdleTime = std::chrono::milliseconds(3000);
 
@@ -53,11 +58,18 @@
 
 } // namespace
 
-TargetConnectionPtr acquireIdle(TargetPool &pool, Instant now)
+// An id tells calls apart, not the attempts of one call. A late second answer to an earlier attempt
+// would pass for the answer to the next one on the same connection, and a call that a target has
+// refused and then run would count as not run.
+TargetConnectionPtr acquireIdle(TargetPool &pool, const std::string &callId, Instant now)
 {
-    while (!pool.idle.empty()) {
-        TargetConnectionPtr connection = std::move(pool.idle.back());
-        pool.idle.pop_back();
+    const std::uint64_t call = stableHash(callId);
+    for (std::size_t index = pool.idle.size(); index-- > 0;) {
+        const TargetConnectionPtr connection = pool.idle[index];
+        const std::vector<std::uint64_t> &carried = connection->carried;
+        if (std::find(carried.begin(), carried.end(), call) != carried.end())
+            continue;
+        pool.idle.erase(pool.idle.begin() + static_cast<std::ptrdiff_t>(index));
         if (now >= connection->idleUntil)
             continue;
         if (isUsable(connection->socket))
@@ -67,8 +79,17 @@
     return nullptr;
 }
 
+void recordCarried(TargetConnection &connection, const std::string &callId)
+{
+    // Calls without an id are not told apart.
+    if (!callId.empty())
+        connection.carried.push_back(stableHash(callId));
+}
+
 void giveBack(TargetPool &pool, TargetConnectionPtr connection, Duration keepAlive, Instant now)
 {
+    if (connection->carried.size() >= maxCarried)
+        return;
     const Duration kept = keepAlive > Duration::zero() ? keepAlive : defaultIdleTime;
     connection->idleUntil = now + kept - std::min(idleMargin, kept / 2);
     pool.idle.push_back(std::move(connection));
--- a/libs/gateway/src/TargetPool.h
+++ b/libs/gateway/src/TargetPool.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -28,6 +31,7 @@
     asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer{maxReadBufferBytes};
     Instant idleUntil{}; ///< the target may close it after this
+    std::vector<std::uint64_t> carried; ///< hashes of the ids of the calls that were sent on it
 };
 
 using TargetConnectionPtr = std::shared_ptr<TargetConnection>;
@@ -39,8 +43,14 @@
     Instant lostAt{}; ///< when a connection was last lost, or could not be made
 };
 
-/** An idle connection that still looks usable; null if there is none. */
-TargetConnectionPtr acquireIdle(TargetPool &pool, Instant now);
+/**
+ * An idle connection that still looks usable and has not carried the call with this id before; null
+ * if there is none.
+ */
+TargetConnectionPtr acquireIdle(TargetPool &pool, const std::string &callId, Instant now);
+
+/** Records that an attempt of the call is sent on the connection. */
+void recordCarried(TargetConnection &connection, const std::string &callId);
 
 /** Keeps a connection for the next call; `keepAlive` is the target's own timeout, or zero. */
 void giveBack(TargetPool &pool, TargetConnectionPtr connection, Duration keepAlive, Instant now);
