--- a/libs/gateway/src/TargetPool.cpp
+++ b/libs/gateway/src/TargetPool.cpp
@@ -65,7 +65,7 @@
 {
     const std::uint64_t call = stableHash(callId);
     for (std::size_t index = pool.idle.size(); index-- > 0;) {
-        const TargetConnectionPtr connection = pool.idle[index];
+        TargetConnectionPtr connection = pool.idle[index];
         const std::vector<std::uint64_t> &carried = connection->carried;
         if (std::find(carried.begin(), carried.end(), call) != carried.end())
             continue;
