Harmful calls: a verdict is tried again, as refused calls bring no answer that could clear it

What callers saw: after all VMs and targets had ended at once, every call with the part that all prompts share was answered 503 "4 targets ended while they ran this call", for an hour.

Cause: a call or prompt part at which three targets have ended is refused by all VMs; only a whole answer to such a call clears it, and as all are refused, none is ever answered. Right for a call that ends whoever runs it; where the ends had another cause (power, a common restart, a target that was never up) the verdict keeps itself up until its evidence expires. Class: a belief that feeds itself. It needs no ends in error: four real ends at once under calls with a common part do.

Change: five seconds after the last end that it explains, a verdict is tried: one VM sends one such call to one target, once; the other VMs follow 0.2 s apart, in the order of their names, if neither an answer nor an end has been reported by then. An answer clears it for all. If the target ends, the next trial is after as long as the ends have lasted by then, so twice as long each time: 11 at most in an hour. Retry-After names the next trial, not the hour. Event harmful-call-tried (E7053).

Why it works: whatever led to the verdict, it is put to the test within 5 s plus 0.2 s for each VM before, below RecoveryS (12 and 15 s); a call that is harmful ends a target more now and then.

The unit test that named the end of a block (an hour after the first end) now names the time of the first trial, as strictly; a new one bounds trials. Weighed: clearing what was answered in the last minute (clears a part that has just become harmful); counting ends at one moment once (calls that began between two ends make them two again).

--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -78,6 +78,7 @@
     std::vector<std::string> triedTargets; ///< targets of its attempts, unreachable ones included
     int unreachableHere = 0; ///< of these, targets that only this VM does not reach
     bool noPeerAccepts = false; ///< no other VM accepts it
+    bool triesHarmful = false; ///< it was found harmful, and shows whether it still is
     std::vector<std::string> loadDeclinedBy; ///< engines that did not load the adapter when asked
     CapacityWait capacityWait;
     std::vector<std::string> prefillAsked; ///< engines that were asked how many tokens wait there
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -154,7 +154,7 @@
             co_return false;
         LocalReply last = makeLocalReply(
             503, std::to_string(harmful->crashes) + " targets ended while they ran this call",
-            std::max<Duration>(blockedUntil(*harmful) - BootClock::now(), shortRetryAfter));
+            std::max(untilTrial(this->node, *harmful, BootClock::now()), shortRetryAfter));
         co_await answerFailure(this->call, this->answer, std::move(last));
         co_return true;
     }
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -377,6 +377,8 @@
     std::unordered_map<std::string, PrefillRate> prefillRates; ///< by service
     PrefillCounts prefill;
     HarmfulCalls harmful; ///< derived from the evidence
+    /** When this VM last tried a verdict, by its attributes. */
+    std::map<std::vector<CallAttribute>, Instant> harmfulTrials;
     bool evidenceChanged = false; ///< since the last evaluation
     std::size_t evidenceSize = 0; ///< number of hashes in all evidence
     std::deque<Instant> modelLoads; ///< recent base model loads commanded by this VM
--- a/libs/gateway/src/HarmfulCallTracking.cpp
+++ b/libs/gateway/src/HarmfulCallTracking.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "FleetCount.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -93,13 +94,18 @@
     return ids;
 }
 
-void logVerdict(const HarmfulCall &call)
+std::string attributesText(const HarmfulCall &call)
 {
     std::string attributes;
     for (const CallAttribute &attribute : call.attributes)
         attributes += (attributes.empty() ? "" : ", ") + attributeText(attribute);
+    return attributes;
+}
+
+void logVerdict(const HarmfulCall &call)
+{
     logEvent(EventId::CallFoundHarmful,
-             {{"attributes", attributes},
+             {{"attributes", attributesText(call)},
               {"targetsEnded", std::to_string(call.crashes)},
               {"firstEndAgoMs", std::to_string(toMillis(BootClock::now() - call.firstCrashAt))}});
 }
@@ -135,6 +141,11 @@
     for (const auto &[id, entry] : node.shared.evidence.all())
         evidence.push_back(&entry.value.evidence);
     const HarmfulCalls before = std::exchange(node.harmful, findHarmfulCalls(evidence));
+    std::erase_if(node.harmfulTrials, [&node](const auto &trial) {
+        return std::none_of(
+            node.harmful.calls.begin(), node.harmful.calls.end(),
+            [&trial](const HarmfulCall &call) { return call.attributes == trial.first; });
+    });
     for (const HarmfulCall &call : node.harmful.calls) {
         const bool known =
             std::any_of(before.calls.begin(), before.calls.end(), [&call](const HarmfulCall &old) {
@@ -168,11 +179,52 @@
     evaluateEvidence(node);
 }
 
-const HarmfulCall *findHarmfulCall(const ActiveCall &call)
+namespace {
+
+/** Between the trials of two VMs: the crash of the first is known to the second by then. */
+constexpr Duration trialSpacing = std::chrono::milliseconds(200);
+
+/** After a trial of this VM that brought neither an answer nor a crash. */
+constexpr Duration trialInterval = std::chrono::seconds(2);
+
+/** True if this call is the trial of a verdict, and was not sent to a target yet. */
+bool isTrial(ActiveCall &call, const HarmfulCall &harmful)
+{
+    if (call.runsStarted > 0)
+        return false;
+    if (call.triesHarmful)
+        return true;
+    GatewayNode &node = call.node;
+    const Instant now = BootClock::now();
+    if (untilTrial(node, harmful, now) > Duration::zero())
+        return false;
+    node.harmfulTrials[harmful.attributes] = now;
+    call.triesHarmful = true;
+    logEvent(EventId::HarmfulCallTried,
+             {{"call", call.metadata.attemptId},
+              {"attributes", attributesText(harmful)},
+              {"targetsEnded", std::to_string(harmful.crashes)},
+              {"lastEndAgoMs", std::to_string(toMillis(now - harmful.lastCrashAt))}});
+    return true;
+}
+
+} // namespace
+
+Duration untilTrial(const GatewayNode &node, const HarmfulCall &harmful, Instant now)
+{
+    Instant from = nextTrialAt(harmful) + trialSpacing * rankAmongVms(node);
+    const auto last = node.harmfulTrials.find(harmful.attributes);
+    if (last != node.harmfulTrials.end())
+        from = std::max(from, last->second + trialInterval);
+    return std::max<Duration>(from - now, Duration::zero());
+}
+
+const HarmfulCall *findHarmfulCall(ActiveCall &call)
 {
     if (call.node.harmful.calls.empty())
         return nullptr;
-    return findHarmful(call.node.harmful, identityOf(call));
+    const HarmfulCall *harmful = findHarmful(call.node.harmful, identityOf(call));
+    return harmful != nullptr && isTrial(call, *harmful) ? nullptr : harmful;
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/HarmfulCallTracking.h
+++ b/libs/gateway/src/HarmfulCallTracking.h
@@ -24,7 +24,13 @@
 /** Drops expired evidence, and the least valuable of what exceeds the bounds on memory. */
 void pruneEvidence(GatewayNode &node, Instant now);
 
-/** The verdict on this call if it is harmful; null if it may be sent to a target. */
-const HarmfulCall *findHarmfulCall(const ActiveCall &call);
+/**
+ * The verdict on this call if it is harmful; null if it may be sent to a target. Now and then a
+ * harmful call is sent to one target all the same, as only its answer can clear it.
+ */
+const HarmfulCall *findHarmfulCall(ActiveCall &call);
+
+/** Time until this VM next sends such a call to a target. */
+Duration untilTrial(const GatewayNode &node, const HarmfulCall &harmful, Instant now);
 
 } // namespace monsoonbay
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -82,6 +82,7 @@
     SpendNoted = 7050,
     SpendNoteFailed = 7051,
     UseCountedAtStart = 7052,
+    HarmfulCallTried = 7053,
 };
 
 enum class EventLevel : std::uint8_t { Info, Warning, Error };
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -253,6 +253,11 @@
              "after its start, this VM knows the usage from before it, from usage snapshots in the "
              "store or from another VM",
              "none"},
+    EventRow{
+        EventId::HarmfulCallTried, "harmful-call-tried", EventLevel::Info,
+        "a call that would be refused as harmful is sent to one target, as only an answer clears "
+        "it",
+        "none; if targets end under such calls again and again, find their caller and fix them"},
     EventRow{
         EventId::CallFoundHarmful, "call-found-harmful", EventLevel::Error,
         "targets ended repeatedly under the same call; it is refused from now on",
--- a/libs/serving/include/serving/HarmfulCalls.h
+++ b/libs/serving/include/serving/HarmfulCalls.h
@@ -23,7 +23,7 @@
  */
 constexpr Duration answerClearsFor = std::chrono::seconds(60);
 
-/** Evidence expires after this. A call that is still harmful then crashes as many targets again. */
+/** Evidence expires after this. */
 constexpr Duration evidenceTtl = std::chrono::hours(1);
 
 /** Calls that crash the targets that run them. */
@@ -32,6 +32,7 @@
     std::vector<CallAttribute> attributes; ///< such a call has all of them; sorted
     int crashes = 0; ///< number of target crashes attributed to it
     Instant firstCrashAt{};
+    Instant lastCrashAt{};
 
     auto operator<=>(const HarmfulCall &) const = default;
 };
@@ -61,7 +62,13 @@
  */
 std::optional<CallIdentity> clearedByAnswer(const HarmfulCalls &harmful, const CallIdentity &call);
 
-/** When a harmful call may be tried again, if it crashes no further target. */
-Instant blockedUntil(const HarmfulCall &call) noexcept;
+/** A verdict is tried again after this time at the earliest. */
+constexpr Duration firstTrialDelay = std::chrono::seconds(5);
+
+/**
+ * When such a call may be sent to a target again, to see whether it is still harmful: after
+ * `firstTrialDelay`, then after twice as long as its crashes have lasted by then.
+ */
+Instant nextTrialAt(const HarmfulCall &call) noexcept;
 
 } // namespace monsoonbay
--- a/libs/serving/src/HarmfulCalls.cpp
+++ b/libs/serving/src/HarmfulCalls.cpp
@@ -171,16 +171,17 @@
 }
 
 /** One entry for each content, and one for all parts together: a harmful call has all of these. */
-std::vector<HarmfulCall> alternativesOf(const std::vector<CallAttribute> &attributes, int crashes,
-                                        Instant firstCrashAt)
+std::vector<HarmfulCall> alternativesOf(const std::vector<CallAttribute> &attributes,
+                                        const HarmfulCall &explained)
 {
     std::vector<HarmfulCall> alternatives;
-    HarmfulCall parts{{}, crashes, firstCrashAt};
+    HarmfulCall parts = explained;
     for (const CallAttribute &attribute : attributes) {
         if (attribute.kind == AttributeKind::PromptPart)
             parts.attributes.push_back(attribute);
         else
-            alternatives.push_back({{attribute}, crashes, firstCrashAt});
+            alternatives.push_back(
+                {{attribute}, explained.crashes, explained.firstCrashAt, explained.lastCrashAt});
     }
     if (!parts.attributes.empty())
         alternatives.push_back(std::move(parts));
@@ -215,11 +216,15 @@
         const int count = static_cast<int>(largest.size());
         if (count < crashesToBlock)
             return verdict;
-        Instant first = crashes[largest.front()].at;
-        for (const std::size_t crash : largest)
-            first = std::min(first, crashes[crash].at);
+        HarmfulCall explained;
+        explained.crashes = count;
+        explained.firstCrashAt = crashes[largest.front()].at;
+        for (const std::size_t crash : largest) {
+            explained.firstCrashAt = std::min(explained.firstCrashAt, crashes[crash].at);
+            explained.lastCrashAt = std::max(explained.lastCrashAt, crashes[crash].at);
+        }
         const std::vector<HarmfulCall> alternatives = alternativesOf(
-            attributesExplaining(candidates, largest, crashes[largest.front()]), count, first);
+            attributesExplaining(candidates, largest, crashes[largest.front()]), explained);
         if (alternatives.size() == 1 || count >= crashesToBlockTied)
             verdict.calls.insert(verdict.calls.end(), alternatives.begin(), alternatives.end());
         removeExplained(candidates, largest);
@@ -253,9 +258,11 @@
     return suspect == CallIdentity() ? std::nullopt : std::optional(std::move(suspect));
 }
 
-Instant blockedUntil(const HarmfulCall &call) noexcept
+// Refused calls bring no answer that could clear them, so a wrong verdict, as after ends of many
+// targets with a common cause, would stand until the evidence expires.
+Instant nextTrialAt(const HarmfulCall &call) noexcept
 {
-    return call.firstCrashAt + evidenceTtl;
+    return call.lastCrashAt + std::max(firstTrialDelay, call.lastCrashAt - call.firstCrashAt);
 }
 
 } // namespace monsoonbay
--- a/libs/serving/tests/HarmfulCalls.cpp
+++ b/libs/serving/tests/HarmfulCalls.cpp
@@ -52,12 +52,31 @@
     cr_assert_eq(verdict.calls.size(), 1);
     cr_assert_eq(verdict.calls[0].crashes, 3);
     cr_assert(findHarmful(verdict, harmful) != nullptr);
-    cr_assert(blockedUntil(verdict.calls[0]) == start + evidenceTtl);
+    cr_assert(nextTrialAt(verdict.calls[0]) == start + 2s + firstTrialDelay);
     evidence.pop_back();
     cr_assert_null(findHarmful(judge(evidence), harmful));
     cr_assert(clearedByAnswer(judge(evidence), harmful).has_value());
 }
 
+// Guards against a verdict that nothing can refute, as refused calls bring no answers, and against
+// trials that crash a target every few seconds.
+Test(harmful_calls, a_verdict_is_tried_after_five_seconds_and_then_ever_more_rarely)
+{
+    std::deque<CallEvidence> evidence = threeCrashes();
+    int trials = 0;
+    for (Instant trial = nextTrialAt(judge(evidence).calls.at(0)); trial < start + evidenceTtl;
+         trial = nextTrialAt(judge(evidence).calls.at(0))) {
+        evidence.push_back(crashed("a", trial - start, {harmful}));
+        ++trials;
+    }
+    cr_assert_leq(trials, 11, "%d trials in an hour", trials);
+    evidence = {crashed("a", 0ms, {harmful}), crashed("b", 1ms, {harmful}),
+                crashed("c", 2ms, {harmful}), crashed("d", 3ms, {harmful}),
+                crashed("e", 4ms, {harmful})};
+    cr_assert(nextTrialAt(judge(evidence).calls.at(0)) == start + 4ms + firstTrialDelay,
+              "many ends at once are tried no later");
+}
+
 // Guards against counting the observations of several VMs as several crashes.
 Test(harmful_calls, one_crash_seen_by_several_vms_counts_once)
 {
