Harmful calls: a target that did not answer before the call has not ended under it

Cause: the end that a removed entry shows has no time, and calls lost at that address within ten seconds counted as running there, though nothing had been heard of the target since this VM's start, or since an earlier loss. Class: the absence of an observation taken for an observation.

Change: a lost call remembers whether the target had been heard since the last loss before the call was sent. An end that the list shows counts only such calls. A refused connection after a lost call still counts all of them: the target itself had accepted the connection a moment before.

--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -198,6 +198,7 @@
             this->recordUnreachable(target);
             co_return AttemptResult::Unreachable;
         }
+        this->sentAt = BootClock::now();
         this->call.connection = exchange.connection();
         const bool known = co_await confirmTargetStart(this->call, target);
         if (!known || checkCancelled(this->call))
@@ -268,7 +269,7 @@
             recordLinkFailure(this->node, target.id);
         recordResult(this->call, target, SendOutcome::Broken);
         runtimeOf(this->node, target.id).pool.lostAt = BootClock::now();
-        recordLostCall(this->call, target.id);
+        recordLostCall(this->call, target.id, this->sentAt);
     }
 
     asio::awaitable<void> handleNotRun(TargetExchange &exchange, const TargetEntry &target)
@@ -295,6 +296,7 @@
     GatewayNode &node;
     CallAnswer answer;
     boost::system::error_code sendError; ///< of the latest attempt
+    Instant sentAt{}; ///< when the latest attempt had a connection to its target
 };
 
 /** In most cases a newer configuration is in force this soon after another VM has reported it. */
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -62,6 +62,7 @@
 {
     CallIdentity call;
     Instant at{};
+    bool wasRunning = false; ///< the target was heard since the last loss before it was sent
 
     auto operator<=>(const LostCall &) const = default;
 };
@@ -71,6 +72,8 @@
 {
     std::deque<LostCall> calls;
     bool checking = false; ///< the target is being probed
+    Instant heardAt{}; ///< when it last sent a part of an answer since its start; zero: never
+    Instant lostAt{}; ///< first loss since it was heard; zero: none
 
     auto operator<=>(const LostCalls &) const = default;
 };
--- a/libs/gateway/src/LostCalls.cpp
+++ b/libs/gateway/src/LostCalls.cpp
@@ -37,12 +37,27 @@
     return text;
 }
 
+/** How it became known that a target ended. */
+enum class EndSeenBy : std::uint8_t { RefusedConnection, List };
+
+std::string_view sourceName(EndSeenBy seenBy) noexcept
+{
+    return seenBy == EndSeenBy::List ? "list" : "refused connection";
+}
+
+// A proxy in front of a target that is down accepts connections, and calls sent there are lost as
+// well. A connection that the target itself accepted a moment ago proves that it ran.
+bool isEvidence(const LostCall &lost, EndSeenBy seenBy) noexcept
+{
+    return seenBy == EndSeenBy::RefusedConnection || lost.wasRunning;
+}
+
 /**
  * Records as evidence that the target ended during the calls that were lost since `from`.
  * `nextStartTime`: its start time after that; 0: not known.
  */
 void recordEnd(GatewayNode &node, const std::string &target, Instant from,
-               std::int64_t nextStartTime, std::string_view seenBy)
+               std::int64_t nextStartTime, EndSeenBy seenBy)
 {
     CallEvidence evidence;
     evidence.target = target;
@@ -51,7 +66,7 @@
     if (found == node.targets.end())
         return;
     for (const LostCall &lost : std::exchange(found->second->lost.calls, {})) {
-        if (lost.at < from)
+        if (lost.at < from || !isEvidence(lost, seenBy))
             continue;
         if (evidence.calls.empty())
             evidence.at = lost.at;
@@ -61,7 +76,7 @@
         return;
     logEvent(EventId::TargetEnded,
              {{"target", target},
-              {"seenBy", std::string(seenBy)},
+              {"seenBy", std::string(sourceName(seenBy))},
               {"callsLost", std::to_string(evidence.calls.size())},
               {"calls", callsText(evidence.calls)}});
     recordTargetEnd(node, evidence);
@@ -84,7 +99,7 @@
     if (isObservationDoubtful(node, target))
         lost.calls.clear();
     else
-        recordEnd(node, target, firstLoss, 0, "refused connection");
+        recordEnd(node, target, firstLoss, 0, EndSeenBy::RefusedConnection);
 }
 
 asio::awaitable<void> probeTarget(GatewayNode &node, std::string target, Endpoint endpoint)
@@ -114,7 +129,14 @@
 
 } // namespace
 
-void recordLostCall(ActiveCall &call, const std::string &target)
+void recordSignOfLife(GatewayNode &node, const std::string &target)
+{
+    LostCalls &lost = runtimeOf(node, target).lost;
+    lost.heardAt = BootClock::now();
+    lost.lostAt = Instant{};
+}
+
+void recordLostCall(ActiveCall &call, const std::string &target, Instant sentAt)
 {
     GatewayNode &node = call.node;
     TargetRuntime &runtime = runtimeOf(node, target);
@@ -123,7 +145,10 @@
         return;
     LostCalls &lost = runtime.lost;
     const Instant now = BootClock::now();
-    lost.calls.push_back({identityOf(call), now});
+    if (lost.lostAt == Instant{})
+        lost.lostAt = now;
+    const bool wasRunning = lost.heardAt != Instant{} && sentAt <= lost.lostAt;
+    lost.calls.push_back({identityOf(call), now, wasRunning});
     while (lost.calls.size() > maxLostCalls || now - lost.calls.front().at > maxListDelay)
         lost.calls.pop_front();
     if (lost.checking)
@@ -143,7 +168,7 @@
     const auto found = node.targets.find(target);
     if (found == node.targets.end() || found->second->leaving)
         return;
-    recordEnd(node, target, BootClock::now() - maxListDelay, nextStartTime, "list");
+    recordEnd(node, target, BootClock::now() - maxListDelay, nextStartTime, EndSeenBy::List);
 }
 
 } // namespace monsoonbay
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "ForwardedCall.h"
+#include "LostCalls.h"
 
 namespace monsoonbay {
 
@@ -181,8 +182,11 @@
 
 void TargetExchange::recordHeard()
 {
-    if (this->awaiting)
-        monsoonbay::recordHeard(this->node, this->target);
+    if (!this->awaiting)
+        return;
+    monsoonbay::recordHeard(this->node, this->target);
+    if (!this->target.id.empty())
+        recordSignOfLife(this->node, this->target.id);
 }
 
 asio::awaitable<bool> TargetExchange::send(std::shared_ptr<HttpRequest> request)
--- a/libs/gateway/src/TargetRestarts.cpp
+++ b/libs/gateway/src/TargetRestarts.cpp
@@ -14,6 +14,7 @@
     runtime.pausedUntil = Instant{};
     runtime.limit = AdvertisedLimit();
     runtime.leaving = false;
+    runtime.lost.heardAt = Instant{};
     for (const TargetConnectionPtr &connection : runtime.pool.idle)
         closeConnection(*connection);
     runtime.pool.idle.clear();
--- a/libs/gateway/tests/HarmfulWatches.cpp
+++ b/libs/gateway/tests/HarmfulWatches.cpp
@@ -175,7 +175,7 @@
 
 void loseCall(GatewayNode &node, const std::string &target)
 {
-    runtimeOf(node, target).lost.calls = {{harmful, BootClock::now()}};
+    runtimeOf(node, target).lost.calls = {{harmful, BootClock::now(), true}};
 }
 
 } // namespace
--- a/libs/gateway/tests/LinkWatches.cpp
+++ b/libs/gateway/tests/LinkWatches.cpp
@@ -132,8 +132,8 @@
     listTargets(node, 5, goodAnswers);
     boost::beast::tcp_stream caller(node.context);
     ActiveCall call(node, caller, HttpRequest());
-    recordLostCall(call, "t0");
-    recordLostCall(call, "t1");
+    recordLostCall(call, "t0", BootClock::now());
+    recordLostCall(call, "t1", BootClock::now());
     node.context.run_for(400ms);
     return node.shared.evidence.all().size();
 }
