Streams: "only one version" needs a watch without a gap; routes that move and leaving targets count

What callers saw: after all VMs were killed at once, streams that had broken off were taken up with 200 and ended whole, the first part by one software version, the rest by another.

Cause: a VM that was asked what began a stream answered "the only version I know" without having watched for the time in which the stream can have begun. Its start counted as long past where no route told for how long streams come back (no configuration, service without a route), a list that was never read as current, and only the age of the list at that moment was asked. Class: the absence of an observation taken for the observation of absence.

Change: ListWatch says since when a VM has followed the list without a gap; it begins anew when the list was never read, is old, or was not checked for 2 s (a suspended VM). RouteWatch says the same of each route's services: a route that is new, moved, or takes over the paths of a removed one proves nothing from before. Without a route nothing is proved. The window is the longest of the route's timeout (also of a configuration that was replaced) and of what the caller itself names; it goes with the question, and the reply says whether it rests on a record or such a watch, so the word of older VMs is not taken. Targets that are leaving count, as they still run their streams. Records live for the stream and as long again, and a stream taken up twice is recorded under both names, so fewer take-ups need the proof.

Why it works: a stream broke off at a target that was listed then; a VM that has followed the list since before that has seen its version.

A VM that was updated asks older ones in vain while an update goes on.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -8,6 +8,7 @@
 #include "LostCalls.h"
 #include "PeerExchange.h"
 #include "StoreHistory.h"
+#include "StreamResuming.h"
 #include "TargetRestarts.h"
 #include "UsageSnapshots.h"
 #include "ZonePeers.h"
@@ -143,6 +144,7 @@
     const std::uint64_t plainBytes = decoded.whole.plainBytes;
     const std::shared_ptr<const RouteTable> replaced = node.routes;
     node.routes = std::move(decoded.routes);
+    watchRoutes(node, before == 0);
     const KeyChanges keys =
         updateKeys(node.keys, replaced->config().workspaces, node.routes->config().workspaces);
     setNewest(node.config, std::move(decoded.whole), now);
--- a/libs/gateway/src/ResumeState.h
+++ b/libs/gateway/src/ResumeState.h
@@ -6,6 +6,8 @@
 #include <unordered_map>
 
 #include "Signal.h"
+#include "serving/ListWatch.h"
+#include "serving/RouteWatch.h"
 #include "serving/SoftwareVersions.h"
 #include "serving/StreamOrigins.h"
 
@@ -16,6 +18,7 @@
 {
     StreamId id = 0;
     std::string service;
+    bool onChangedRoute = false; ///< its route had other services a short time before
 
     auto operator<=>(const UnreportedStream &) const = default;
 };
@@ -31,7 +34,8 @@
     std::deque<UnreportedStream> unreported; ///< oldest first
     std::unordered_map<std::string, SoftwareVersions> versions; ///< by service
     std::set<std::string> ambiguousServices; ///< services whose streams are reported to other VMs
-    Instant versionsCheckedAt{}; ///< when the versions were checked last
+    ListWatch watch; ///< of the list that names the versions
+    RouteWatch routes;
     Duration longestTimeout{}; ///< longest wait that the caller of a stream has named
     Signal due;
 };
--- a/libs/gateway/src/StreamResuming.cpp
+++ b/libs/gateway/src/StreamResuming.cpp
@@ -57,37 +57,78 @@
     OriginSource source = OriginSource::Recorded;
 };
 
-/** How long a stream of the service may be resumed after it began. */
-Duration resumeTimeFor(const GatewayNode &node, const std::string &service)
+/** By which a version may have run streams after it was last seen: a read of the list, a check. */
+constexpr Duration maxVersionLag = maxListAge + versionCheckInterval;
+
+/** VMs that start for the first time have read the list by then; callers come later. */
+constexpr Duration firstListTime = std::chrono::seconds(5);
+
+/** A stream to be resumed, and when it broke off at the earliest. */
+struct BrokenStream
+{
+    StreamId id = 0;
+    std::string service;
+    std::string route;
+    Instant brokenAfter{};
+};
+
+/** How long callers wait before they resume a stream of the service. */
+Duration resumeWindowOf(const GatewayNode &node, const std::string &service)
 {
     const Duration configured = node.routes->maxResumableTimeout(service);
+    if (configured == Duration::zero())
+        return maxResumeTime;
     return std::min(std::max(configured, node.resuming.longestTimeout), maxResumeTime);
 }
 
+bool isListCurrent(const GatewayNode &node, Instant now)
+{
+    return node.targetTable.lastReadAt != Instant{} && !isListStale(node.targetTable, now);
+}
+
+// Targets that are leaving count, too: they still run the streams that they have begun.
 void checkVersions(GatewayNode &node, Instant now)
 {
     ResumeState &state = node.resuming;
-    state.versionsCheckedAt = now;
+    checkWatch(state.watch, isListCurrent(node, now), now);
     for (const auto &[id, record] : node.targetTable.records) {
-        if (mayTakeWork(record))
-            recordSoftware(state.versions[record.entry.service], record.entry.software, now);
+        if (record.removed)
+            continue;
+        recordSoftware(state.versions[record.entry.service], record.entry.software, now);
+        const Duration configured = node.routes->maxResumableTimeout(record.entry.service);
+        state.longestTimeout = std::max(state.longestTimeout, configured);
     }
     for (auto &[service, versions] : state.versions)
-        forgetSoftware(versions, now - maxResumeTime);
+        forgetSoftware(versions, now - maxResumeTime - maxVersionLag);
 }
 
-/** The only version that can have begun a stream of the service; nullopt if that is not proved. */
-std::optional<std::string> onlyVersionOf(const GatewayNode &node, const std::string &service,
-                                         Instant now)
+/** True if no version that had targets since then can have escaped this VM. */
+bool hasWatchedSince(const GatewayNode &node, Instant from)
 {
-    const Instant since = now - resumeTimeFor(node, service);
+    const ListWatch &watch = node.resuming.watch;
     // Before the system's first start there were no streams.
-    const bool bootedTooLate = node.bootedAt > since && !node.settings.firstStart;
-    if (isListStale(node.targetTable, now) || bootedTooLate)
-        return std::nullopt;
+    const bool sinceFirstStart = node.settings.firstStart && !watch.interrupted
+        && watch.since != Instant{} && watch.since - node.bootedAt < firstListTime;
+    return sinceFirstStart || coversSince(watch, from);
+}
+
+/** The only version since then; nullopt if that is not proved. Call checkVersions() before. */
+std::optional<std::string> onlyVersionSince(const GatewayNode &node, const std::string &service,
+                                            Instant from)
+{
+    const Instant seenFrom = from - maxVersionLag;
     const auto versions = node.resuming.versions.find(service);
-    return versions == node.resuming.versions.end() ? std::nullopt
-                                                    : onlySoftware(versions->second, since);
+    if (versions == node.resuming.versions.end() || !hasWatchedSince(node, seenFrom))
+        return std::nullopt;
+    return onlySoftware(versions->second, seenFrom);
+}
+
+/** The only version that can have run the stream; nullopt if that is not proved. */
+std::optional<std::string> onlyVersionOf(const GatewayNode &node, const BrokenStream &stream)
+{
+    if (!isUnchangedSince(node.resuming.routes, stream.route, stream.brokenAfter))
+        return std::nullopt;
+    return onlyVersionSince(node, stream.service, stream.brokenAfter);
 }
 
 // While a service has had one version only, other VMs know as much without a report of each stream.
@@ -96,7 +137,7 @@
     ResumeState &state = node.resuming;
     state.ambiguousServices.clear();
     for (const auto &[service, versions] : state.versions) {
-        if (!onlyVersionOf(node, service, now))
+        if (!onlyVersionSince(node, service, now - resumeWindowOf(node, service)))
             state.ambiguousServices.insert(service);
     }
 }
@@ -170,7 +211,7 @@
     for (UnreportedStream &stream : state.unreported) {
         if (!originOf(state.origins, stream.id, now))
             continue;
-        if (state.ambiguousServices.count(stream.service) > 0)
+        if (stream.onChangedRoute || state.ambiguousServices.count(stream.service) > 0)
             due.push_back(stream.id);
         else
             kept.push_back(std::move(stream));
@@ -217,19 +258,21 @@
 {
     const auto reply = co_await node.peerLinks.askOrigin(replica, std::move(request), askTimeout);
     --query->open;
-    if (reply && reply->known())
+    if (reply && reply->known() && reply->watched())
         query->software = reply->software();
     query->answered.notifyAll();
 }
 
-asio::awaitable<std::optional<std::string>> askReplicas(GatewayNode &node, StreamId id,
-                                                        std::string service)
+asio::awaitable<std::optional<std::string>> askReplicas(GatewayNode &node, BrokenStream stream)
 {
     const auto query = std::make_shared<OriginQuery>(node.context);
-    for (const Endpoint &replica : OriginReplicas(node).of(id)) {
+    const Duration window = BootClock::now() - stream.brokenAfter;
+    for (const Endpoint &replica : OriginReplicas(node).of(stream.id)) {
         v1::OriginRequest request;
-        request.set_stream(id);
-        request.set_service(service);
+        request.set_stream(stream.id);
+        request.set_service(stream.service);
+        request.set_route(stream.route);
+        request.set_window_ms(static_cast<std::uint32_t>(toMillis(window)));
         ++query->open;
         spawn(node, "ask for stream origin", askReplica(node, replica, std::move(request), query));
     }
@@ -239,18 +282,26 @@
     co_return query->software;
 }
 
+/** A caller that resumes a stream now has not waited for longer than it would for an answer. */
+BrokenStream brokenStreamOf(const ActiveCall &call, Instant now)
+{
+    const Duration named = std::min(call.metadata.timeLeft.value_or(Duration()), maxResumeTime);
+    const Duration window = std::max(resumeWindowOf(call.node, call.service), named);
+    return {streamIdOf(call.metadata.resumes), call.service, call.route->name, now - window};
+}
+
 asio::awaitable<std::optional<FoundOrigin>> lookUpOrigin(ActiveCall &call)
 {
     GatewayNode &node = call.node;
     const Instant now = BootClock::now();
-    const StreamId id = streamIdOf(call.metadata.resumes);
-    if (const auto recorded = originOf(node.resuming.origins, id, now))
+    const BrokenStream stream = brokenStreamOf(call, now);
+    if (const auto recorded = originOf(node.resuming.origins, stream.id, now))
         co_return FoundOrigin{*recorded, OriginSource::Recorded};
     checkVersions(node, now);
-    if (const auto only = onlyVersionOf(node, call.service, now))
+    if (const auto only = onlyVersionOf(node, stream))
         co_return FoundOrigin{*only, OriginSource::OnlyVersion};
     // Also where the caller names no stream: others may know that there was only one version.
-    const auto reportedOrigin = co_await askReplicas(node, id, call.service);
+    const auto reportedOrigin = co_await askReplicas(node, stream);
     if (!reportedOrigin)
         co_return std::nullopt;
     co_return FoundOrigin{*reportedOrigin, OriginSource::Asked};
@@ -267,15 +318,20 @@
     ResumeState &state = node.resuming;
     const Duration resumeTime =
         std::max(call.route->timeout, call.metadata.timeLeft.value_or(Duration()));
+    const Instant now = BootClock::now();
     const StreamId id = streamIdOf(call.metadata.attemptId);
-    recordOrigin(state.origins, id,
-                 {software, call.arrivedAt + std::min(resumeTime, maxResumeTime)},
-                 BootClock::now());
+    // It may break off at its very end, and its caller may wait as long again.
+    const StreamOrigin origin{software, call.arrivedAt + std::min(2 * resumeTime, maxResumeTime)};
+    recordOrigin(state.origins, id, origin, now);
+    if (!call.metadata.resumes.empty())
+        recordOrigin(state.origins, streamIdOf(call.metadata.resumes), origin, now);
     state.longestTimeout = std::max(state.longestTimeout, std::min(resumeTime, maxResumeTime));
-    state.unreported.push_back({id, call.service});
+    const Instant from = now - resumeWindowOf(node, call.service);
+    const bool onChangedRoute = !isUnchangedSince(state.routes, call.route->name, from);
+    state.unreported.push_back({id, call.service, onChangedRoute});
     if (state.unreported.size() > maxStreamOrigins)
         state.unreported.pop_front();
-    if (state.ambiguousServices.count(call.service) > 0)
+    if (onChangedRoute || state.ambiguousServices.count(call.service) > 0)
         state.due.notifyAll();
 }
 
@@ -347,7 +403,7 @@
 {
     while (!node.stopped) {
         const Instant now = BootClock::now();
-        if (now - node.resuming.versionsCheckedAt >= versionCheckInterval)
+        if (now - node.resuming.watch.checkedAt >= versionCheckInterval)
             checkVersions(node, now);
         findAmbiguousServices(node, now);
         forgetOrigins(node.resuming.origins, now);
@@ -357,6 +413,14 @@
     }
 }
 
+// In the system's first start, the first routes have had no other services before.
+void watchRoutes(GatewayNode &node, bool isFirstConfig)
+{
+    const bool sinceFirstStart = isFirstConfig && node.settings.firstStart;
+    updateRouteWatch(node.resuming.routes, node.routes->config().routes,
+                     sinceFirstStart ? Instant{} : BootClock::now());
+}
+
 v1::OriginsNoted handleOriginReport(GatewayNode &node, const v1::OriginNote &report)
 {
     const Instant now = BootClock::now();
@@ -374,10 +438,14 @@
     std::optional<std::string> software = originOf(node.resuming.origins, request.stream(), now);
     if (!software) {
         checkVersions(node, now);
-        software = onlyVersionOf(node, request.service(), now);
+        const Duration asked = std::chrono::milliseconds(request.window_ms());
+        const Duration window = std::max(resumeWindowOf(node, request.service()), asked);
+        software = onlyVersionOf(
+            node, {request.stream(), request.service(), request.route(), now - window});
     }
     v1::OriginReply reply;
     reply.set_known(software.has_value());
+    reply.set_watched(software.has_value());
     reply.set_software(software.value_or(std::string()));
     return reply;
 }
--- a/libs/gateway/src/StreamResuming.h
+++ b/libs/gateway/src/StreamResuming.h
@@ -37,6 +37,9 @@
  */
 asio::awaitable<bool> confirmTargetStart(ActiveCall &call, const TargetEntry &target);
 
+/** Call when a configuration is put in force: calls of a changed route may go to other services. */
+void watchRoutes(GatewayNode &node, bool isFirstConfig);
+
 /** Checks the versions in service, and reports streams to other VMs. */
 asio::awaitable<void> streamOriginLoop(GatewayNode &node);
 
--- a/libs/serving/include/serving/StreamOrigins.h
+++ b/libs/serving/include/serving/StreamOrigins.h
@@ -37,7 +37,7 @@
 /** Origins of 20,000 streams take 2.5 MB; a VM starts about 500 streams in 15 s. */
 constexpr std::size_t maxStreamOrigins = 20000;
 
-/** Records the origin of a stream; an origin recorded before is kept. */
+/** Records the origin of a stream; of one recorded before only the deadline may be extended. */
 void recordOrigin(StreamOrigins &origins, StreamId id, StreamOrigin origin, Instant now);
 
 /** Removes streams whose callers' deadline has passed. */
--- a/libs/serving/src/StreamOrigins.cpp
+++ b/libs/serving/src/StreamOrigins.cpp
@@ -23,7 +23,9 @@
 
 void recordOrigin(StreamOrigins &origins, StreamId id, StreamOrigin origin, Instant now)
 {
-    const bool added = origins.byId.try_emplace(id, std::move(origin)).second;
+    const auto [known, added] = origins.byId.try_emplace(id, origin);
+    if (!added && known->second.software == origin.software)
+        known->second.until = std::max(known->second.until, origin.until);
     if (!added)
         return;
     origins.order.emplace_back(now, id);
