--- a/libs/gateway/src/HarmfulCallTracking.cpp
+++ b/libs/gateway/src/HarmfulCallTracking.cpp
@@ -187,8 +187,8 @@
 /** After a trial of this VM that brought neither an answer nor a crash. */
 constexpr Duration trialInterval = std::chrono::seconds(2);
 
-/** True if this call is the trial of a verdict, and was not sent to a target yet. */
-bool isTrial(ActiveCall &call, const HarmfulCall &harmful)
+/** True if this call is the trial of a verdict, from now on or already, and was not sent yet. */
+bool claimTrial(ActiveCall &call, const HarmfulCall &harmful)
 {
     if (call.runsStarted > 0)
         return false;
@@ -224,7 +224,7 @@
     if (call.node.harmful.calls.empty())
         return nullptr;
     const HarmfulCall *harmful = findHarmful(call.node.harmful, identityOf(call));
-    return harmful != nullptr && isTrial(call, *harmful) ? nullptr : harmful;
+    return harmful != nullptr && claimTrial(call, *harmful) ? nullptr : harmful;
 }
 
 } // namespace monsoonbay
--- a/libs/serving/include/serving/RouteWatch.h
+++ b/libs/serving/include/serving/RouteWatch.h
@@ -14,7 +14,7 @@
 {
     std::string host;
     std::string pathPrefix;
-    std::vector<std::string> services; ///< sorted
+    std::vector<std::string> services;
     Instant since{};
 
     auto operator<=>(const WatchedRoute &) const = default;
