Harmful calls: comments say what the code does

Cause: read again as a newcomer, nextTrialAt() promised twice the time that it waits. Change: three comments.

--- a/libs/gateway/src/LostCalls.cpp
+++ b/libs/gateway/src/LostCalls.cpp
@@ -46,7 +46,7 @@
 }
 
 // A proxy in front of a target that is down accepts connections, and calls sent there are lost as
-// well. A connection that the target itself accepted a moment ago proves that it ran.
+// well. If connections are refused now, it was the target that accepted the lost call's one.
 bool isEvidence(const LostCall &lost, EndSeenBy seenBy) noexcept
 {
     return seenBy == EndSeenBy::RefusedConnection || lost.wasRunning;
--- a/libs/gateway/src/LostCalls.h
+++ b/libs/gateway/src/LostCalls.h
@@ -11,7 +11,7 @@
  *
  * A lost answer alone is weak evidence, as healthy targets lose answers, too. So after a loss the
  * target is probed. It has ended if nothing listens at its address any more, or if the list shows
- * soon afterwards that it has restarted or is gone. The list does not tell when it ended: then only
+ * soon afterwards that it has restarted or is gone. The list does not show when it ended: then only
  * calls count that were sent while the target still answered.
  */
 
--- a/libs/serving/include/serving/HarmfulCalls.h
+++ b/libs/serving/include/serving/HarmfulCalls.h
@@ -66,8 +66,8 @@
 constexpr Duration firstTrialDelay = std::chrono::seconds(5);
 
 /**
- * When such a call may be sent to a target again, to see whether it is still harmful: after
- * `firstTrialDelay`, then after twice as long as its crashes have lasted by then.
+ * When such a call may be sent to a target again, to see whether it is still harmful:
+ * `firstTrialDelay` after its last crash, or as long after it as that is after the first one.
  */
 Instant nextTrialAt(const HarmfulCall &call) noexcept;
 
