Leases: an extension needs the report of every listed VM of the zone

Cause: silence was taken for absence. A lease holder that cannot reach the store extends its lease by the reports of its zone peers, and left out each peer that it had not heard since its own start. A VM that restarted beside a frozen peer and was then cut off asked nobody and extended without end; the peer, awake again, was assigned its partitions and commanded as well. The same held for a peer that had left the lease group: its leave had no end, though the VM may be back two seconds later.

Change: who has to report is one pure function in libs/serving over plain values (ZoneMembers: each VM that the store or itself has named, its last report or none, since when it is known). A member without a report may be a holder. No list read, no extension. A VM that is silent for 40 s is taken as gone, counted from when it was first named; a peer that is forgotten and named again by the list is not new.

Why the model missed it: it had the same fault, and the order needs four faults. The model calls the same function now, has a VM that stops, a list that cannot be read and a newcomer, and plays all restarts beside an absent VM followed by a cut. The mutations "unheard members have no say", "a list not read is empty" and "a leave has no end" are found.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -121,6 +121,7 @@
     std::uint64_t boot = 0; ///< 0: nothing was received from it yet
     std::uint64_t sequence = 0; ///< of its newest report
     Instant addedAt{};
+    Instant knownSince{}; ///< as `addedAt`, but not renewed if it was removed meanwhile
     Instant lastMessageAt{}; ///< its latest report, request or answer; zero: none yet
     Instant lastReportAt{}; ///< its newest report with usage
     bool starting = false;
@@ -343,6 +344,8 @@
     std::map<Endpoint, ForwardPeer> forwardPeers; ///< by their address for forwarded calls
 
     std::map<Endpoint, PeerState> peers;
+    /** Also of peers that were removed as silent: the list may name them again. */
+    std::map<Endpoint, Instant> peersKnownSince;
     std::uint64_t reportSequence = 0;
     UsageLedger reported; ///< usage reported by VMs of the zone and by relays of other zones
     RelayState relayState;
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -25,11 +25,6 @@
 constexpr Duration firstConfirmationInterval = std::chrono::milliseconds(500);
 /** At other times, confirmations only show that a zone peer is still alive. */
 constexpr Duration livenessInterval = std::chrono::seconds(10);
-/**
- * A zone peer that was silent for this long is taken as gone: the network outages that have to be
- * tolerated last 12 s at most.
- */
-constexpr Duration goneAfter = std::chrono::seconds(40);
 /**
  * A partition moves to its next holder after the former one has renewed twice: once to learn of the
  * new assignment, and once to acknowledge it. Until the assignment has settled, all members renew
@@ -55,33 +50,31 @@
  */
 constexpr Duration rejoinDelay = std::chrono::seconds(60);
 
-/**
- * A lease holder that is cut off from the store keeps its lease by confirmations of the VMs that it
- * knows. It would not ask a VM that it does not know, so a new VM waits: until it has received
- * confirmations from all VMs of its zone that the store lists, or until such an outage would be
- * over. The network outages that have to be tolerated last 12 s at most.
- */
-constexpr Duration newMemberWait = std::chrono::seconds(15);
-
-bool isGone(const PeerState &peer)
+// Peers whose zone is not known are left out: these are seeds that the store's list does not name,
+// so they were never holders.
+ZoneMembers membersOfZone(const GatewayNode &node)
 {
-    return BootClock::now() - std::max(peer.lastMessageAt, peer.leaseConfirmation.askedAt)
-        > goneAfter;
+    ZoneMembers members;
+    members.listRead = node.vmListRead;
+    for (const auto &[endpoint, peer] : node.peers) {
+        if (peer.zone != node.settings.zone)
+            continue;
+        ZoneMember member{peer.knownSince, peer.lastMessageAt, std::nullopt};
+        if (peer.leaseConfirmation.askedAt != Instant{})
+            member.report = peer.leaseConfirmation.confirmation;
+        members.others.push_back(std::move(member));
+    }
+    return members;
 }
 
-bool mayBeUnknownToHolder(const GatewayNode &node, Instant now)
+bool mayBeUnknown(const GatewayNode &node, Instant now)
 {
     // An earlier boot of this VM was a lease holder, so the others know it and still ask it at its
     // address. They forget a VM only after it has been down for `goneAfter`.
     if (node.heldBefore)
         return false;
-    if (now - node.joinedLeaseGroupAt >= newMemberWait)
-        return false;
-    for (const auto &[endpoint, peer] : node.peers) {
-        if (peer.zone == node.settings.zone && peer.leaseConfirmation.askedAt == Instant{})
-            return true;
-    }
-    return false;
+    return mayBeUnknownToHolder(membersOfZone(node), node.joinedLeaseGroupAt, node.settings.lease,
+                                now);
 }
 
 } // namespace
@@ -99,7 +92,7 @@
     const auto held = node.heldEngines.find(target);
     if (held != node.heldEngines.end() && held->second->unreachable)
         return false;
-    if (mayBeUnknownToHolder(node, BootClock::now()))
+    if (mayBeUnknown(node, BootClock::now()))
         return false;
     const int partition = leasePartitionOf(node, target);
     return mayCommand(node.lease, partition, BootClock::now());
@@ -122,19 +115,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(last - now).count();
 }
 
-/** The confirmations of the zone peers that could be assigned what this VM holds. */
-std::vector<PeerLeaseState> confirmationsOfZonePeers(const GatewayNode &node)
-{
-    std::vector<PeerLeaseState> confirmations;
-    for (const auto &[endpoint, peer] : node.peers) {
-        const bool zonePeer = peer.zone == node.settings.zone && peer.lastMessageAt != Instant{}
-            && !peer.leftLeaseGroup;
-        if (zonePeer && !isGone(peer))
-            confirmations.push_back(peer.leaseConfirmation.confirmation);
-    }
-    return confirmations;
-}
-
 LeaseRenewal renewalOf(const GatewayNode &node)
 {
     LeaseRenewal renewal;
@@ -215,8 +195,7 @@
     while (!node.stopped) {
         const std::size_t before = node.lease.activeFrom.size();
         if (node.renewalFailing)
-            extendLease(node.lease, confirmationsOfZonePeers(node), node.settings.lease,
-                        BootClock::now());
+            extendLease(node.lease, membersOfZone(node), node.settings.lease, BootClock::now());
         if (before > 0 && node.lease.activeFrom.empty())
             logEvent(EventId::LeaseChanged,
                      {{"generation", describe(node.lease.generation)},
@@ -380,7 +359,7 @@
     // It is valid from the time of the request, as the answer may have been in transit for long.
     peer.leaseConfirmation.askedAt = requestedAt;
     peer.leaseConfirmation.confirmation = {requestedAt, toGeneration(confirmation->generation()),
-                                           !confirmation->may_hold()};
+                                           !confirmation->may_hold(), confirmation->left()};
 }
 
 Duration confirmationSpacing(const GatewayNode &node, const PeerState &peer)
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -288,6 +288,7 @@
         return;
     peer.endpoint = endpoint;
     peer.addedAt = BootClock::now();
+    peer.knownSince = node.peersKnownSince.try_emplace(endpoint, peer.addedAt).first->second;
 }
 
 v1::Digest answerReport(GatewayNode &node, const v1::Report &report)
--- a/libs/serving/include/serving/PartitionLease.h
+++ b/libs/serving/include/serving/PartitionLease.h
@@ -8,6 +8,8 @@
 
 #include "core/Time.h"
 #include "serving/LeaseGeneration.h"
+#include "serving/LeaseTiming.h"
+#include "serving/ZoneMembers.h"
 
 namespace monsoonbay {
 
@@ -77,18 +79,6 @@
     bool operator==(const PartitionLease &) const = default;
 };
 
-/** Times that keep two holders from sending commands at the same time. */
-struct LeaseTiming
-{
-    Duration ttl = std::chrono::milliseconds(2000); ///< silence after which the store reassigns
-    Duration margin = std::chrono::milliseconds(300); ///< longest time that a command is in flight
-    Duration handoverGap = std::chrono::milliseconds(3000); ///< between the commands of two holders
-    /** The report of another VM is valid this long; state updates are five times as frequent. */
-    Duration peerStateTtl = std::chrono::milliseconds(1000);
-
-    auto operator<=>(const LeaseTiming &) const = default;
-};
-
 /** The store's answer to a renewal of the lease. */
 struct LeaseGrant
 {
@@ -98,16 +88,6 @@
     auto operator<=>(const LeaseGrant &) const = default;
 };
 
-/** Last report of another VM that may be assigned the same partitions. */
-struct PeerLeaseState
-{
-    Instant receivedAt{};
-    LeaseGeneration generation; ///< newest generation that it knows
-    bool storeUnreachable = false; ///< its own last renewal failed
-
-    auto operator<=>(const PeerLeaseState &) const = default;
-};
-
 /**
  * Applies the answer to a renewal that was sent at `sentAt` and answered at `now`. An answer of an
  * earlier era than the lease is ignored.
@@ -115,9 +95,10 @@
 void renewLease(PartitionLease &lease, const LeaseGrant &grant, const LeaseTiming &timing,
                 Instant sentAt, Instant now);
 
-/** After a failed renewal: extends the lease if all peers allow it, and drops it once it ended. */
-void extendLease(PartitionLease &lease, const std::vector<PeerLeaseState> &peers,
-                 const LeaseTiming &timing, Instant now);
+/** After a failed renewal: extends the lease if all members allow it, and drops it once it ended.
+ */
+void extendLease(PartitionLease &lease, const ZoneMembers &members, const LeaseTiming &timing,
+                 Instant now);
 
 /** Gives up all partitions at once. */
 void dropLease(PartitionLease &lease, Instant now);
--- /dev/null
+++ b/libs/serving/include/serving/ZoneMembers.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <vector>
+
+#include "core/Time.h"
+#include "serving/LeaseGeneration.h"
+#include "serving/LeaseTiming.h"
+
+namespace monsoonbay {
+
+/** A VM's report whether it may send commands, to another one of its zone. */
+struct PeerLeaseState
+{
+    Instant receivedAt{};
+    LeaseGeneration generation; ///< newest generation that it knows
+    bool storeUnreachable = false; ///< its own last renewal failed
+    bool leftGroup = false; ///< it sends no command until it is started again
+
+    auto operator<=>(const PeerLeaseState &) const = default;
+};
+
+/** A VM that may be assigned partitions of this zone, whether or not it was ever heard. */
+struct ZoneMember
+{
+    Instant knownSince{}; ///< when the store's list, or a message, first named it
+    Instant lastMessageAt{}; ///< zero: none yet
+    std::optional<PeerLeaseState> report; ///< its last one; nullopt: none yet
+
+    auto operator<=>(const ZoneMember &) const = default;
+};
+
+/** The other VMs of the zone. */
+struct ZoneMembers
+{
+    bool listRead = false; ///< the store's list of VMs was read, so that none is missing
+    std::vector<ZoneMember> others;
+
+    bool operator==(const ZoneMembers &) const = default;
+};
+
+/** True if the VM was silent for so long that it is taken as gone. */
+bool isGone(const ZoneMember &member, const LeaseTiming &timing, Instant now) noexcept;
+
+/**
+ * Until when a VM that cannot reach the store may go on with what it was assigned in `held`; zero:
+ * not at all. Each other member has to have reported lately that it does not send commands.
+ */
+Instant extensionEnd(const LeaseGeneration &held, const ZoneMembers &members,
+                     const LeaseTiming &timing, Instant now) noexcept;
+
+/**
+ * True if a VM that was never a holder before, and joined the lease group at `joinedAt`, may be
+ * unknown to a holder that cannot reach the store.
+ */
+bool mayBeUnknownToHolder(const ZoneMembers &members, Instant joinedAt, const LeaseTiming &timing,
+                          Instant now) noexcept;
+
+} // namespace monsoonbay
--- a/libs/serving/src/PartitionLease.cpp
+++ b/libs/serving/src/PartitionLease.cpp
@@ -12,20 +12,6 @@
     return std::max(lease.until, lease.extendedUntil);
 }
 
-/** Until when the peers' reports extend the lease; zero: they do not. */
-Instant extensionEnd(const PartitionLease &lease, const std::vector<PeerLeaseState> &peers,
-                     const LeaseTiming &timing, Instant now)
-{
-    Instant end = now + timing.peerStateTtl;
-    for (const PeerLeaseState &peer : peers) {
-        const bool mayHoldNow = !peer.storeUnreachable || peer.generation > lease.generation;
-        if (mayHoldNow)
-            return Instant{};
-        end = std::min(end, peer.receivedAt + timing.peerStateTtl);
-    }
-    return end;
-}
-
 /** Releases older than this no longer shorten the wait of any VM. */
 constexpr Duration releaseTtl = std::chrono::seconds(8);
 
@@ -115,19 +101,19 @@
     lease.extendedUntil = Instant{};
 }
 
-// The store assigns a partition to another VM only when that VM renews, and a peer that reports
+// The store assigns a partition to another VM only when that VM renews, and a member that reports
 // that it cannot reach the store has not renewed. If it reaches the store right after its report,
 // it waits for `ttl`, `peerStateTtl` and `handoverGap` before it sends commands, while this VM
 // stops at the latest `peerStateTtl` after the report. After a pause of this VM all reports are
 // old, so the lease is dropped at the first check.
-void extendLease(PartitionLease &lease, const std::vector<PeerLeaseState> &peers,
-                 const LeaseTiming &timing, Instant now)
+void extendLease(PartitionLease &lease, const ZoneMembers &members, const LeaseTiming &timing,
+                 Instant now)
 {
     if (now >= endOf(lease)) {
         dropLease(lease, now);
         return;
     }
-    lease.extendedUntil = extensionEnd(lease, peers, timing, now);
+    lease.extendedUntil = extensionEnd(lease.generation, members, timing, now);
 }
 
 void dropLease(PartitionLease &lease, Instant now)
--- a/libs/serving/tests/LeaseModel.cpp
+++ b/libs/serving/tests/LeaseModel.cpp
@@ -12,6 +12,7 @@
 constexpr int recordTicks = 4; ///< from reading the records to adding one: a slow store
 constexpr int recentCopyTicks = 20; ///< age of the copy that the store comes back from
 constexpr int olderCopyTicks = 60;
+constexpr int readListEveryTicks = 100;
 
 struct Simulation
 {
@@ -39,7 +40,8 @@
 
     bool isDown(int vm) const
     {
-        return this->is(vm == 0 ? Fault::FirstDown : Fault::SecondDown);
+        return vm == 0 ? this->is(Fault::FirstDown)
+                       : this->is(Fault::SecondDown) || this->is(Fault::SecondStopped);
     }
 
     bool isUnlinked(int vm) const
@@ -59,6 +61,21 @@
     return event == StoreEvent::RestoreRecent ? recentCopyTicks : olderCopyTicks;
 }
 
+void reportToPeer(Simulation &simulation, int index, Instant now);
+
+/** The VM drops its lease, tells that to the store and the other VM, and ends. */
+void stop(Simulation &simulation, int index, Instant now)
+{
+    ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
+    if (simulation.isDown(index) || simulation.isFrozen(index))
+        return;
+    dropLease(vm.lease, now);
+    vm.left = true;
+    if (simulation.reachesStore(index))
+        simulation.store.leave(index);
+    reportToPeer(simulation, index, now);
+}
+
 void apply(Simulation &simulation, const Toggle &toggle, const ModelStore &copy, Instant now)
 {
     if (!toggle.fault && toggle.event == StoreEvent::Reassign) {
@@ -74,10 +91,12 @@
         return;
     }
     bool &on = simulation.on[static_cast<int>(*toggle.fault)];
+    if (*toggle.fault == Fault::SecondStopped && !on)
+        stop(simulation, 1, now);
     on = !on;
     if (*toggle.fault == Fault::FirstDown)
         simulation.vms[0] = ModelVm{};
-    if (*toggle.fault == Fault::SecondDown)
+    if (*toggle.fault == Fault::SecondDown || *toggle.fault == Fault::SecondStopped)
         simulation.vms[1] = ModelVm{};
 }
 
@@ -121,13 +140,57 @@
     vm.readEnd = records.logEnd;
     vm.addAt = tick + recordTicks;
     vm.claimedIn = vm.lease.generation;
-    vm.claims = claimsToRecord(vm.lease, recordsAnswered(simulation), nameOf(index),
-                               simulation.timing, now);
+    const HolderRecords answered = recordsAnswered(simulation);
+    const auto last = answered.byPartition.find(0);
+    if (!vm.recordsRead)
+        vm.heldBefore = last != answered.byPartition.end() && last->second.vm == nameOf(index);
+    vm.recordsRead = true;
+    vm.claims = claimsToRecord(vm.lease, answered, nameOf(index), simulation.timing, now);
+}
+
+ZoneMember &peerOf(ModelVm &vm, Instant now)
+{
+    if (!vm.peer) {
+        vm.peer.emplace();
+        vm.peer->knownSince = now;
+    }
+    return *vm.peer;
+}
+
+/** Reads the list of VMs and adds this one to it. */
+void readList(Simulation &simulation, int index, int tick, Instant now)
+{
+    ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
+    vm.listRead = vm.listRead || simulation.mutation.assumesList;
+    const bool due = !vm.listRead || tick % readListEveryTicks == 0;
+    if (!due || !simulation.reachesStore(index) || simulation.is(Fault::ListUnreadable))
+        return;
+    if (simulation.store.listed[static_cast<std::size_t>(1 - index)])
+        peerOf(vm, now);
+    simulation.store.listed[static_cast<std::size_t>(index)] = true;
+    vm.listRead = true;
+}
+
+ZoneMembers membersOf(const Simulation &simulation, const ModelVm &vm)
+{
+    ZoneMembers members;
+    members.listRead = vm.listRead;
+    const bool unheard = vm.peer && vm.peer->lastMessageAt == Instant{};
+    const bool left = vm.peer && vm.peer->report && vm.peer->report->leftGroup;
+    const bool ignored = (unheard && simulation.mutation.ignoresUnheard)
+        || (left && simulation.mutation.trustsOldLeave);
+    if (vm.peer && !ignored)
+        members.others.push_back(*vm.peer);
+    return members;
 }
 
 void renew(Simulation &simulation, int index, Instant now)
 {
     ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
+    if (!vm.listRead)
+        return;
+    if (vm.joinedAt == Instant{})
+        vm.joinedAt = now;
     const bool reaches = simulation.reachesStore(index);
     if (reaches)
         simulation.store.join(index, now);
@@ -154,22 +217,32 @@
     ModelVm &other = simulation.vms[static_cast<std::size_t>(1 - index)];
     for (const PartitionRelease &release : vm.lease.releases)
         applyRelease(other.lease, release, simulation.timing);
-    other.hasPeerState = true;
-    other.peer.receivedAt = now;
-    other.peer.generation = vm.lease.generation;
-    other.peer.storeUnreachable = vm.renewalFailing || simulation.mutation.trustsAnyPeer;
-    if (simulation.mutation.trustsAnyPeer)
-        other.peer.generation = {};
+    ZoneMember &member = peerOf(other, now);
+    member.lastMessageAt = now;
+    // A VM that has just started is not a member yet.
+    const bool mayHold = vm.joinedAt != Instant{} && !vm.renewalFailing && !vm.left;
+    PeerLeaseState report{now, vm.lease.generation, !mayHold, vm.left};
+    if (simulation.mutation.trustsAnyPeer) {
+        report.storeUnreachable = true;
+        report.generation = {};
+    }
+    member.report = report;
 }
 
 void extend(Simulation &simulation, ModelVm &vm, Instant now)
 {
     if (!vm.renewalFailing)
         return;
-    std::vector<PeerLeaseState> peers;
-    if (vm.hasPeerState)
-        peers.push_back(vm.peer);
-    extendLease(vm.lease, peers, simulation.timing, now);
+    extendLease(vm.lease, membersOf(simulation, vm), simulation.timing, now);
+}
+
+bool maySend(const Simulation &simulation, int index, Instant now)
+{
+    const ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
+    const ZoneMembers members = membersOf(simulation, vm);
+    const bool waits =
+        !vm.heldBefore && mayBeUnknownToHolder(members, vm.joinedAt, simulation.timing, now);
+    return !simulation.isUnlinked(index) && !waits && mayCommand(vm.lease, 0, now);
 }
 
 void sendCommand(Simulation &simulation, int index, Instant now)
@@ -220,8 +293,9 @@
     // The worst case: a VM that wakes up sends commands before it does anything else.
     const Duration pause =
         simulation.mutation.ignoresPause ? vm.totalPause.time_since_epoch() : Duration::zero();
-    if (!simulation.isUnlinked(index) && mayCommand(vm.lease, 0, now - pause))
+    if (maySend(simulation, index, now - pause))
         sendCommand(simulation, index, now);
+    readList(simulation, index, tick, now);
     const bool yielded = hasYielded(simulation, index, now);
     // The VMs do not act in the same ticks.
     if (!yielded && (tick + 2 * index) % renewEveryTicks == 0)
--- a/libs/serving/tests/LeaseModel.h
+++ b/libs/serving/tests/LeaseModel.h
@@ -20,6 +20,8 @@
     SecondUnlinked,
     FirstDown, ///< the process ends; it restarts when the fault is turned off
     SecondDown,
+    SecondStopped, ///< as down, after it has left the lease group
+    ListUnreadable, ///< the store answers no read of the list of VMs
     Count, ///< number of faults, not one of them
 };
 
@@ -54,6 +56,9 @@
     bool ignoresEra = false; ///< all that the store answers counts as of one era
     bool trustsOldRecords = false; ///< holder records of an earlier era count as of this one
     bool countsOldWait = false; ///< time waited in an earlier era counts in this one
+    bool ignoresUnheard = false; ///< a member that was not heard yet has no say in an extension
+    bool assumesList = false; ///< a list of VMs that was not read yet counts as an empty one
+    bool trustsOldLeave = false; ///< a member that left has no say, also once it is back
 };
 
 /** The platform's store, as far as it assigns one partition. */
@@ -62,6 +67,7 @@
     LeaseGeneration generation;
     int owner = -1;
     std::array<Instant, vmCount> joinedAt{};
+    std::array<bool, vmCount> listed{}; ///< in the list of VMs
     HolderRecords records;
 
     void expire(Instant now, Duration ttl);
@@ -79,8 +85,12 @@
 {
     PartitionLease lease;
     bool renewalFailing = false;
-    PeerLeaseState peer;
-    bool hasPeerState = false;
+    bool listRead = false;
+    std::optional<ZoneMember> peer; ///< the other VM, once the list or a report has named it
+    Instant joinedAt{};
+    bool left = false; ///< it has left the lease group and is about to end
+    bool recordsRead = false;
+    bool heldBefore = false; ///< by the records read first
     Instant totalPause{}; ///< sum of all pauses, for the mutation
     std::vector<HolderClaim> claims; ///< about to be added to the store
     LeaseGeneration claimedIn;
--- a/libs/serving/tests/Leases.cpp
+++ b/libs/serving/tests/Leases.cpp
@@ -26,7 +26,10 @@
     return toggle;
 }
 
-constexpr int kinds = static_cast<int>(Fault::Count) + static_cast<int>(StoreEvent::Count);
+constexpr int allFaults = static_cast<int>(Fault::Count);
+constexpr int kinds = allFaults + static_cast<int>(StoreEvent::Count);
+/** Half a second: between toggles of the schedules of one order of events. */
+constexpr int shortStep = 5;
 constexpr int toggleSeconds = (lastToggle - firstToggle) / step;
 
 /** All schedules of up to three toggles at whole seconds; calls `judge` until it returns false. */
@@ -74,6 +77,41 @@
     return true;
 }
 
+/**
+ * Schedules in which the second VM is absent for some seconds, the first one restarts meanwhile,
+ * and is then cut off from the store and the second VM, for 12 s; `alsoFails` fails during the
+ * restart. Calls `visit` until it returns false.
+ */
+template <typename Judge>
+bool forAllRestartsBesideAbsence(Fault absence, std::optional<Fault> alsoFails, Judge visit)
+{
+    constexpr int cutTicks = 120;
+    for (int down = firstToggle; down < firstToggle + 40; down += shortStep) {
+        for (int up = down + shortStep; up <= down + 20; up += shortStep) {
+            for (int cut = up; cut < up + 40; cut += shortStep) {
+                for (int back = up; back < cut + 60; back += shortStep) {
+                    std::vector<Toggle> schedule{
+                        {firstToggle, absence},
+                        {down, Fault::FirstDown},
+                        {up, Fault::FirstDown},
+                        {cut, Fault::PeersCut},
+                        {cut, Fault::StoreUnreachableFromFirst},
+                        {back, absence},
+                        {cut + cutTicks, Fault::PeersCut},
+                        {cut + cutTicks, Fault::StoreUnreachableFromFirst}};
+                    if (alsoFails) {
+                        schedule.push_back({down, alsoFails});
+                        schedule.push_back({cut + cutTicks, alsoFails});
+                    }
+                    if (!visit(schedule))
+                        return false;
+                }
+            }
+        }
+    }
+    return true;
+}
+
 bool hasOneHolder(const Outcome &outcome)
 {
     return outcome.shortestHandover >= LeaseTiming().handoverGap && outcome.wrongTokens == 0;
@@ -86,6 +124,15 @@
     });
 }
 
+bool keepsOneHolderInRestarts(Fault absence, std::optional<Fault> alsoFails,
+                              const Mutation &mutation)
+{
+    return forAllRestartsBesideAbsence(
+        absence, alsoFails, [&mutation](const std::vector<Toggle> &schedule) {
+            return hasOneHolder(play(schedule, ticks, LeaseTiming(), mutation));
+        });
+}
+
 int ticksActive(const std::vector<Toggle> &schedule, int until)
 {
     return play(schedule, until, LeaseTiming()).activeTicks;
@@ -135,6 +182,72 @@
     }));
 }
 
+// Guards against a lease that is extended without the say of a member that was not heard since the
+// own start: that one, back from its absence, is assigned the partition and commands as well.
+Test(leases, no_restart_beside_an_absent_vm_has_two_holders)
+{
+    for (const Fault absence : {Fault::SecondFrozen, Fault::SecondDown, Fault::SecondStopped}) {
+        cr_expect(keepsOneHolderInRestarts(absence, std::nullopt, Mutation{}));
+        cr_expect(keepsOneHolderInRestarts(absence, Fault::ListUnreadable, Mutation{}));
+    }
+}
+
+// Guards against a model that does not notice that unheard members have no say.
+Test(leases, the_model_finds_unheard_members_that_do_not_count)
+{
+    Mutation mutation;
+    mutation.ignoresUnheard = true;
+    for (const Fault absence : {Fault::SecondFrozen, Fault::SecondDown, Fault::SecondStopped})
+        cr_expect(!keepsOneHolderInRestarts(absence, std::nullopt, mutation));
+}
+
+// Guards against a model that does not notice a grant that comes before the list of VMs was read.
+Test(leases, the_model_finds_a_list_that_is_taken_for_empty)
+{
+    Mutation mutation;
+    mutation.assumesList = true;
+    cr_assert(!keepsOneHolderInRestarts(Fault::SecondFrozen, Fault::ListUnreadable, mutation));
+}
+
+// Guards against a member that left, and is back while this VM is cut off, but still has no say.
+Test(leases, a_leave_counts_only_until_the_vm_may_be_back)
+{
+    const std::vector<Toggle> schedule{{100, Fault::StoreUnreachableFromFirst},
+                                       {105, Fault::SecondStopped},
+                                       {106, Fault::PeersCut},
+                                       {111, Fault::SecondStopped},
+                                       {220, Fault::PeersCut},
+                                       {220, Fault::StoreUnreachableFromFirst}};
+    cr_expect(hasOneHolder(play(schedule, ticks, LeaseTiming())));
+    Mutation mutation;
+    mutation.trustsOldLeave = true;
+    cr_expect(!hasOneHolder(play(schedule, ticks, LeaseTiming(), mutation)));
+}
+
+// Guards against commands that stop beside a VM that restarts gracefully while the store is
+// unreachable for all.
+Test(leases, a_peer_that_restarts_in_an_outage_stops_no_commands)
+{
+    const std::vector<Toggle> schedule{{100, Fault::StoreUnreachableFromFirst},
+                                       {100, Fault::StoreUnreachableFromSecond},
+                                       {110, Fault::SecondStopped},
+                                       {130, Fault::SecondStopped}};
+    cr_assert_geq(ticksActive(schedule, 180), ticksActive({}, 180));
+}
+
+// Guards against a list without the VM that is gone for good: it no longer stops an extension.
+Test(leases, a_member_that_is_gone_has_no_say)
+{
+    const LeaseTiming timing;
+    ZoneMembers members;
+    members.others.push_back({modelStart, Instant{}, std::nullopt});
+    const Instant now = modelStart + timing.goneAfter;
+    cr_assert(extensionEnd({}, members, timing, now + 1ms) == Instant{}, "no list was read");
+    members.listRead = true;
+    cr_assert(extensionEnd({}, members, timing, now) == Instant{});
+    cr_assert(extensionEnd({}, members, timing, now + 1ms) > now);
+}
+
 // Guards against a model that does not notice a new holder that sends commands too early.
 Test(leases, the_model_finds_a_successor_that_does_not_wait)
 {
@@ -466,11 +579,13 @@
     grant.generation = {1, 9};
     grant.partitions = {1};
     renewLease(lease, grant, timing, modelStart, modelStart);
-    const PeerLeaseState earlier{modelStart, {1, 8}, true};
-    extendLease(lease, {earlier}, timing, modelStart);
+    ZoneMembers members;
+    members.listRead = true;
+    members.others.push_back({modelStart, modelStart, PeerLeaseState{modelStart, {1, 8}, true}});
+    extendLease(lease, members, timing, modelStart);
     cr_assert(lease.extendedUntil > modelStart);
-    const PeerLeaseState later{modelStart, {2, 3}, true};
-    extendLease(lease, {later}, timing, modelStart);
+    members.others.front().report->generation = {2, 3};
+    extendLease(lease, members, timing, modelStart);
     cr_assert(lease.extendedUntil == Instant{});
 }
 
