Leases: a new VM that hears a holder waits until that one has stopped

What callers saw: nothing at once; engines got commands of two VMs in turn (rule ONE).

Cause: a VM that starts for the first time while a holder is cut off waits until all listed VMs of its zone have reported, as the holder does not know it and goes on without it. The first report proves only that the holder knows it from then on: what it was entitled to before lasts for another second, and the 3 s between two holders follow. The new VM commanded at the very report, which comes when the cut heals; its 6 s were long over.

Change: newMemberActiveFrom() counts peerStateTtl and handoverGap from the first report of each member. Members that were first named after the VM had joined were started later, have it in their lists, and need to report only. Usually the first reports come 0.3 s after joining, so 4.3 s are over before the 6 s that follow a grant.

Evidence: leases/no_vm_that_starts_in_a_cut_commands_beside_the_holder failed before (gap 0 ms where the VM starts at the begin of the cut), passes now, and catches a new VM that never waits. In the model, what makes a VM known as an earlier holder are records of any partition now, as in the product. Not played on real processes.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -106,6 +106,7 @@
 {
     Instant triedAt{}; ///< time of the latest request
     Instant askedAt{}; ///< time of the latest request that was answered; zero: none
+    Instant firstAnswerAt{}; ///< when the first answer arrived; zero: none
     PeerLeaseState confirmation;
 
     auto operator<=>(const PeerLeaseConfirmation &) const = default;
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -62,19 +62,20 @@
         ZoneMember member{peer.knownSince, peer.lastMessageAt, std::nullopt};
         if (peer.leaseConfirmation.askedAt != Instant{})
             member.report = peer.leaseConfirmation.confirmation;
+        member.firstReportAt = peer.leaseConfirmation.firstAnswerAt;
         members.others.push_back(std::move(member));
     }
     return members;
 }
 
-bool mayBeUnknown(const GatewayNode &node, Instant now)
+bool waitsAsNewMember(const GatewayNode &node, Instant now)
 {
     // An earlier boot of this VM was a lease holder, so the others know it and still ask it at its
     // address. They forget a VM only after it has been down for `goneAfter`.
-    if (node.heldBefore)
+    const LeaseTiming &timing = node.settings.lease;
+    if (node.heldBefore || now - node.joinedLeaseGroupAt >= timing.newMemberWait)
         return false;
-    return mayBeUnknownToHolder(membersOfZone(node), node.joinedLeaseGroupAt, node.settings.lease,
-                                now);
+    return now < newMemberActiveFrom(membersOfZone(node), node.joinedLeaseGroupAt, timing);
 }
 
 } // namespace
@@ -92,7 +93,7 @@
     const auto held = node.heldEngines.find(target);
     if (held != node.heldEngines.end() && held->second->unreachable)
         return false;
-    if (mayBeUnknown(node, BootClock::now()))
+    if (waitsAsNewMember(node, BootClock::now()))
         return false;
     const int partition = leasePartitionOf(node, target);
     return mayCommand(node.lease, partition, BootClock::now());
@@ -357,6 +358,8 @@
     peer.lastMessageAt = BootClock::now();
     peer.leftLeaseGroup = confirmation->left();
     // It is valid from the time of the request, as the answer may have been in transit for long.
+    if (peer.leaseConfirmation.askedAt == Instant{})
+        peer.leaseConfirmation.firstAnswerAt = peer.lastMessageAt;
     peer.leaseConfirmation.askedAt = requestedAt;
     peer.leaseConfirmation.confirmation = {requestedAt, toGeneration(confirmation->generation()),
                                            !confirmation->may_hold(), confirmation->left()};
--- a/libs/serving/include/serving/LeaseTiming.h
+++ b/libs/serving/include/serving/LeaseTiming.h
@@ -17,8 +17,8 @@
     /** A VM that was silent for this long is taken as gone; tolerated outages last 12 s at most. */
     Duration goneAfter = std::chrono::seconds(40);
     /**
-     * A VM that the holders may not know waits this long for the confirmations of all VMs: until a
-     * holder that goes on without it, in a tolerated outage, has stopped.
+     * A VM that the holders may not know waits this long for the reports of all VMs: until a holder
+     * that goes on without it, in a tolerated outage, has stopped.
      */
     Duration newMemberWait = std::chrono::seconds(15);
 
--- a/libs/serving/include/serving/ZoneMembers.h
+++ b/libs/serving/include/serving/ZoneMembers.h
@@ -27,6 +27,7 @@
     Instant knownSince{}; ///< when the store's list, or a message, first named it
     Instant lastMessageAt{}; ///< zero: none yet
     std::optional<PeerLeaseState> report; ///< its last one; nullopt: none yet
+    Instant firstReportAt{}; ///< since then it knows this VM
 
     auto operator<=>(const ZoneMember &) const = default;
 };
@@ -51,10 +52,10 @@
                      const LeaseTiming &timing, Instant now) noexcept;
 
 /**
- * True if a VM that was never a holder before, and joined the lease group at `joinedAt`, may be
- * unknown to a holder that cannot reach the store.
+ * From when a VM that was never a holder before, and joined the lease group at `joinedAt`, may send
+ * commands: not beside a holder that cannot reach the store and does not know this VM.
  */
-bool mayBeUnknownToHolder(const ZoneMembers &members, Instant joinedAt, const LeaseTiming &timing,
-                          Instant now) noexcept;
+Instant newMemberActiveFrom(const ZoneMembers &members, Instant joinedAt,
+                            const LeaseTiming &timing) noexcept;
 
 } // namespace monsoonbay
--- a/libs/serving/src/ZoneMembers.cpp
+++ b/libs/serving/src/ZoneMembers.cpp
@@ -47,14 +47,22 @@
 }
 
 // A holder that cannot reach the store goes on by the reports of the members that it knows. It
-// would not ask a VM that it does not know; a VM that was asked for its report knows this one.
-bool mayBeUnknownToHolder(const ZoneMembers &members, Instant joinedAt, const LeaseTiming &timing,
-                          Instant now) noexcept
+// would not ask a VM that it does not know; a VM that was asked for its report knows this one. What
+// it was entitled to before that lasts for `peerStateTtl`, and the gap between two holders follows.
+// A member that was first named after this VM had joined was started later, and has this VM in its
+// list.
+Instant newMemberActiveFrom(const ZoneMembers &members, Instant joinedAt,
+                            const LeaseTiming &timing) noexcept
 {
-    if (now - joinedAt >= timing.newMemberWait)
-        return false;
-    return std::any_of(members.others.begin(), members.others.end(),
-                       [](const ZoneMember &member) { return !member.report; });
+    const Instant latest = joinedAt + timing.newMemberWait;
+    Instant from{};
+    for (const ZoneMember &member : members.others) {
+        if (!member.report)
+            return latest;
+        if (member.knownSince <= joinedAt)
+            from = std::max(from, member.firstReportAt + timing.peerStateTtl + timing.handoverGap);
+    }
+    return std::min(from, latest);
 }
 
 } // namespace monsoonbay
--- a/libs/serving/tests/LeaseModel.cpp
+++ b/libs/serving/tests/LeaseModel.cpp
@@ -131,6 +131,7 @@
         && (vm.readEnd == records.logEnd || simulation.mutation.recordsBlindly)) {
         ++records.logEnd;
         records.byPartition[0] = {nameOf(index), vm.claimedIn};
+        simulation.store.recorded[static_cast<std::size_t>(index)] = true;
         if (!simulation.is(Fault::AnswersLost))
             confirmClaims(vm.lease, vm.claims, eraOf(simulation), now);
     }
@@ -141,9 +142,8 @@
     vm.addAt = tick + recordTicks;
     vm.claimedIn = vm.lease.generation;
     const HolderRecords answered = recordsAnswered(simulation);
-    const auto last = answered.byPartition.find(0);
     if (!vm.recordsRead)
-        vm.heldBefore = last != answered.byPartition.end() && last->second.vm == nameOf(index);
+        vm.heldBefore = simulation.store.recorded[static_cast<std::size_t>(index)];
     vm.recordsRead = true;
     vm.claims = claimsToRecord(vm.lease, answered, nameOf(index), simulation.timing, now);
 }
@@ -217,8 +217,11 @@
     ModelVm &other = simulation.vms[static_cast<std::size_t>(1 - index)];
     for (const PartitionRelease &release : vm.lease.releases)
         applyRelease(other.lease, release, simulation.timing);
+    peerOf(simulation.vms[static_cast<std::size_t>(index)], now); // that asked for the report
     ZoneMember &member = peerOf(other, now);
     member.lastMessageAt = now;
+    if (!member.report)
+        member.firstReportAt = now;
     // A VM that has just started is not a member yet.
     const bool mayHold = vm.joinedAt != Instant{} && !vm.renewalFailing && !vm.left;
     PeerLeaseState report{now, vm.lease.generation, !mayHold, vm.left};
@@ -240,8 +243,8 @@
 {
     const ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
     const ZoneMembers members = membersOf(simulation, vm);
-    const bool waits =
-        !vm.heldBefore && mayBeUnknownToHolder(members, vm.joinedAt, simulation.timing, now);
+    const bool waits = !vm.heldBefore && !simulation.mutation.newMemberNeverWaits
+        && now < newMemberActiveFrom(members, vm.joinedAt, simulation.timing);
     return !simulation.isUnlinked(index) && !waits && mayCommand(vm.lease, 0, now);
 }
 
--- a/libs/serving/tests/LeaseModel.h
+++ b/libs/serving/tests/LeaseModel.h
@@ -58,6 +58,7 @@
     bool countsOldWait = false; ///< time waited in an earlier era counts in this one
     bool ignoresUnheard = false; ///< a member that was not heard yet has no say in an extension
     bool assumesList = false; ///< a list of VMs that was not read yet counts as an empty one
+    bool newMemberNeverWaits = false; ///< a VM that the holder may not know waits like any other
     bool trustsOldLeave = false; ///< a member that left has no say, also once it is back
 };
 
@@ -68,6 +69,7 @@
     int owner = -1;
     std::array<Instant, vmCount> joinedAt{};
     std::array<bool, vmCount> listed{}; ///< in the list of VMs
+    std::array<bool, vmCount> recorded{}; ///< of some partition, played or not, a record names it
     HolderRecords records;
 
     void expire(Instant now, Duration ttl);
--- a/libs/serving/tests/Leases.cpp
+++ b/libs/serving/tests/Leases.cpp
@@ -112,6 +112,28 @@
     return true;
 }
 
+/**
+ * Schedules in which the second VM starts for the first time while the first one is cut off, for 12
+ * s. Calls `visit` until it returns false.
+ */
+template <typename Judge> bool forAllNewVmsInCuts(Judge visit)
+{
+    constexpr int cutTicks = 120;
+    for (int cut = firstToggle; cut < firstToggle + 20; cut += shortStep) {
+        for (int up = cut - 20; up < cut + 60; up += shortStep) {
+            const std::vector<Toggle> schedule{{0, Fault::SecondDown},
+                                               {up, Fault::SecondDown},
+                                               {cut, Fault::PeersCut},
+                                               {cut, Fault::StoreUnreachableFromFirst},
+                                               {cut + cutTicks, Fault::PeersCut},
+                                               {cut + cutTicks, Fault::StoreUnreachableFromFirst}};
+            if (!visit(schedule))
+                return false;
+        }
+    }
+    return true;
+}
+
 bool hasOneHolder(const Outcome &outcome)
 {
     return outcome.shortestHandover >= LeaseTiming().handoverGap && outcome.wrongTokens == 0;
@@ -209,15 +231,43 @@
     cr_assert(!keepsOneHolderInRestarts(Fault::SecondFrozen, Fault::ListUnreadable, mutation));
 }
 
+// Guards against a VM that commands beside a holder that does not know it: it starts for the first
+// time while the holder is cut off, and hears it once the cut is over.
+Test(leases, no_vm_that_starts_in_a_cut_commands_beside_the_holder)
+{
+    const auto keepsOneHolder = [](const Mutation &mutation) {
+        return forAllNewVmsInCuts([&mutation](const std::vector<Toggle> &schedule) {
+            return hasOneHolder(play(schedule, ticks, LeaseTiming(), mutation));
+        });
+    };
+    cr_assert(keepsOneHolder({}));
+    Mutation newMemberNeverWaits;
+    newMemberNeverWaits.newMemberNeverWaits = true;
+    cr_assert(!keepsOneHolder(newMemberNeverWaits));
+}
+
+// Guards against a VM that waits for one that was started after it, and knows it by the list.
+Test(leases, a_new_vm_waits_for_none_that_started_later)
+{
+    const LeaseTiming timing;
+    ZoneMembers members;
+    const Instant later = modelStart + 1s;
+    members.others.push_back({later, later, PeerLeaseState{later, {}, true}, later});
+    cr_assert(newMemberActiveFrom(members, modelStart, timing) <= modelStart);
+    members.others.front().report.reset();
+    cr_assert(newMemberActiveFrom(members, modelStart, timing)
+              == modelStart + timing.newMemberWait);
+}
+
 // Guards against a member that left, and is back while this VM is cut off, but still has no say.
 Test(leases, a_leave_counts_only_until_the_vm_may_be_back)
 {
-    const std::vector<Toggle> schedule{{100, Fault::StoreUnreachableFromFirst},
-                                       {105, Fault::SecondStopped},
-                                       {106, Fault::PeersCut},
-                                       {111, Fault::SecondStopped},
-                                       {220, Fault::PeersCut},
-                                       {220, Fault::StoreUnreachableFromFirst}};
+    const std::vector<Toggle> schedule{{80, {}, StoreEvent::Reassign},
+                                       {140, {}, StoreEvent::Reassign},
+                                       {190, Fault::StoreUnreachableFromFirst},
+                                       {195, Fault::SecondStopped},
+                                       {196, Fault::PeersCut},
+                                       {201, Fault::SecondStopped}};
     cr_expect(hasOneHolder(play(schedule, ticks, LeaseTiming())));
     Mutation mutation;
     mutation.trustsOldLeave = true;
