Targets: calls without an id share no connection

What callers saw (in a test): of two calls without an id on one connection, the second was answered 503, which promises that it has not run, and it had run.

Cause: a call without an id was not recorded as carried, so two attempts of it, or two such calls, could share a connection, where nothing tells a late answer to the first from the answer to the second.

Change: a call without an id takes a new connection, which is closed after it. Callers send an id with each attempt, so this costs connections only where one does not.

Evidence: calls/calls_without_an_id_share_no_connection failed before and passes.

--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -97,7 +97,7 @@
     if (!this->link)
         return;
     const bool reusable = this->complete && !this->unusable && *this->written
-        && this->parser->keep_alive() && this->link->buffer.size() == 0
+        && !this->attemptId.empty() && this->parser->keep_alive() && this->link->buffer.size() == 0
         && this->link->socket.is_open();
     if (!reusable) {
         closeConnection(*this->link);
@@ -160,7 +160,9 @@
 
 asio::awaitable<bool> TargetExchange::connect()
 {
-    this->link = acquireIdle(this->pool(), this->attemptId, BootClock::now());
+    // Without an id, no answer could be told from a late one to an earlier call.
+    if (!this->attemptId.empty())
+        this->link = acquireIdle(this->pool(), this->attemptId, BootClock::now());
     if (!this->link) {
         ConnectResult result =
             co_await connectTo(this->node.context, this->endpoint, connectTimeout);
--- a/libs/gateway/src/TargetPool.cpp
+++ b/libs/gateway/src/TargetPool.cpp
@@ -81,9 +81,7 @@
 
 void recordCarried(TargetConnection &connection, const std::string &callId)
 {
-    // Calls without an id are not told apart.
-    if (!callId.empty())
-        connection.carried.push_back(stableHash(callId));
+    connection.carried.push_back(stableHash(callId));
 }
 
 void giveBack(TargetPool &pool, TargetConnectionPtr connection, Duration keepAlive, Instant now)
