Calls: a model's name has to be UTF-8

Cause: writing the order as JSON threw, with the order counted as under way for good.

Change: a call to a service with engines whose model name is not UTF-8 is answered 400 "the model's name is malformed", before its quota is charged. Writing an order throws for no name: the engine refuses what it does not know. On other services the header is passed on unchanged, as before.

--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -332,18 +332,27 @@
         call.deadline = std::min(call.deadline, received + *call.metadata.timeLeft);
 }
 
+bool hasEngines(const ActiveCall &call)
+{
+    const ServiceSpec *service = call.routes->findService(call.service);
+    return service != nullptr && service->engine.has_value();
+}
+
 asio::awaitable<std::optional<LocalReply>> acceptFromCaller(ActiveCall &call)
 {
     GatewayNode &node = call.node;
     std::optional<LocalReply> refused = co_await authenticateCaller(call);
-    if (refused)
+    if (refused) {
         node.metrics.add(Counter::KeysRefused);
-    if (!refused)
-        refused = chargeQuota(call);
-    if (refused)
         co_return refused;
+    }
     const double draw = std::uniform_real_distribution<double>(0, 1)(node.random);
     call.service = pickService(*call.route, draw);
+    if (call.metadata.modelMalformed && hasEngines(call))
+        co_return makeLocalReply(400, "the model's name is malformed", Duration::zero());
+    refused = chargeQuota(call);
+    if (refused)
+        co_return refused;
     recordAcceptedCall(call);
     node.metrics.add(Counter::RequestsReceived);
     co_return std::nullopt;
