Calls: a model's name has no empty part

Cause: the part behind the slash is the adapter of an order, and an order without an adapter is one of the base model.

--- a/libs/serving/include/serving/CallMetadata.h
+++ b/libs/serving/include/serving/CallMetadata.h
@@ -25,7 +25,7 @@
     std::optional<Duration> timeLeft; ///< how long the caller will wait
     std::string model;
     std::string adapter; ///< key; empty: the base model alone
-    bool modelMalformed = false; ///< the given name is not UTF-8
+    bool modelMalformed = false; ///< not UTF-8, or a slash without a name
     std::string callerKey; ///< the caller's API key, a secret; empty: none, or more than one
     /** Tokens of the prompt and the longest output together; nullopt: not given. */
     std::optional<std::int64_t> tokens;
