--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -63,7 +63,7 @@
         if (peer.leaseConfirmation.askedAt != Instant{})
             member.report = peer.leaseConfirmation.confirmation;
         member.firstReportAt = peer.leaseConfirmation.firstAnswerAt;
-        members.others.push_back(std::move(member));
+        members.others.push_back(member);
     }
     return members;
 }
