Leases, targets: no state kept twice, a predicate without side effects

Cause: read again as a newcomer. PeerLeaseConfirmation held the time of the request beside a report that bears it; isUnclearRefusal() also closed the connection, which the loop's own end does; a constant was left over from a dropped idea, another stood twice; some comments needed a second reading.

Change: the confirmation is an optional report, which goes into a ZoneMember as it is. No behaviour, bound or assertion is changed.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -105,9 +105,8 @@
 struct PeerLeaseConfirmation
 {
     Instant triedAt{}; ///< time of the latest request
-    Instant askedAt{}; ///< time of the latest request that was answered; zero: none
     Instant firstAnswerAt{}; ///< when the first answer arrived; zero: none
-    PeerLeaseState confirmation;
+    std::optional<PeerLeaseState> report; ///< the latest answer, as of its request
 
     auto operator<=>(const PeerLeaseConfirmation &) const = default;
 };
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -59,20 +59,18 @@
     for (const auto &[endpoint, peer] : node.peers) {
         if (peer.zone != node.settings.zone)
             continue;
-        ZoneMember member{peer.knownSince, peer.lastMessageAt, std::nullopt};
-        if (peer.leaseConfirmation.askedAt != Instant{})
-            member.report = peer.leaseConfirmation.confirmation;
-        member.firstReportAt = peer.leaseConfirmation.firstAnswerAt;
-        members.others.push_back(member);
+        const PeerLeaseConfirmation &answers = peer.leaseConfirmation;
+        members.others.push_back(
+            {peer.knownSince, peer.lastMessageAt, answers.report, answers.firstAnswerAt});
     }
     return members;
 }
 
 bool waitsAsNewMember(const GatewayNode &node, Instant now)
 {
+    const LeaseTiming &timing = node.settings.lease;
     // An earlier boot of this VM was a lease holder, so the others know it and still ask it at its
     // address. They forget a VM only after it has been down for `goneAfter`.
-    const LeaseTiming &timing = node.settings.lease;
     if (node.heldBefore || now - node.joinedLeaseGroupAt >= timing.newMemberWait)
         return false;
     return now < newMemberActiveFrom(membersOfZone(node), node.joinedLeaseGroupAt, timing);
@@ -357,20 +355,19 @@
     PeerState &peer = found->second;
     peer.lastMessageAt = BootClock::now();
     peer.leftLeaseGroup = confirmation->left();
+    PeerLeaseConfirmation &answers = peer.leaseConfirmation;
+    if (!answers.report)
+        answers.firstAnswerAt = peer.lastMessageAt;
     // It is valid from the time of the request, as the answer may have been in transit for long.
-    if (peer.leaseConfirmation.askedAt == Instant{})
-        peer.leaseConfirmation.firstAnswerAt = peer.lastMessageAt;
-    peer.leaseConfirmation.askedAt = requestedAt;
-    peer.leaseConfirmation.confirmation = {requestedAt, toGeneration(confirmation->generation()),
-                                           !confirmation->may_hold(), confirmation->left()};
+    answers.report = {requestedAt, toGeneration(confirmation->generation()),
+                      !confirmation->may_hold(), confirmation->left()};
 }
 
 Duration confirmationSpacing(const GatewayNode &node, const PeerState &peer)
 {
     if (node.renewalFailing)
         return confirmationInterval;
-    return peer.leaseConfirmation.askedAt == Instant{} ? firstConfirmationInterval
-                                                       : livenessInterval;
+    return peer.leaseConfirmation.report ? livenessInterval : firstConfirmationInterval;
 }
 
 } // namespace
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -242,8 +242,8 @@
             co_return false;
         const bool isOwn = this->answerMetadata.attemptId.empty()
             || this->answerMetadata.attemptId == this->attemptId;
-        if (isOwn && this->provesNothing())
-            co_return false;
+        if (isOwn && this->isUnclearRefusal())
+            break;
         if (isOwn)
             co_return true;
         // A second answer to an earlier call on this connection: no call waits for it.
@@ -258,12 +258,10 @@
 // A refusal that names no call may be a late second answer to an earlier one on this connection, as
 // targets echo the ids of calls. Were it taken as own, a call that runs would be sent again, or its
 // caller told that it has not run.
-bool TargetExchange::provesNothing()
+bool TargetExchange::isUnclearRefusal() const
 {
-    const bool isUnclear = this->answerMetadata.notRun && this->answerMetadata.attemptId.empty()
+    return this->answerMetadata.notRun && this->answerMetadata.attemptId.empty()
         && this->link->carried.size() > 1;
-    this->unusable = this->unusable || isUnclear;
-    return isUnclear;
 }
 
 bool TargetExchange::isInterim() const
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -93,8 +93,8 @@
     asio::awaitable<bool> readHead();
     asio::awaitable<bool> readFinalHead();
     bool isInterim() const;
-    /** True for a refusal that may answer another call; the connection is then not used again. */
-    bool provesNothing();
+    /** True for a refusal that may answer an earlier call on the connection. */
+    bool isUnclearRefusal() const;
     void beginAwaiting();
     void recordHeard();
     asio::awaitable<bool> readMatchingHead();
--- a/libs/serving/include/serving/ZoneMembers.h
+++ b/libs/serving/include/serving/ZoneMembers.h
@@ -21,7 +21,7 @@
     auto operator<=>(const PeerLeaseState &) const = default;
 };
 
-/** A VM that may be assigned partitions of this zone, whether or not it was ever heard. */
+/** A VM that may be assigned partitions of this zone, whether or not it ever sent a message. */
 struct ZoneMember
 {
     Instant knownSince{}; ///< when the store's list, or a message, first named it
--- a/libs/serving/src/ZoneMembers.cpp
+++ b/libs/serving/src/ZoneMembers.cpp
@@ -27,9 +27,9 @@
 }
 
 // A member that is silent may be a holder: it may reach the store while this VM does not. That is
-// so, too, for one that this VM has not heard since its own start. When such members did not count,
-// a VM that was restarted beside a frozen one and then cut off extended its lease without end, and
-// the other one, awake again, was assigned its partitions.
+// so, too, for one from which nothing came since this VM's own start. When such members did not
+// count, a VM that was restarted beside a frozen one and then cut off extended its lease without
+// end, and the other one, awake again, was assigned its partitions.
 Instant extensionEnd(const LeaseGeneration &held, const ZoneMembers &members,
                      const LeaseTiming &timing, Instant now) noexcept
 {
--- a/libs/serving/tests/LeaseModel.cpp
+++ b/libs/serving/tests/LeaseModel.cpp
@@ -63,7 +63,7 @@
 
 void reportToPeer(Simulation &simulation, int index, Instant now);
 
-/** The VM drops its lease, tells that to the store and the other VM, and ends. */
+/** The VM drops its lease, leaves the lease group, reports that to the other VM, and ends. */
 void stop(Simulation &simulation, int index, Instant now)
 {
     ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
--- a/libs/serving/tests/Leases.cpp
+++ b/libs/serving/tests/Leases.cpp
@@ -26,10 +26,10 @@
     return toggle;
 }
 
-constexpr int allFaults = static_cast<int>(Fault::Count);
-constexpr int kinds = allFaults + static_cast<int>(StoreEvent::Count);
+constexpr int kinds = static_cast<int>(Fault::Count) + static_cast<int>(StoreEvent::Count);
 /** Half a second: between toggles of the schedules of one order of events. */
 constexpr int shortStep = 5;
+constexpr int cutTicks = 120; ///< the longest cut that has to be tolerated: 12 s
 constexpr int toggleSeconds = (lastToggle - firstToggle) / step;
 
 /** All schedules of up to three toggles at whole seconds; calls `judge` until it returns false. */
@@ -85,7 +85,6 @@
 template <typename Judge>
 bool forAllRestartsBesideAbsence(Fault absence, std::optional<Fault> alsoFails, Judge visit)
 {
-    constexpr int cutTicks = 120;
     for (int down = firstToggle; down < firstToggle + 40; down += shortStep) {
         for (int up = down + shortStep; up <= down + 20; up += shortStep) {
             for (int cut = up; cut < up + 40; cut += shortStep) {
@@ -118,7 +117,6 @@
  */
 template <typename Judge> bool forAllNewVmsInCuts(Judge visit)
 {
-    constexpr int cutTicks = 120;
     for (int cut = firstToggle; cut < firstToggle + 20; cut += shortStep) {
         for (int up = cut - 20; up < cut + 60; up += shortStep) {
             const std::vector<Toggle> schedule{{0, Fault::SecondDown},
@@ -204,8 +202,9 @@
     }));
 }
 
-// Guards against a lease that is extended without the say of a member that was not heard since the
-// own start: that one, back from its absence, is assigned the partition and commands as well.
+// Guards against a lease that is extended without the report of a member that has sent nothing
+// since this VM's start: that one, back from its absence, is assigned the partition and commands as
+// well.
 Test(leases, no_restart_beside_an_absent_vm_has_two_holders)
 {
     for (const Fault absence : {Fault::SecondFrozen, Fault::SecondDown, Fault::SecondStopped}) {
@@ -232,7 +231,7 @@
 }
 
 // Guards against a VM that commands beside a holder that does not know it: it starts for the first
-// time while the holder is cut off, and hears it once the cut is over.
+// time while the holder is cut off, and gets its first report once the cut is over.
 Test(leases, no_vm_that_starts_in_a_cut_commands_beside_the_holder)
 {
     const auto keepsOneHolder = [](const Mutation &mutation) {
