Retries: a first start has to be shown by the store's records, not only claimed

Cause: firstStart in the settings gave a VM its share of the slack from its first moment. VMs that are started again with the settings they had are told so at each start, and each kill of all of them gave the slack anew. A claim that is handed in was taken for an observation.

Change: a start is the first one only if the settings say so and the records of VMs, which each VM reads at its start, show no earlier boot. Until they were read, the slack waits as after any other start. first-start-denied (E1006) names settings that claim too much.

--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -73,6 +73,9 @@
     std::function<void(PlatformVm)> peer; ///< another VM of the system
     /** Usage snapshots; called before the first `peersRead` unless one cannot be read. */
     std::function<void(std::vector<UsageSnapshot>)> usageSnapshots;
+    /** The first read of the VMs' records: they show boots before those of a first start, or none.
+     * Called before `usageSnapshots`. */
+    std::function<void(bool seen)> earlierBoots;
     std::function<void()> peersRead; ///< `peer` was called for all VMs in the store's list
     /** True while this VM should read the configuration and the target list. */
     std::function<bool()> isReading;
--- a/libs/gateway/src/CallRetries.cpp
+++ b/libs/gateway/src/CallRetries.cpp
@@ -1,5 +1,6 @@
 #include "CallRetries.h"
 
+#include "FirstStart.h"
 #include "FleetCount.h"
 #include "observe/Events.h"
 
@@ -19,7 +20,7 @@
     if (knowsFleetSize(node, now))
         sharing.vms = knownVms(node, now);
     sharing.rank = rankAmongVms(node);
-    if (!node.settings.firstStart)
+    if (!isFirstStart(node))
         sharing.from = slackAvailableFrom(node.settings.retries, node.bootedAt);
     return sharing;
 }
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "EngineCommands.h"
+#include "FirstStart.h"
 #include "HarmfulCallTracking.h"
 #include "LostCalls.h"
 #include "PeerExchange.h"
@@ -247,6 +248,9 @@
     sink.usageSnapshots = [&node](std::vector<UsageSnapshot> snapshots) {
         applyStoredSnapshots(node, std::move(snapshots));
     };
+    sink.earlierBoots = [&node](bool seen) {
+        recordEarlierBoots(node, seen);
+    };
     sink.peersRead = [&node] {
         node.vmListRead = true;
     };
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -57,6 +57,13 @@
 
 namespace monsoonbay {
 
+/** Whether the store's records of VMs show boots before those of the system's first start. */
+enum class EarlierBoots : std::uint8_t {
+    Unknown, ///< they were not read yet
+    None,
+    Seen,
+};
+
 /** A call whose answer ended early because the connection was lost. */
 struct LostCall
 {
@@ -360,6 +367,7 @@
     bool relaying = false; ///< this VM reads the store for its zone
     bool vmListRead = false; ///< the store's list of VMs was read
     std::int64_t bootCount = 0; ///< boots of this VM, by the store; 0: not known yet
+    EarlierBoots earlierBoots = EarlierBoots::Unknown;
     int recentVms = 1; ///< highest recent number of VMs
     Instant recentVmsAt{};
     GatewayPeers peerLinks;
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -15,6 +15,7 @@
     NotReady = 1003,
     SettingsRefused = 1004,
     PortTaken = 1005,
+    FirstStartDenied = 1006,
     ShutdownBegun = 1010,
     ShutdownDone = 1011,
     ShutdownCut = 1012,
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -35,6 +35,10 @@
              "30 s at the most",
              "none if the process before this one is still ending; otherwise end the one that "
              "listens at the address, or correct the settings"},
+    EventRow{EventId::FirstStartDenied, "first-start-denied", EventLevel::Warning,
+             "the settings say that the whole system starts for the first time, but the store has "
+             "records of earlier boots; the VM starts as after any other end",
+             "set firstStart to false once the system has started"},
     EventRow{EventId::ShutdownBegun, "shutdown-begun", EventLevel::Info,
              "no new requests are accepted; those in flight are finished", "none"},
     EventRow{EventId::ShutdownDone, "shutdown-done", EventLevel::Info,
