Workspaces: what was used before a start counts unless the records show the first start

Callers saw: nothing at once; a workspace may get more than its limit after a restart of VMs that keep their settings (LIMIT, by reading and a unit test, not reported).

Class: a claim that is handed in, taken for an observation.

Change: usage before the start is left out only in a start that the store's records show to be the first; a VM whose records say so, too, is counted among those that report usage at once.

Evidence: the new test workspaces/a_vm_that_is_told_of_a_first_start_counts_what_was_used_if_it_is_not fails with the setting alone (0 units counted) and passes now; 98 tests of the gateway pass. The fixture's VMs are shown to start for the first time, as they were told before. Not measured with real processes: the soak has no workspaces with limits.

--- a/libs/gateway/src/FleetCount.cpp
+++ b/libs/gateway/src/FleetCount.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "FirstStart.h"
 #include "ZonePeers.h"
 
 namespace monsoonbay {
@@ -65,7 +66,7 @@
 // Usage is reported by workspace, so a configuration is needed as well.
 bool reportsUsage(const GatewayNode &node, Instant now)
 {
-    if (node.settings.firstStart)
+    if (isFirstStart(node))
         return true;
     return knowsFleetSize(node, now) && node.routes->config().version > 0;
 }
--- a/libs/gateway/src/UsageSnapshots.cpp
+++ b/libs/gateway/src/UsageSnapshots.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "ClassDemandCodec.h"
+#include "FirstStart.h"
 #include "FleetCount.h"
 #include "WorkspaceQuota.h"
 #include "observe/Events.h"
@@ -57,7 +58,7 @@
     if (own != node.spending.end())
         units = unitsByAge(own->second, policy, now);
     const Workspace *limited = node.routes->findWorkspace(workspace);
-    if (limited != nullptr && !node.settings.firstStart && knowsFleetSize(node, now))
+    if (limited != nullptr && !isFirstStart(node) && knowsFleetSize(node, now))
         addAssumedUnits(units, workspace, limited->limit, policy, node.usageSnapshots.atStart,
                         knownVms(node, now), node.bootedAt, now);
     if (scope == UnitsOf::ThisVm)
@@ -151,7 +152,7 @@
 void applyStoredSnapshots(GatewayNode &node, std::vector<UsageSnapshot> snapshots)
 {
     const Instant now = BootClock::now();
-    if (node.usageSnapshots.atStart.wereRead || node.settings.firstStart)
+    if (node.usageSnapshots.atStart.wereRead || isFirstStart(node))
         return;
     node.usageSnapshots.atStart = {true, now, std::move(snapshots)};
     if (!node.usageSnapshots.atStart.zones.empty())
@@ -222,7 +223,7 @@
 // their usage counts.
 void applyReceivedSnapshots(GatewayNode &node, const v1::SpendNews &updates)
 {
-    if (updates.notes_read_ago_ms() == 0 || node.settings.firstStart)
+    if (updates.notes_read_ago_ms() == 0 || isFirstStart(node))
         return;
     const Instant now = BootClock::now();
     StartupSnapshots received;
--- a/libs/gateway/src/WorkspaceQuota.cpp
+++ b/libs/gateway/src/WorkspaceQuota.cpp
@@ -1,5 +1,6 @@
 #include "WorkspaceQuota.h"
 
+#include "FirstStart.h"
 #include "FleetCount.h"
 #include "RelayLoops.h"
 #include "UsageSnapshots.h"
@@ -32,7 +33,7 @@
     if (found != node.spending.end())
         workspaceUsage = usageOf(found->second, policy, now);
     const Duration up = now - node.bootedAt;
-    if (node.settings.firstStart || up >= 2 * policy.window || !knowsFleetSize(node, now))
+    if (isFirstStart(node) || up >= 2 * policy.window || !knowsFleetSize(node, now))
         return workspaceUsage;
     const int known = knownVms(node, now);
     if (keepsUsageSnapshots(node))
--- a/libs/gateway/tests/Workspaces.cpp
+++ b/libs/gateway/tests/Workspaces.cpp
@@ -49,6 +49,7 @@
     {
         this->node.routes = routesOf(7);
         this->node.vmListRead = true;
+        this->node.earlierBoots = EarlierBoots::None;
         this->call.workspace = "ferry";
         this->call.key = digestOfKey("key-1");
         this->call.metadata.tokens = tokens;
@@ -143,6 +144,18 @@
     cr_assert_leq(served.used(), 10 * 1000 / 70);
 }
 
+// Guards against a limit that is exceeded after a restart of VMs that are told at each start that
+// it is the system's first: they counted nothing as used before it.
+Test(workspaces, a_vm_that_is_told_of_a_first_start_counts_what_was_used_if_it_is_not)
+{
+    ServedCall served(600);
+    cr_assert_eq(served.used(), 0);
+    served.node.earlierBoots = EarlierBoots::Seen;
+    cr_assert_gt(served.used(), 0);
+    served.node.earlierBoots = EarlierBoots::Unknown;
+    cr_assert_gt(served.used(), 0, "not shown yet");
+}
+
 // Guards against a limit that is exceeded after a common restart: VMs that could not report their
 // usage yet were counted as having used nothing, and the others admitted their parts as well.
 Test(workspaces, a_vm_that_cannot_report_its_usage_yet_is_not_counted)
@@ -165,6 +178,8 @@
 {
     GatewayNode one(settingsOf("vm-1", "10.0.0.1"));
     GatewayNode two(settingsOf("vm-2", "10.0.0.2"));
+    one.earlierBoots = EarlierBoots::None;
+    two.earlierBoots = EarlierBoots::None;
     addPeer(one, two.settings.peers, {"vm-2", "zone-a", 1});
     addPeer(two, one.settings.peers, {"vm-1", "zone-a", 1});
     for (int exchange = 0; exchange < 10; ++exchange) {
