Streams: a resume on the only version seen needs a first start that the records show

Class: a claim that is handed in, taken for an observation.

Change: only a start that the store's records show to be the first proves that no stream was before it. If the first configuration comes before the records were read, its routes count from the first start once these show it.

Evidence: resumed_streams/a_start_that_is_not_the_first_proves_no_origin_whatever_it_is_told fails with the setting alone and passes now; 98 tests of the gateway pass.

--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -250,6 +250,8 @@
     };
     sink.earlierBoots = [&node](bool seen) {
         recordEarlierBoots(node, seen);
+        if (isFirstStart(node))
+            watchFirstRoutes(node);
     };
     sink.peersRead = [&node] {
         node.vmListRead = true;
--- a/libs/gateway/src/ResumeState.h
+++ b/libs/gateway/src/ResumeState.h
@@ -36,6 +36,7 @@
     std::set<std::string> ambiguousServices; ///< services whose streams are reported to other VMs
     ListWatch watch; ///< of the list that names the versions
     RouteWatch routes;
+    Instant firstConfigAt{}; ///< when the first configuration of this boot came into force
     Duration longestTimeout{}; ///< longest wait that the caller of a stream has named
     Signal due;
 };
--- a/libs/gateway/src/StreamResuming.cpp
+++ b/libs/gateway/src/StreamResuming.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 
+#include "FirstStart.h"
 #include "TargetRestarts.h"
 #include "observe/Events.h"
 
@@ -107,7 +108,7 @@
 {
     const ListWatch &watch = node.resuming.watch;
     // Before the system's first start there were no streams.
-    const bool sinceFirstStart = node.settings.firstStart && !watch.interrupted
+    const bool sinceFirstStart = isFirstStart(node) && !watch.interrupted
         && watch.since != Instant{} && watch.since - node.bootedAt < firstListTime;
     return sinceFirstStart || coversSince(watch, from);
 }
@@ -413,12 +414,23 @@
     }
 }
 
-// In the system's first start, the first routes have had no other services before.
 void watchRoutes(GatewayNode &node, bool isFirstConfig)
 {
-    const bool sinceFirstStart = isFirstConfig && node.settings.firstStart;
-    updateRouteWatch(node.resuming.routes, node.routes->config().routes,
-                     sinceFirstStart ? Instant{} : BootClock::now());
+    const Instant now = BootClock::now();
+    if (isFirstConfig)
+        node.resuming.firstConfigAt = now;
+    updateRouteWatch(node.resuming.routes, node.routes->config().routes, now);
+    if (isFirstStart(node))
+        watchFirstRoutes(node);
+}
+
+// In the system's first start, the first routes have had no other services before.
+void watchFirstRoutes(GatewayNode &node)
+{
+    for (auto &[name, route] : node.resuming.routes) {
+        if (route.since == node.resuming.firstConfigAt)
+            route.since = Instant{};
+    }
 }
 
 v1::OriginsNoted handleOriginReport(GatewayNode &node, const v1::OriginNote &report)
--- a/libs/gateway/src/StreamResuming.h
+++ b/libs/gateway/src/StreamResuming.h
@@ -40,6 +40,9 @@
 /** Call when a configuration is put in force: calls of a changed route may go to other services. */
 void watchRoutes(GatewayNode &node, bool isFirstConfig);
 
+/** Call when this turns out to be the system's first start. */
+void watchFirstRoutes(GatewayNode &node);
+
 /** Checks the versions in service, and reports streams to other VMs. */
 asio::awaitable<void> streamOriginLoop(GatewayNode &node);
 
--- a/libs/gateway/tests/ResumedStreams.cpp
+++ b/libs/gateway/tests/ResumedStreams.cpp
@@ -127,6 +127,23 @@
     cr_assert(vm.claimsOrigin());
 }
 
+// Guards against events of two versions in one stream: VMs that were told at each start that it is
+// the system's first vouched for the only version that they had seen, which had replaced another.
+Test(resumed_streams, a_start_that_is_not_the_first_proves_no_origin_whatever_it_is_told)
+{
+    ListedVersions vm("v2");
+    vm.node.settings.firstStart = true;
+    vm.node.bootedAt = BootClock::now();
+    vm.node.resuming.routes.clear();
+    watchRoutes(vm.node, true);
+    cr_assert_not(vm.claimsOrigin(), "not shown yet");
+    vm.node.earlierBoots = EarlierBoots::Seen;
+    cr_assert_not(vm.claimsOrigin());
+    vm.node.earlierBoots = EarlierBoots::None;
+    watchFirstRoutes(vm.node);
+    cr_assert(vm.claimsOrigin(), "before the first start there were no streams");
+}
+
 // Guards against a version whose targets are leaving: they still run what they have begun.
 Test(resumed_streams, a_leaving_target_of_another_version_still_counts)
 {
