Relays: the longer waits of a first start end once the records deny it

Callers saw: with kept settings each VM waits a second for others' names and two before it may hold engines after each restart.

Cause: firstStart decides these waits, too. Believing it is on the safe side here, so it stands until the records deny it; they are read within some ms where the store answers.

Change: the waits ask whether this may be the first start.

--- a/libs/gateway/src/RelayLoops.cpp
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "FirstStart.h"
 #include "FleetCount.h"
 #include "PeerExchange.h"
 #include "SharedEngines.h"
@@ -34,7 +35,7 @@
 // one. When all VMs start at once, the list still grows while they read it.
 bool knowsZonePeers(const GatewayNode &node, Instant now)
 {
-    const bool listMayGrow = node.settings.firstStart;
+    const bool listMayGrow = mayBeFirstStart(node);
     return (node.vmListRead && !listMayGrow) || now - node.bootedAt > listWait;
 }
 
@@ -139,8 +140,7 @@
         const auto relayIndex = chooseUpstream(self, isStarting(node), zone.candidates);
         if (!relayIndex) {
             node.relayState = RelayState();
-            const bool listSettled =
-                !node.settings.firstStart || now - node.bootedAt > 2 * listWait;
+            const bool listSettled = !mayBeFirstStart(node) || now - node.bootedAt > 2 * listWait;
             node.mayHoldLease = node.mayHoldLease || listSettled;
         } else if (!zone.peers[*relayIndex]->exchangeRunning) {
             const Endpoint endpoint = zone.peers[*relayIndex]->endpoint;
