--- a/libs/gateway/src/FirstStart.cpp
+++ b/libs/gateway/src/FirstStart.cpp
@@ -4,8 +4,8 @@
 
 namespace monsoonbay {
 
-// A VM that is started again with the settings that it had is told at each start that it is the
-// first. When it was believed, each kill of all VMs gave them the slack of the retry budget anew.
+// Settings that are kept over a restart still say `firstStart`. Without the records, each restart
+// of all VMs would grant the slack of the retry budget anew.
 bool isFirstStart(const GatewayNode &node) noexcept
 {
     return node.settings.firstStart && node.earlierBoots == EarlierBoots::None;
