Connections: one account of what all callers of a process hold

Cause: each bound is of one connection, none is of all of them, and the process does not know its VM: the settings named its processor share and not its memory or descriptors.

Change: libs/connections, a decision without I/O: what connections hold by what it occupies, in bytes and descriptors, within limits that follow from the VM (half of the memory; three quarters of the descriptors beyond those for files). Where room lacks it names the connections that go: idle ones and incomplete calls, by bytes times age, so that a small call outlasts a long body that stopped; none that is being served. Nothing asks the account yet.

--- a/libs/config/include/config/Settings.h
+++ b/libs/config/include/config/Settings.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "config/Manifest.h"
+#include "connections/ConnectionLedger.h"
 
 namespace monsoonbay {
 
@@ -40,6 +41,7 @@
     int defaultDeadlineMs = 60000;
     int leaseMs = 2000;
     int keyMemorySeconds = 600; ///< how long an Idempotency-Key is remembered
+    VmResources resources;
 
     auto operator<=>(const Settings &) const = default;
 };
--- a/libs/config/src/Settings.cpp
+++ b/libs/config/src/Settings.cpp
@@ -1,6 +1,7 @@
 #include "config/Settings.h"
 
 #include "config/JsonReader.h"
+#include "config/Resources.h"
 
 namespace monsoonbay {
 
@@ -58,7 +59,7 @@
         reader.onlyKeys(root, "",
                         {"vm", "zone", "callers", "peers", "operators", "log", "vmList", "traces",
                          "threads", "placement", "logFormat", "shutdownSeconds", "maxQueuedPerVm",
-                         "defaultDeadlineMs", "leaseMs", "keyMemorySeconds"});
+                         "defaultDeadlineMs", "leaseMs", "keyMemorySeconds", "resources"});
         Settings &settings = parsed.value;
         settings.vm = reader.text(root, "", "vm");
         settings.zone = reader.text(root, "", "zone");
@@ -81,6 +82,7 @@
             readInt(reader, root, "defaultDeadlineMs", settings.defaultDeadlineMs, 1, 3600000);
         settings.keyMemorySeconds =
             readInt(reader, root, "keyMemorySeconds", settings.keyMemorySeconds, 1, 86400);
+        readResources(reader, root, settings.resources);
         settings.leaseMs = readInt(reader, root, "leaseMs", settings.leaseMs, 100, 60000);
     }
     parsed.problems = std::move(reader.problems);
--- a/libs/gateway/include/gateway/GatewaySettings.h
+++ b/libs/gateway/include/gateway/GatewaySettings.h
@@ -49,6 +49,8 @@
     PlacementSettings placement;
     /** Bytes held of an answer before its caller gets them: a body, or an event of a stream. */
     std::size_t maxHeldAnswerBytes = 256UL * 1024;
+    /** What the process may use; callers get a part of it, see ConnectionLedger.h. */
+    VmResources resources;
     int logLinesPerSecond = 40; ///< limit for each kind of event
 
     bool operator==(const GatewaySettings &) const = default;
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "config/JsonReader.h"
+#include "config/Resources.h"
 #include "gateway/PlatformPort.h"
 
 namespace monsoonbay {
@@ -152,12 +153,12 @@
     const Json root = reader.parseObject(json);
     if (reader.problems.empty()) {
         GatewaySettings &settings = parsed.value;
-        reader.onlyKeys(root, "", {"vm",          "zone",       "platform",    "callers",
-                                   "readiness",   "operators",  "peers",       "peersListen",
-                                   "forwards",    "seeds",      "store",       "partitions",
-                                   "heartbeatMs", "shutdownMs", "retries",     "access",
-                                   "quota",       "lease",      "placement",   "logLinesPerSecond",
-                                   "capacity",    "firstStart", "heldAnswerKb"});
+        reader.onlyKeys(root, "", {"vm",          "zone",       "platform",     "callers",
+                                   "readiness",   "operators",  "peers",        "peersListen",
+                                   "forwards",    "seeds",      "store",        "partitions",
+                                   "heartbeatMs", "shutdownMs", "retries",      "access",
+                                   "quota",       "lease",      "placement",    "logLinesPerSecond",
+                                   "capacity",    "firstStart", "heldAnswerKb", "resources"});
         settings.vm = reader.text(root, "", "vm");
         settings.zone = reader.text(root, "", "zone");
         settings.firstStart = reader.boolean(root, "", "firstStart", settings.firstStart);
@@ -182,6 +183,7 @@
         readRetries(reader, root, settings.retries);
         readAccess(reader, root, settings.access);
         readQuota(reader, root, settings.quota);
+        readResources(reader, root, settings.resources);
         settings.hasQuotaPolicy = root.contains("quota");
         readLease(reader, root, settings.lease);
         readPlacement(reader, root, settings.placement);
