Refusals: what a refused caller still sends is read to an end

What callers saw: a VM that reads refused callers at hundreds of MB/s and serves the others late.

Cause: the time limit of reading on (1 s) is one of the stream, which ends an operation that waits; a read that finds data completes at once, so that a caller that sends without a pause is read for ever.

Change: the loop checks the time itself, and ends after 8 MB.

--- a/libs/gateway/src/CallListener.cpp
+++ b/libs/gateway/src/CallListener.cpp
@@ -30,8 +30,9 @@
 /** Time limit for the body of a request, in addition to that for its header. */
 constexpr Duration bodyTimeout = std::chrono::seconds(10);
 
-/** Time to read what a refused caller still sends; enough for some megabytes on users' links. */
+/** What a refused caller still sends is read for so long, and so much of it at the most. */
 constexpr Duration drainTimeout = std::chrono::milliseconds(1000);
+constexpr std::size_t maxDrainedBytes = 8UL * 1024 * 1024;
 
 /** Room for what another VM adds to the header of a call that it forwards, long names included. */
 constexpr std::uint32_t forwardedHeaderBytes = 2048;
@@ -73,18 +74,22 @@
 
 // Closing a connection with unread bytes resets it, and the reset can overtake the answer: the
 // caller of a request that is too large would see a broken connection instead of the reason. So
-// what it still sends is read and discarded for a moment.
+// what it still sends is read and discarded for a moment. A read that finds data never times out,
+// so the time and the bytes are checked here.
 asio::awaitable<void> drain(CallerConnection &connection)
 {
     boost::system::error_code ignored;
     connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     connection.stream.expires_after(drainTimeout);
-    std::array<char, 8192> space{};
-    while (true) {
+    const Instant limit = BootClock::now() + drainTimeout;
+    std::array<char, 4096> space{};
+    std::size_t drained = 0;
+    while (drained < maxDrainedBytes && BootClock::now() < limit) {
         auto [error, bytes] =
             co_await connection.stream.async_read_some(asio::buffer(space), nothrowAwaitable);
         if (error)
             co_return;
+        drained += bytes;
     }
 }
 
