Callers: all connections of a VM share one account of memory and descriptors

What callers saw: a VM that ended, out of memory, or that answered nobody, out of descriptors, while a crowd held bodies, heads or idle connections open.

Cause: a body, a head, a buffer were bounded for each connection, and connections not at all: what a crowd holds is their product. What was bounded was what came, not what it costs: a field of four bytes occupies a hundred, a growing string twice its bytes.

Change: callers' and forwarding VMs' connections are opened, read and served through the account. When it is full, idle connections and incomplete calls go for others, with a 503 where it can be written at once (true, as the call was not sent on); a complete call is never closed for others, one without room is refused at once. A refused request's memory is given back before its answer is written. What is read ahead of an answer counts. Receive buffers of callers' sockets have a size, as what lies there unread is the VM's memory. One event when this begins and one when it stops; counters and gauges.

--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -59,6 +59,10 @@
     boost::beast::tcp_stream &caller;
     /** Receives what the caller sends before its answer; null: that stays unread. */
     boost::beast::flat_buffer *callerBuffer = nullptr;
+    std::size_t heldBytes = 0; ///< by the caller's connection, this call included
+    std::size_t heldOfAnswer = 0; ///< the part that is there for its answer
+    std::size_t heldAhead = 0; ///< the part that is there for what the caller sends ahead
+    std::optional<ConnectionId> callerConnection; ///< nothing: what it holds is not limited
     std::shared_ptr<HttpRequest> request; ///< shared with a write that may outlive an attempt
     std::string host;
     std::string path;
--- a/libs/gateway/src/CallCancellation.cpp
+++ b/libs/gateway/src/CallCancellation.cpp
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include "CallerMemory.h"
 #include "observe/Events.h"
 
 namespace monsoonbay {
@@ -62,7 +63,8 @@
 bool readAhead(ActiveCall &call)
 {
     boost::beast::flat_buffer *buffer = call.callerBuffer;
-    if (buffer == nullptr || buffer->size() + readAheadBytes > maxReadAheadBytes)
+    if (buffer == nullptr || buffer->size() + readAheadBytes > maxReadAheadBytes
+        || !mayReadAhead(call, 2 * (buffer->size() + readAheadBytes)))
         return false;
     const auto space = buffer->prepare(readAheadBytes);
     const auto bytes =
--- a/libs/gateway/src/CallListener.cpp
+++ b/libs/gateway/src/CallListener.cpp
@@ -1,8 +1,13 @@
 #include "CallListener.h"
 
+#include <algorithm>
 #include <array>
+#include <optional>
+#include <sstream>
 #include <unordered_set>
 
+#include <sys/socket.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,6 +20,8 @@
 #include "CallCancellation.h"
 #include "CallServing.h"
 #include "PeerForwarding.h"
+#include "observe/Events.h"
+#include "transport/RequestReader.h"
 
 namespace monsoonbay {
 
@@ -37,7 +44,24 @@
 /** Room for what another VM adds to the header of a call that it forwards, long names included. */
 constexpr std::uint32_t forwardedHeaderBytes = 2048;
 
-constexpr std::size_t readBufferBytes = 64 * 1024;
+/** Longest size and extension of a chunk, beyond what a header may have. */
+constexpr std::size_t addedChunkHeadBytes = 128UL * 1024;
+
+/** What an open connection holds: its state, coroutine, buffer and the kernel's part. */
+constexpr std::size_t connectionBytes = 16UL * 1024;
+
+/**
+ * Receive buffer of a caller's socket. It would grow to megabytes by itself, and what lies there
+ * unread occupies the VM's memory.
+ */
+constexpr int receiveBufferBytes = 16 * 1024;
+
+/** The kernel holds twice of it for a caller that sends ahead of its answer. */
+constexpr std::size_t servingBytes = 2UL * receiveBufferBytes;
+
+/** A caller that finds this VM full may soon be served by another one. */
+constexpr std::string_view fullRetryAfter = "0.3";
+constexpr std::string_view fullTitle = "this VM has no room for the call now";
 
 constexpr std::string_view expectContinue = "100-continue";
 
@@ -50,8 +74,11 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool busy = false; ///< a request is being read or served
+    bool answered = false; ///< the request being read was refused
 };
 
+using CallerConnectionPtr = std::shared_ptr<CallerConnection>;
+
 int statusOf(beast::error_code error)
 {
     if (error == http::error::header_limit)
@@ -60,13 +87,15 @@
         return 413;
     if (error == beast::error::timeout)
         return 408;
+    if (error == RequestReader::noRoom())
+        return 503;
     return 400;
 }
 
 /** True if the caller can still receive an answer that says what was wrong with its request. */
 bool canReceiveAnswer(beast::error_code error)
 {
-    if (error == beast::error::timeout)
+    if (error == beast::error::timeout || error == RequestReader::noRoom())
         return true;
     const bool cut = error == http::error::end_of_stream || error == http::error::partial_message;
     return !cut && error.category() == http::make_error_code(http::error::end_of_stream).category();
@@ -93,18 +122,51 @@
     }
 }
 
-asio::awaitable<void> refuseRequest(CallerConnection &connection, beast::error_code error)
+http::response<http::string_body> refusalOf(beast::error_code error)
 {
-    if (!canReceiveAnswer(error))
-        co_return;
     http::response<http::string_body> response(static_cast<http::status>(statusOf(error)), 11);
     response.set(http::field::content_type, "application/problem+json");
-    response.body() = R"({"title":")" + error.message() + R"(","notRun":true})";
+    std::string title = error.message();
+    if (error == RequestReader::noRoom()) {
+        response.set(http::field::retry_after, fullRetryAfter);
+        title = fullTitle;
+    }
+    response.body() = R"({"title":")" + title + R"(","notRun":true})";
     response.keep_alive(false);
     response.prepare_payload();
+    return response;
+}
+
+/** Refuses a request whose memory was given back, and ends its connection. */
+asio::awaitable<void> refuseRequest(CallerConnection &connection, beast::error_code error,
+                                    bool forwarded)
+{
+    if (!canReceiveAnswer(error))
+        co_return;
+    connection.answered = true;
+    http::response<http::string_body> response = refusalOf(error);
+    if (forwarded)
+        writeForwardReport(response, ForwardReport{ForwardOutcome::NotRun});
     connection.stream.expires_after(bodyTimeout);
-    co_await http::async_write(connection.stream, response, nothrowAwaitable);
-    co_await drain(connection);
+    auto [writeError, bytes] =
+        co_await http::async_write(connection.stream, response, nothrowAwaitable);
+    if (!writeError)
+        co_await drain(connection);
+}
+
+/**
+ * Closes a connection for others. Its call, if it has begun, was not sent on; the caller is told so
+ * if the answer can be written at once.
+ */
+void closeForOthers(CallerConnection &connection, ConnectionUse use)
+{
+    if (use == ConnectionUse::Reading && !connection.answered) {
+        const std::string text = (std::ostringstream() << refusalOf(RequestReader::noRoom())).str();
+        ::send(connection.stream.socket().native_handle(), text.data(), text.size(),
+               MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    connection.answered = true;
+    connection.stream.close();
 }
 
 std::string hostOf(const HttpRequest &request)
@@ -146,64 +208,109 @@
                 co_await pauseFor(self->node, std::chrono::milliseconds(20));
                 continue;
             }
-            spawn(self->node, "caller", self->serve(self, std::move(socket)));
+            const auto connection = std::make_shared<CallerConnection>(std::move(socket));
+            const CallerConnections::Close close =
+                [weak = std::weak_ptr(connection)](ConnectionUse use) {
+                    const CallerConnectionPtr open = weak.lock();
+                    if (open)
+                        closeForOthers(*open, use);
+                };
+            const auto id = co_await self->node.callerConnections.open(connectionBytes, close);
+            if (!id)
+                continue; // closed: all others are being served
+            spawn(self->node, "caller", self->serve(self, connection, *id));
         }
     }
 
-    /** Reads one request into `parser`; false if the connection ends. */
-    asio::awaitable<bool> readRequest(CallerConnection &connection,
-                                      http::request_parser<http::string_body> &parser)
+    /** Waits for the first bytes of a request; false if the connection ends. */
+    asio::awaitable<bool> awaitRequest(CallerConnection &connection, ConnectionId id)
     {
-        const CallerLimits limits = this->node.routes->config().limits;
-        beast::tcp_stream &stream = connection.stream;
-        // The size and the extension of a chunk are read whole, whatever their length.
-        connection.buffer.max_size(limits.maxHeaderBytes + this->addedHeaderBytes()
-                                   + maxReadAheadBytes + readBufferBytes);
-        if (connection.buffer.size() == 0) {
-            stream.expires_after(limits.idleTimeout);
-            auto [error, bytes] =
-                co_await stream.async_read_some(connection.buffer.prepare(8192), nothrowAwaitable);
-            if (error)
-                co_return false;
-            connection.buffer.commit(bytes);
-        }
-        connection.busy = true;
-        parser.header_limit(limits.maxHeaderBytes + this->addedHeaderBytes());
-        parser.body_limit(limits.maxBodyBytes);
-        stream.expires_after(limits.headerTimeout);
-        auto [headError, headBytes] =
-            co_await http::async_read_header(stream, connection.buffer, parser, nothrowAwaitable);
-        if (headError) {
-            co_await refuseRequest(connection, headError);
-            co_return false;
-        }
-        const bool admitted = co_await this->admit(connection, parser.get());
-        if (!admitted)
-            co_return false;
-        if (parser.get()[http::field::expect] == expectContinue)
-            co_await sendContinue(connection);
-        stream.expires_after(bodyTimeout);
-        auto [bodyError, bodyBytes] =
-            co_await http::async_read(stream, connection.buffer, parser, nothrowAwaitable);
-        if (bodyError) {
-            co_await refuseRequest(connection, bodyError);
+        if (connection.buffer.size() > 0)
+            co_return true;
+        shrinkBuffer(connection.buffer);
+        this->node.callerConnections.use(id, ConnectionUse::Idle);
+        this->node.callerConnections.tryHold(id, connectionBytes);
+        connection.stream.expires_after(this->node.routes->config().limits.idleTimeout);
+        auto [error, bytes] = co_await connection.stream.async_read_some(
+            connection.buffer.prepare(idleBufferBytes), nothrowAwaitable);
+        if (error)
             co_return false;
-        }
-        stream.expires_never();
+        connection.buffer.commit(bytes);
         co_return true;
     }
 
+    RequestLimits requestLimits() const
+    {
+        const CallerLimits &configured = this->node.routes->config().limits;
+        RequestLimits limits;
+        limits.maxHeaderBytes = configured.maxHeaderBytes + this->addedHeaderBytes();
+        limits.maxBodyBytes = configured.maxBodyBytes;
+        limits.maxChunkHeadBytes = configured.maxHeaderBytes + addedChunkHeadBytes;
+        limits.headerTimeout = configured.headerTimeout;
+        limits.bodyTimeout = bodyTimeout;
+        return limits;
+    }
+
+    /** Reads one request; nothing if the connection ends. */
+    asio::awaitable<std::optional<HttpRequest>> readRequest(CallerConnection &connection,
+                                                            ConnectionId id)
+    {
+        connection.busy = true;
+        this->node.callerConnections.use(id, ConnectionUse::Reading);
+        beast::error_code error;
+        {
+            const RequestReader::Hold hold = [this, id](std::size_t bytes) {
+                return this->node.callerConnections.hold(id, connectionBytes + bytes);
+            };
+            RequestReader reader(connection.stream, connection.buffer, this->requestLimits(), hold);
+            error = co_await reader.readHead();
+            if (!error) {
+                const bool admitted = co_await this->admit(connection, reader.head(), id);
+                if (!admitted)
+                    co_return std::nullopt;
+                if (reader.head()[http::field::expect] == expectContinue)
+                    co_await sendContinue(connection);
+                error = co_await reader.readBody();
+            }
+            bool served = !error;
+            if (!error && this->kind == ListenerKind::Callers)
+                served = co_await this->node.callerConnections.serve(id);
+            if (served)
+                served = co_await hold(reader.servedBytes() + servingBytes);
+            if (served) {
+                connection.stream.expires_never();
+                co_return reader.release();
+            }
+            if (!error)
+                error = RequestReader::noRoom();
+        }
+        // Its memory is given back before the answer is written, as the caller may not read it.
+        connection.buffer.clear();
+        connection.buffer.shrink_to_fit();
+        this->node.callerConnections.use(id, ConnectionUse::Reading);
+        this->node.callerConnections.tryHold(id, connectionBytes);
+        co_await refuseRequest(connection, error, this->kind == ListenerKind::Peers);
+        co_return std::nullopt;
+    }
+
     std::uint32_t addedHeaderBytes() const
     {
         return this->kind == ListenerKind::Peers ? forwardedHeaderBytes : 0;
     }
 
     /** False if a forwarded call is refused; the other VM was sent the reason. */
-    asio::awaitable<bool> admit(CallerConnection &connection, const RequestHead &head)
+    asio::awaitable<bool> admit(CallerConnection &connection, const RequestHead &head,
+                                ConnectionId id)
     {
         if (this->kind == ListenerKind::Callers)
             co_return true;
-        const ForwardRefusal refusal = admitForwarded(this->node, readForwardedCall(head));
+        ForwardRefusal refusal = admitForwarded(this->node, readForwardedCall(head));
+        // From the offer's acceptance on the other VM counts the call as sent on, so that the
+        // connection is not closed for others.
+        if (refusal == ForwardRefusal::None) {
+            const bool hasRoom = co_await this->node.callerConnections.serve(id);
+            refusal = hasRoom ? ForwardRefusal::None : ForwardRefusal::Busy;
+        }
         if (refusal == ForwardRefusal::None)
             co_return true;
         http::response<http::string_body> response(http::status::service_unavailable, 11);
@@ -215,33 +322,39 @@
         co_return false;
     }
 
-    asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
+    asio::awaitable<void> serve(std::shared_ptr<Impl> self, CallerConnectionPtr connection,
+                                ConnectionId id)
     {
-        CallerConnection connection(std::move(socket));
+        const ConnectionEntry entry(self->node.callerConnections, id);
         boost::system::error_code ignored;
-        connection.stream.socket().set_option(tcp::no_delay(true), ignored);
-        self->open.insert(&connection);
+        connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+        self->open.insert(connection.get());
         ++self->node.connections;
         bool keepOpen = true;
         while (keepOpen && !self->stopping) {
-            connection.busy = connection.buffer.size() > 0;
-            http::request_parser<http::string_body> parser;
-            keepOpen = co_await self->readRequest(connection, parser);
+            connection->busy = connection->buffer.size() > 0;
+            keepOpen = co_await self->awaitRequest(*connection, id);
             if (!keepOpen)
                 break;
-            keepOpen = co_await self->serveOne(connection, parser.release());
+            std::optional<HttpRequest> request = co_await self->readRequest(*connection, id);
+            if (!request)
+                break;
+            keepOpen = co_await self->serveOne(*connection, std::move(*request), id);
         }
-        self->open.erase(&connection);
+        self->open.erase(connection.get());
         --self->node.connections;
-        connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
     /** True if the connection may carry another call. */
-    asio::awaitable<bool> serveOne(CallerConnection &connection, HttpRequest request)
+    asio::awaitable<bool> serveOne(CallerConnection &connection, HttpRequest request,
+                                   ConnectionId id)
     {
         const auto call =
             std::make_shared<ActiveCall>(this->node, connection.stream, std::move(request));
         call->callerBuffer = &connection.buffer;
+        call->callerConnection = id;
+        call->heldBytes = this->node.callerConnections.heldBy(id);
         call->host = hostOf(*call->request);
         call->path = std::string(call->request->target());
         const int forwarded = this->kind == ListenerKind::Peers ? 1 : 0;
@@ -271,6 +384,9 @@
     const tcp::endpoint listenAddress(asio::ip::make_address(address.address), address.port);
     this->impl->acceptor.open(listenAddress.protocol());
     this->impl->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    boost::system::error_code ignored; // the system's own size then holds
+    this->impl->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes),
+                                    ignored);
     this->impl->acceptor.bind(listenAddress);
     this->impl->acceptor.listen(backlog);
     spawn(node, "accept", this->impl->acceptLoop(this->impl));
--- a/libs/gateway/src/Feeds.cpp
+++ b/libs/gateway/src/Feeds.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "CallerMemory.h"
 #include "EngineCommands.h"
 #include "FirstStart.h"
 #include "HarmfulCallTracking.h"
@@ -289,8 +290,10 @@
 
 asio::awaitable<void> sweepLoop(GatewayNode &node)
 {
+    CallerMemoryWatch callerMemory;
     while (!node.stopped) {
         sweep(node);
+        watchCallerMemory(node, callerMemory, BootClock::now());
         pruneEvidence(node, BootClock::now());
         forgetUnused(node.prefixes.table, BootClock::now());
         co_await pauseFor(node, sweepInterval);
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -53,6 +53,7 @@
 #include "serving/ZoneRelay.h"
 #include "transfer/DocumentCache.h"
 #include "transfer/PartSizing.h"
+#include "transport/CallerConnections.h"
 #include "transport/HttpClient.h"
 
 namespace monsoonbay {
@@ -318,6 +319,8 @@
     GatewaySettings settings;
     const PlatformPort *platform;
     CapacityWaiters capacityWaiters; ///< outlives the context, whose destruction ends the calls
+    /** Outlives the coroutines of the connections, which end with the context. */
+    CallerConnections callerConnections;
     asio::io_context context;
     std::optional<asio::thread_pool> decoding; ///< one more thread, for large documents
     HttpClient http;
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -16,6 +16,8 @@
     SettingsRefused = 1004,
     PortTaken = 1005,
     FirstStartDenied = 1006,
+    CallerLimitReached = 1007,
+    CallerLimitLeft = 1008,
     ShutdownBegun = 1010,
     ShutdownDone = 1011,
     ShutdownCut = 1012,
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -78,6 +78,10 @@
     NewsToZonesPrefixes,
     NewsToZonesConfig,
     NewsToZonesRest,
+    IdleClosedForRoom, ///< idle connections of callers closed for others
+    ReadingClosedForRoom, ///< incomplete calls that went for others
+    ConnectionsRefusedForRoom, ///< new connections closed, as calls were served on all others
+    CallsRefusedForRoom, ///< calls for which there was no memory or descriptor
     Count, ///< number of counters, not one of them
 };
 
@@ -85,6 +89,8 @@
 enum class Gauge : std::uint8_t {
     CallsWaiting, ///< calls that wait for capacity at an engine
     LongestSilence, ///< milliseconds for which calls to some service have waited in vain
+    CallerConnections, ///< open connections of callers
+    CallerBytes, ///< of memory that they hold
     Count, ///< number of gauges, not one of them
 };
 
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -39,6 +39,14 @@
              "the settings say that the whole system starts for the first time, but the store has "
              "records of earlier boots; the VM starts as after any other end",
              "set firstStart to false once the system has started"},
+    EventRow{EventId::CallerLimitReached, "caller-limit-reached", EventLevel::Warning,
+             "callers hold all memory or descriptors that they may; idle connections and "
+             "incomplete calls are closed for others, and calls without room are refused",
+             "look for callers that hold connections or send bodies without an end; see "
+             "OPERATIONS.md, Callers that hold too much"},
+    EventRow{EventId::CallerLimitLeft, "caller-limit-left", EventLevel::Info,
+             "for some seconds no connection was closed for others; counts are since the start",
+             "none"},
     EventRow{EventId::ShutdownBegun, "shutdown-begun", EventLevel::Info,
              "no new requests are accepted; those in flight are finished", "none"},
     EventRow{EventId::ShutdownDone, "shutdown-done", EventLevel::Info,
--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -90,10 +90,14 @@
                                                                   "news_to_zones_workspaces_bytes",
                                                                   "news_to_zones_prefixes_bytes",
                                                                   "news_to_zones_config_bytes",
-                                                                  "news_to_zones_rest_bytes"};
+                                                                  "news_to_zones_rest_bytes",
+                                                                  "idle_closed_for_room",
+                                                                  "reading_closed_for_room",
+                                                                  "connections_refused_for_room",
+                                                                  "calls_refused_for_room"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Count)> gaugeNames{
-    "calls_waiting", "longest_silence_ms"};
+    "calls_waiting", "longest_silence_ms", "caller_connections", "caller_bytes"};
 
 constexpr std::array<std::string_view, timingCount> timingNames{
     "load_stall_seconds",         "first_piece_seconds",
