Calls: a body that is sent on is not copied

What callers saw: a VM that ended under whole bodies at the limit, though their sum was within its memory.

Cause: each attempt, at a target or another VM, had a copy of the caller's body.

Change: the request to a target refers to the caller's body and keeps it alive (span_body).

--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -98,16 +98,15 @@
 
 } // namespace
 
-std::shared_ptr<HttpRequest> requestFor(const ActiveCall &call, const SendMetadata &metadata)
+std::shared_ptr<TargetRequest> requestFor(const ActiveCall &call, const SendMetadata &metadata)
 {
-    auto request = std::make_shared<HttpRequest>();
+    std::shared_ptr<TargetRequest> request = requestWithBodyOf(call.request);
     request->version(11);
     request->method_string(call.request->method_string());
     request->target(call.request->target());
     for (const HttpHeader &header : endToEndHeaders(*call.request))
         request->insert(header.name, header.value);
     call.node.platform->writeSendMetadata(*request, metadata);
-    request->body() = call.request->body();
     if (hasBody(call))
         request->content_length(request->body().size());
     return request;
--- a/libs/gateway/src/CallAnswer.h
+++ b/libs/gateway/src/CallAnswer.h
@@ -29,7 +29,7 @@
 };
 
 /** The request to a target or to another VM: the caller's, with `metadata` in its headers. */
-std::shared_ptr<HttpRequest> requestFor(const ActiveCall &call, const SendMetadata &metadata);
+std::shared_ptr<TargetRequest> requestFor(const ActiveCall &call, const SendMetadata &metadata);
 
 /** Metadata for the next attempt; the id of the target is left to set. */
 SendMetadata sendMetadataOf(const ActiveCall &call, const CallAnswer &answer);
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -122,9 +122,9 @@
 }
 
 /** The request in chunks, so that the receiver cannot run it before all of it was sent. */
-std::shared_ptr<HttpRequest> buildOffer(const ActiveCall &call, const CallAnswer &answer)
+std::shared_ptr<TargetRequest> buildOffer(const ActiveCall &call, const CallAnswer &answer)
 {
-    std::shared_ptr<HttpRequest> request = requestFor(call, sendMetadataOf(call, answer));
+    std::shared_ptr<TargetRequest> request = requestFor(call, sendMetadataOf(call, answer));
     request->erase(http::field::content_length);
     request->chunked(true);
     request->set(http::field::expect, "100-continue");
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -41,7 +41,7 @@
 
 // A target may answer a long request before it has read all of it, and read the rest later. The
 // write must then neither delay the answer nor be cut short while the connection is still in use.
-asio::awaitable<void> writeRequest(TargetConnectionPtr link, std::shared_ptr<HttpRequest> request,
+asio::awaitable<void> writeRequest(TargetConnectionPtr link, std::shared_ptr<TargetRequest> request,
                                    std::shared_ptr<bool> written)
 {
     auto [error, bytes] = co_await http::async_write(link->socket, *request, nothrowAwaitable);
@@ -191,7 +191,7 @@
         recordSignOfLife(this->node, this->target.id);
 }
 
-asio::awaitable<bool> TargetExchange::send(std::shared_ptr<HttpRequest> request)
+asio::awaitable<bool> TargetExchange::send(std::shared_ptr<TargetRequest> request)
 {
     this->beginAwaiting();
     if (request->body().size() > longRequestBytes)
@@ -201,7 +201,7 @@
     co_return co_await this->readMatchingHead();
 }
 
-asio::awaitable<OfferResult> TargetExchange::offer(std::shared_ptr<HttpRequest> request,
+asio::awaitable<OfferResult> TargetExchange::offer(std::shared_ptr<TargetRequest> request,
                                                    Duration replyTimeout)
 {
     this->offered = std::move(request);
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -12,6 +12,7 @@
 #include "BodyDelimiter.h"
 #include "GatewayNode.h"
 #include "LinkWatch.h"
+#include "TargetRequest.h"
 #include "transport/HttpServer.h"
 
 namespace monsoonbay {
@@ -51,13 +52,14 @@
     const boost::system::error_code &error() const noexcept;
 
     /** Sends the request and reads the head of its answer; false if lost: it may have run. */
-    asio::awaitable<bool> send(std::shared_ptr<HttpRequest> request);
+    asio::awaitable<bool> send(std::shared_ptr<TargetRequest> request);
 
     /**
      * Sends only the head of the request and waits for "100 Continue". Until sendOfferedBody() is
      * called the receiver lacks the end of the request, and cannot run it.
      */
-    asio::awaitable<OfferResult> offer(std::shared_ptr<HttpRequest> request, Duration replyTimeout);
+    asio::awaitable<OfferResult> offer(std::shared_ptr<TargetRequest> request,
+                                       Duration replyTimeout);
 
     /** Sends the rest of a request that was accepted; then as send(). */
     asio::awaitable<bool> sendOfferedBody();
@@ -88,7 +90,7 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    using Serializer = boost::beast::http::request_serializer<boost::beast::http::string_body>;
+    using Serializer = boost::beast::http::request_serializer<TargetRequest::body_type>;
 
     asio::awaitable<bool> readHead();
     asio::awaitable<bool> readFinalHead();
@@ -108,7 +110,7 @@
     std::string attemptId;
     TargetConnectionPtr link;
     std::shared_ptr<bool> written = std::make_shared<bool>(false);
-    std::shared_ptr<HttpRequest> offered;
+    std::shared_ptr<TargetRequest> offered;
     std::optional<Serializer> rest; ///< of the offered request
     std::optional<Parser> parser;
     AnswerMetadata answerMetadata;
