Answers: what is held of them counts for the callers that do not read

Cause: 256 KB of an answer, or of an event, may be held for each call; the sum over calls had no bound.

Change: 8 KB of each are free; more counts for the caller's connection, by a string's capacity, and is held only while there is room. Beyond it an answer is passed on as it comes, as a longer one always was.

No test failed for this before.

--- a/libs/gateway/src/CallAnswer.cpp
+++ b/libs/gateway/src/CallAnswer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "CallerAuthentication.h"
+#include "CallerMemory.h"
 #include "EndToEndHeaders.h"
 #include "observe/Events.h"
 
@@ -66,8 +67,7 @@
     reply.status = exchange.status();
     reply.contentType.clear();
     reply.headers = endToEndHeaders(exchange.head());
-    const BodyEnd end =
-        co_await readFully(exchange, reply.body, call.node.settings.maxHeldAnswerBytes);
+    const BodyEnd end = co_await readFully(call, exchange, reply.body);
     const bool succeeds = reply.status < 300;
     if (end == BodyEnd::TooLong && succeeds && !answer.callerStream.started()) {
         answer.callerStream.passUnsplit();
@@ -124,8 +124,7 @@
     return metadata;
 }
 
-asio::awaitable<BodyEnd> readFully(TargetExchange &exchange, std::string &body,
-                                   std::size_t maxBytes)
+asio::awaitable<BodyEnd> readFully(ActiveCall &call, TargetExchange &exchange, std::string &body)
 {
     std::string piece;
     while (true) {
@@ -135,7 +134,7 @@
             co_return BodyEnd::Broken;
         if (end == BodyRead::End)
             co_return BodyEnd::Complete;
-        if (body.size() > maxBytes)
+        if (!mayHoldAnswer(call, body.size()))
             co_return BodyEnd::TooLong;
     }
 }
--- a/libs/gateway/src/CallAnswer.h
+++ b/libs/gateway/src/CallAnswer.h
@@ -41,9 +41,8 @@
     TooLong, ///< there is more than may be held
 };
 
-/** Reads a body to its end, or until more than `maxBytes` were read. */
-asio::awaitable<BodyEnd> readFully(TargetExchange &exchange, std::string &body,
-                                   std::size_t maxBytes);
+/** Reads a body to its end, or until more was read than may be held of an answer. */
+asio::awaitable<BodyEnd> readFully(ActiveCall &call, TargetExchange &exchange, std::string &body);
 
 /** Passes on the answer whose head was read; calls `onPiece` for each piece of a stream. */
 asio::awaitable<AttemptResult> passAnswer(ActiveCall &call, CallAnswer &answer,
--- a/libs/gateway/src/CallerStream.cpp
+++ b/libs/gateway/src/CallerStream.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "CallerMemory.h"
 #include "EndToEndHeaders.h"
 #include "StreamResuming.h"
 
@@ -43,9 +44,9 @@
     return this->events.pending.size();
 }
 
-bool CallerStream::isEventTooLong() const noexcept
+bool CallerStream::isEventTooLong()
 {
-    return this->events.pending.size() > this->call.node.settings.maxHeldAnswerBytes;
+    return !mayHoldAnswer(this->call, this->events.pending.size());
 }
 
 void CallerStream::restart()
--- a/libs/gateway/src/CallerStream.h
+++ b/libs/gateway/src/CallerStream.h
@@ -26,7 +26,7 @@
     std::size_t trailingBytes() const noexcept;
 
     /** True if an event is longer than what may be held of an answer. */
-    bool isEventTooLong() const noexcept;
+    bool isEventTooLong();
 
     /** Begins a further run; drops what was received of an incomplete event. */
     void restart();
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -213,7 +213,7 @@
         co_return co_await passAnswer(call, answer, exchange, onPiece);
     }
     std::string body;
-    const BodyEnd end = co_await readFully(exchange, body, call.node.settings.maxHeldAnswerBytes);
+    const BodyEnd end = co_await readFully(call, exchange, body);
     if (end != BodyEnd::Complete)
         exchange.abandon();
     if (end != BodyEnd::Complete || report.outcome == ForwardOutcome::MayHaveRun)
