HTTP server: connections share one account there as well

What callers saw: the same ends of the daemon of our own interface; and on the gateway all descriptors taken through the ports for readiness and operators.

Cause: 4 MB of body for each connection and no bound of connections; the accept loop went round at once when descriptors were out.

Change: the server reads through RequestReader and CallerConnections; the own interface's callers have the limits of the VM (`resources`), readiness and operators a few connections each. A failing accept pauses.

--- a/libs/daemon/src/Daemon.cpp
+++ b/libs/daemon/src/Daemon.cpp
@@ -17,6 +17,7 @@
 #include "OwnerRun.h"
 #include "PeerExchange.h"
 #include "observe/Events.h"
+#include "transport/CallerConnections.h"
 
 namespace monsoonbay {
 
@@ -48,6 +49,20 @@
     return handlers;
 }
 
+HttpLimits callerLimits(const Settings &settings)
+{
+    HttpLimits limits;
+    limits.connections = limitsFor(withinProcessLimit(settings.resources));
+    return limits;
+}
+
+HttpLimits operatorLimits()
+{
+    HttpLimits limits;
+    limits.connections = {16UL * 1024 * 1024, 64};
+    return limits;
+}
+
 } // namespace
 
 struct Daemon::Impl
@@ -59,10 +74,12 @@
                                              peerHandlers(this->node)))
         , callers(std::make_unique<HttpServer>(
               this->node.context, settings.callers,
-              [this](HttpExchange &exchange) { return handleCaller(this->node, exchange); }))
+              [this](HttpExchange &exchange) { return handleCaller(this->node, exchange); },
+              callerLimits(settings)))
         , operators(std::make_unique<HttpServer>(
               this->node.context, settings.operators,
-              [this](HttpExchange &exchange) { return handleOperator(this->node, exchange); }))
+              [this](HttpExchange &exchange) { return handleOperator(this->node, exchange); },
+              operatorLimits()))
     {
         const std::uint16_t peerPort = this->peers->port();
         this->node.membership.with(
--- a/libs/gateway/src/Gateway.cpp
+++ b/libs/gateway/src/Gateway.cpp
@@ -32,6 +32,15 @@
 /** The lease release is sent with the next report to the relay, within some 80 ms. */
 constexpr Duration releaseDelay = std::chrono::milliseconds(120);
 
+/** For the ports of the platform and the operators, which are asked by few and send no bodies. */
+HttpLimits ownLimits()
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = 64UL * 1024;
+    limits.connections = {2UL * 1024 * 1024, 32};
+    return limits;
+}
+
 asio::awaitable<void> answerReadiness(GatewayNode &node, HttpExchange &exchange)
 {
     HttpReply reply;
@@ -65,9 +74,12 @@
         , callers(node, settings.callers, ListenerKind::Callers)
         , readiness(
               node.context, settings.readiness,
-              [this](HttpExchange &exchange) { return answerReadiness(this->node, exchange); })
-        , operators(node.context, settings.operators,
-                    [this](HttpExchange &exchange) { return answerOperator(this->node, exchange); })
+              [this](HttpExchange &exchange) { return answerReadiness(this->node, exchange); },
+              ownLimits())
+        , operators(
+              node.context, settings.operators,
+              [this](HttpExchange &exchange) { return answerOperator(this->node, exchange); },
+              ownLimits())
     {
         this->node.decoding.emplace(1);
         GatewayPeerHandlers handlers;
--- a/libs/transport/include/transport/HttpServer.h
+++ b/libs/transport/include/transport/HttpServer.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "config/Settings.h"
+#include "connections/ConnectionLedger.h"
 
 namespace monsoonbay {
 
@@ -20,6 +21,8 @@
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
+class CallerConnections;
+
 /** A header field of a request or response. */
 struct HttpHeader
 {
@@ -75,6 +78,8 @@
 {
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    /** Of all connections together, unless the server shares those of others. */
+    ConnectionLimits connections{64UL * 1024 * 1024, 4096};
     std::chrono::seconds readTimeout{20};
     std::chrono::seconds idleTimeout{120};
     std::chrono::seconds writeTimeout{60};
@@ -84,8 +89,9 @@
 class HttpServer
 {
 public:
+    /** Servers may share `connections`, and then their limits; null: the server has its own. */
     HttpServer(asio::io_context &context, const Endpoint &endpoint, HttpHandler handler,
-               HttpLimits limits = {});
+               HttpLimits limits = {}, std::shared_ptr<CallerConnections> connections = nullptr);
     ~HttpServer();
 
     HttpServer(const HttpServer &) = delete;
--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cerrno>
+#include <optional>
 
 #include <sys/socket.h>
 
@@ -9,6 +10,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -20,6 +23,9 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "transport/CallerConnections.h"
+#include "transport/RequestReader.h"
+
 namespace monsoonbay {
 
 namespace beast = boost::beast;
@@ -30,21 +36,29 @@
 
 constexpr auto nothrowAwaitable = asio::as_tuple(asio::use_awaitable);
 
+/** What an open connection holds: its state, coroutine, buffer and the kernel's part. */
+constexpr std::size_t connectionBytes = 16UL * 1024;
+
+constexpr auto acceptPause = std::chrono::milliseconds(20);
+
 } // namespace
 
 struct HttpServer::State
 {
-    State(asio::io_context &context, HttpHandler handler, HttpLimits limits)
+    State(asio::io_context &context, HttpHandler handler, HttpLimits limits,
+          std::shared_ptr<CallerConnections> connections)
         : context(context)
         , acceptor(asio::make_strand(context))
         , handler(std::move(handler))
         , limits(limits)
+        , connections(std::move(connections))
     { }
 
     asio::io_context &context;
     tcp::acceptor acceptor;
     HttpHandler handler;
     HttpLimits limits;
+    std::shared_ptr<CallerConnections> connections;
     std::atomic<bool> stopping{false};
 };
 
@@ -163,58 +177,125 @@
 
 namespace {
 
-asio::awaitable<void> rejectMalformedRequest(beast::tcp_stream &stream, beast::error_code error)
+struct Refusal
+{
+    http::status status = http::status::bad_request;
+    std::string_view body;
+};
+
+Refusal refusalOf(beast::error_code error)
+{
+    if (error == RequestReader::noRoom())
+        return {
+            http::status::service_unavailable,
+            R"({"type":"urn:monsoonbay:full","title":"this VM has no room for the request now; try again soon","status":503,"notRun":true})"};
+    if (error == http::error::body_limit || error == http::error::header_limit
+        || error == http::error::buffer_overflow)
+        return {
+            http::status::payload_too_large,
+            R"({"type":"urn:monsoonbay:too-large","title":"the request is too large; send a smaller one","status":413,"notRun":true})"};
+    return {
+        http::status::bad_request,
+        R"({"type":"urn:monsoonbay:bad-request","title":"this is not HTTP/1.1; correct the request","status":400,"notRun":true})"};
+}
+
+asio::awaitable<void> refuseRequest(beast::tcp_stream &stream, beast::error_code error)
 {
-    const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit;
     const bool closed = error == http::error::end_of_stream || error == beast::error::timeout
-        || error == http::error::partial_message
-        || error.category() == asio::error::get_system_category()
-        || error.category() == asio::error::get_misc_category();
+        || error == http::error::partial_message || error == asio::error::operation_aborted
+        || (error != RequestReader::noRoom()
+            && (error.category() == asio::error::get_system_category()
+                || error.category() == asio::error::get_misc_category()));
     if (closed)
         co_return;
-    http::response<http::string_body> response(
-        tooLarge ? http::status::payload_too_large : http::status::bad_request, 11);
+    const Refusal refusal = refusalOf(error);
+    http::response<http::string_body> response(refusal.status, 11);
     response.set(http::field::content_type, "application/problem+json");
-    response.body() = tooLarge
-        ? R"({"type":"urn:monsoonbay:too-large","title":"the request is too large; send a smaller one","status":413,"notRun":true})"
-        : R"({"type":"urn:monsoonbay:bad-request","title":"this is not HTTP/1.1; correct the request","status":400,"notRun":true})";
+    if (refusal.status == http::status::service_unavailable)
+        response.set(http::field::retry_after, "1");
+    response.body() = refusal.body;
     response.keep_alive(false);
     response.prepare_payload();
     co_await http::async_write(stream, response, nothrowAwaitable);
 }
 
+/** Reads one request; nothing if the connection ends. */
+template <typename State>
+asio::awaitable<std::optional<HttpRequest>> readRequest(const State &state,
+                                                        beast::tcp_stream &stream,
+                                                        beast::flat_buffer &buffer, ConnectionId id)
+{
+    beast::error_code error;
+    state->connections->use(id, ConnectionUse::Reading);
+    {
+        const RequestReader::Hold hold = [&state, id](std::size_t bytes) {
+            return state->connections->hold(id, connectionBytes + bytes);
+        };
+        RequestLimits limits;
+        limits.maxHeaderBytes = static_cast<std::uint32_t>(state->limits.maxHeaderBytes);
+        limits.maxBodyBytes = state->limits.maxBodyBytes;
+        limits.headerTimeout = state->limits.readTimeout;
+        limits.bodyTimeout = state->limits.readTimeout;
+        RequestReader reader(stream, buffer, limits, hold);
+        error = co_await reader.readHead();
+        if (!error)
+            error = co_await reader.readBody();
+        bool served = !error;
+        if (served)
+            served = co_await state->connections->serve(id);
+        if (served) {
+            stream.expires_never();
+            co_return reader.release();
+        }
+        if (!error)
+            error = RequestReader::noRoom();
+    }
+    // Its memory is given back before the answer is written, as the caller may not read it.
+    buffer.clear();
+    buffer.shrink_to_fit();
+    state->connections->tryHold(id, connectionBytes);
+    stream.expires_after(state->limits.writeTimeout);
+    co_await refuseRequest(stream, error);
+    co_return std::nullopt;
+}
+
+/** Waits for the first bytes of a request; false if the connection ends. */
+template <typename State>
+asio::awaitable<bool> awaitRequest(const State &state, beast::tcp_stream &stream,
+                                   beast::flat_buffer &buffer, ConnectionId id)
+{
+    if (buffer.size() > 0)
+        co_return true;
+    shrinkBuffer(buffer);
+    state->connections->use(id, ConnectionUse::Idle);
+    state->connections->tryHold(id, connectionBytes);
+    stream.expires_after(state->limits.idleTimeout);
+    auto [error, bytes] =
+        co_await stream.async_read_some(buffer.prepare(idleBufferBytes), nothrowAwaitable);
+    if (error)
+        co_return false;
+    buffer.commit(bytes);
+    co_return true;
+}
+
 template <typename State>
 asio::awaitable<void> serveConnection(std::shared_ptr<State> state,
-                                      std::unique_ptr<beast::tcp_stream> connection)
+                                      std::shared_ptr<beast::tcp_stream> connection,
+                                      ConnectionId id)
 {
+    const ConnectionEntry entry(*state->connections, id);
     beast::tcp_stream &stream = *connection;
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
     beast::flat_buffer buffer;
     while (!state->stopping) {
-        // A connection may be idle for long. From its first byte on, a request must be received
-        // within the read timeout, or a caller that sends byte by byte keeps the connection busy
-        // for ever.
-        if (buffer.size() == 0) {
-            stream.expires_after(state->limits.idleTimeout);
-            auto [idleError, idleBytes] =
-                co_await stream.async_read_some(buffer.prepare(4096), nothrowAwaitable);
-            if (idleError)
-                break;
-            buffer.commit(idleBytes);
-        }
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(state->limits.maxHeaderBytes));
-        parser.body_limit(state->limits.maxBodyBytes);
-        stream.expires_after(state->limits.readTimeout);
-        auto [error, bytes] = co_await http::async_read(stream, buffer, parser, nothrowAwaitable);
-        if (error) {
-            stream.expires_after(state->limits.writeTimeout);
-            co_await rejectMalformedRequest(stream, error);
+        const bool begun = co_await awaitRequest(state, stream, buffer, id);
+        if (!begun)
             break;
-        }
-        stream.expires_never();
-        HttpExchange exchange(stream, parser.release());
+        std::optional<HttpRequest> request = co_await readRequest(state, stream, buffer, id);
+        if (!request)
+            break;
+        HttpExchange exchange(stream, std::move(*request));
         co_await state->handler(exchange);
         if (!exchange.hasStartedResponse()) {
             HttpReply reply;
@@ -235,18 +316,35 @@
         const boost::system::error_code error = std::get<0>(accepted);
         if (error == asio::error::operation_aborted)
             break;
-        if (error)
+        if (error) {
+            // Most likely out of descriptors; some will soon be free again.
+            asio::steady_timer pause(state->context, acceptPause);
+            co_await pause.async_wait(nothrowAwaitable);
             continue;
-        auto connection = std::make_unique<beast::tcp_stream>(std::move(std::get<1>(accepted)));
-        asio::co_spawn(strand, serveConnection(state, std::move(connection)), asio::detached);
+        }
+        const auto connection =
+            std::make_shared<beast::tcp_stream>(std::move(std::get<1>(accepted)));
+        const CallerConnections::Close close = [weak = std::weak_ptr(connection),
+                                                strand](ConnectionUse) {
+            asio::post(strand, [weak] {
+                const auto open = weak.lock();
+                if (open)
+                    open->close();
+            });
+        };
+        const auto id = co_await state->connections->open(connectionBytes, close);
+        if (id)
+            asio::co_spawn(strand, serveConnection(state, connection, *id), asio::detached);
     }
 }
 
 } // namespace
 
 HttpServer::HttpServer(asio::io_context &context, const Endpoint &endpoint, HttpHandler handler,
-                       HttpLimits limits)
-    : state(std::make_shared<State>(context, std::move(handler), limits))
+                       HttpLimits limits, std::shared_ptr<CallerConnections> connections)
+    : state(std::make_shared<State>(
+        context, std::move(handler), limits,
+        connections ? connections : std::make_shared<CallerConnections>(limits.connections)))
 {
     const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
     this->state->acceptor.open(address.protocol());
