Transport: a piece of a body lies in no storage that threads share by mistake

Cause: found by reading, not seen in a run: the piece was thread-local inside a coroutine. A coroutine may go on in another thread, and the compiler may keep the address of the first one's: in the daemon of the own interface, which has two threads, two bodies could have had the same piece.

Change: a function of its own parses a piece into its own frame.

--- a/libs/transport/include/transport/RequestReader.h
+++ b/libs/transport/include/transport/RequestReader.h
@@ -65,6 +65,8 @@
 
     asio::awaitable<boost::system::error_code> readMore(std::size_t maxBytes);
     asio::awaitable<bool> makeBodyRoom(std::size_t bytes);
+    /** Appends what the buffer holds of the body, `room` bytes at the most. */
+    boost::system::error_code parsePiece(std::size_t room);
     asio::awaitable<bool> holdFields(std::size_t headBytes);
 
     boost::beast::tcp_stream &stream;
--- a/libs/transport/src/RequestReader.cpp
+++ b/libs/transport/src/RequestReader.cpp
@@ -164,10 +164,21 @@
     co_return co_await this->hold(this->heldBytes());
 }
 
+// Not a part of the coroutine, which would keep the piece for as long as the connection is open.
+error_code RequestReader::parsePiece(std::size_t room)
+{
+    std::array<char, bodyPieceBytes> piece;
+    auto &space = this->parser.get().body();
+    space.data = piece.data();
+    space.size = room;
+    error_code error;
+    this->buffer.consume(this->parser.put(this->buffer.data(), error));
+    this->body.append(piece.data(), room - space.size);
+    return error;
+}
+
 asio::awaitable<error_code> RequestReader::readBody()
 {
-    // What one step of the parser yields; nothing else runs until it is appended.
-    static thread_local std::array<char, bodyPieceBytes> piece;
     this->deadline = BootClock::now() + this->limits.bodyTimeout;
     this->stream.expires_after(this->limits.bodyTimeout);
     bool needsMore = false;
@@ -181,16 +192,11 @@
             if (error)
                 co_return error;
         }
-        const std::size_t room = std::min(this->buffer.size(), piece.size());
+        const std::size_t room = std::min(this->buffer.size(), bodyPieceBytes);
         const bool hasRoom = co_await this->makeBodyRoom(room);
         if (!hasRoom)
             co_return noRoom();
-        auto &space = this->parser.get().body();
-        space.data = piece.data();
-        space.size = room;
-        error_code error;
-        this->buffer.consume(this->parser.put(this->buffer.data(), error));
-        this->body.append(piece.data(), room - space.size);
+        const error_code error = this->parsePiece(room);
         needsMore = error == http::error::need_more;
         if (error && !needsMore && error != http::error::need_buffer)
             co_return error;
