Refusals: more is read behind a refusal than a body that callers are told is too long

Change: 48 MB, the bound of the end-to-end tests for what is read before an answer; the second still ends it.

--- a/libs/gateway/src/CallListener.cpp
+++ b/libs/gateway/src/CallListener.cpp
@@ -39,7 +39,7 @@
 
 /** What a refused caller still sends is read for so long, and so much of it at the most. */
 constexpr Duration drainTimeout = std::chrono::milliseconds(1000);
-constexpr std::size_t maxDrainedBytes = 8UL * 1024 * 1024;
+constexpr std::size_t maxDrainedBytes = 48UL * 1024 * 1024;
 
 /** Room for what another VM adds to the header of a call that it forwards, long names included. */
 constexpr std::uint32_t forwardedHeaderBytes = 2048;
@@ -111,7 +111,7 @@
     connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     connection.stream.expires_after(drainTimeout);
     const Instant limit = BootClock::now() + drainTimeout;
-    std::array<char, 4096> space{};
+    std::array<char, 8192> space{};
     std::size_t drained = 0;
     while (drained < maxDrainedBytes && BootClock::now() < limit) {
         auto [error, bytes] =
