Soak, logs: what the retry budget is spent on while targets are healthy

Change: call-bounced says its cause and how long the adapter was believed to be there, the lease holder logs adapter-missing, counters by cause.

--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "AttemptResult.h"
 #include "BodyDelimiter.h"
 #include "ForwardedCall.h"
 #include "GatewayNode.h"
@@ -87,6 +88,8 @@
     CapacityWait capacityWait;
     std::vector<std::string> prefillAsked; ///< engines that were asked how many tokens wait there
     std::string adapterMissingAt; ///< engine without the adapter that it was believed to hold
+    Duration adapterBelieved{}; ///< time for which its latest target was taken to hold the adapter
+    NotRunCause notRunCause = NotRunCause::None; ///< of its latest attempt
     std::vector<PromptPrefix> prefixes; ///< of its prompt, if the service has engines
     double cachedTokens = 0; ///< of its prompt, believed to be cached at its latest engine
     int attempts = 0;
--- a/libs/gateway/src/AttemptResult.h
+++ b/libs/gateway/src/AttemptResult.h
@@ -16,4 +16,14 @@
     Refused, ///< the call ends with CallAnswer::refusal: nothing was sent, or it has not run
 };
 
+/** Why a target has not run a call that it received. */
+enum class NotRunCause : std::uint8_t {
+    None, ///< the attempt did not end so
+    AdapterNotLoaded, ///< a load of the adapter was believed done a short time ago
+    AdapterGone, ///< the target was believed to hold the adapter for longer
+    OtherTarget, ///< another target has the address
+    Full, ///< it has no room, or the call's time had passed
+    Leaving, ///< it will shut down soon
+};
+
 } // namespace monsoonbay
--- a/libs/gateway/src/CallRetries.cpp
+++ b/libs/gateway/src/CallRetries.cpp
@@ -74,17 +74,69 @@
     return takeRetry(call);
 }
 
+namespace {
+
+/** Why an attempt gave the caller no answer. */
+struct BounceCause
+{
+    std::string_view name;
+    std::optional<Counter> counter{}; ///< nothing: it is not counted
+};
+
+BounceCause notRunCauseOf(NotRunCause cause)
+{
+    switch (cause) {
+    case NotRunCause::AdapterNotLoaded:
+        return {"adapter not loaded yet", Counter::BouncedAdapterNotLoaded};
+    case NotRunCause::AdapterGone:
+        return {"adapter gone", Counter::BouncedAdapterGone};
+    case NotRunCause::OtherTarget:
+        return {"other target", Counter::BouncedOtherTarget};
+    case NotRunCause::Full:
+        return {"full", Counter::BouncedFull};
+    case NotRunCause::Leaving:
+        return {"leaving", Counter::BouncedLeaving};
+    case NotRunCause::None:
+        break;
+    }
+    return {"refused"};
+}
+
+BounceCause bounceCauseOf(const ActiveCall &call, AttemptResult end)
+{
+    switch (end) {
+    case AttemptResult::NotRun:
+        return notRunCauseOf(call.notRunCause);
+    case AttemptResult::Unreachable:
+        return {"unreachable", Counter::BouncedUnreachable};
+    case AttemptResult::Failed:
+        return {"failed", Counter::BouncedFailed};
+    case AttemptResult::Broken:
+        return {"answer lost", Counter::BouncedFailed};
+    default:
+        return {"ended"};
+    }
+}
+
+} // namespace
+
 void logFailedAttempt(const ActiveCall &call, const FailedAttempt &attempt,
                       const RetryDecision &decision)
 {
     GatewayNode &node = call.node;
     const ServiceRetryBudget &budget = node.retryBudgets[call.service];
     const TargetUsage others = othersUsageAt(node, attempt.target);
+    const BounceCause cause = bounceCauseOf(call, attempt.end);
+    if (cause.counter)
+        node.metrics.add(*cause.counter);
     logEvent(EventId::CallBounced,
              {{"call", call.metadata.attemptId},
               {"target", attempt.target},
               {"software", attempt.software},
               {"end", std::to_string(static_cast<int>(attempt.end))},
+              {"cause", std::string(cause.name)},
+              {"adapter", call.metadata.adapter},
+              {"believedMs", millisText(call.adapterBelieved)},
               {"error", attempt.error ? attempt.error.message() : ""},
               {"othersGood", std::to_string(others.successes)},
               {"othersFailed", std::to_string(others.failures)},
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(300);
+/** An adapter that was believed to be there for longer had been loaded. */
+constexpr Duration longestLoadTime = std::chrono::milliseconds(1500);
 
 void recordResult(ActiveCall &call, const TargetEntry &target, SendOutcome outcome)
 {
@@ -191,6 +193,7 @@
         InFlightGuard inFlight(this->call, target.id);
         this->call.step = CallStep::Connecting;
         this->call.servedBy = target.id;
+        this->call.notRunCause = NotRunCause::None;
         TargetExchange exchange(this->node, target, this->call.metadata.attemptId);
         const bool connected = co_await exchange.connect();
         this->sendError = exchange.error();
@@ -212,6 +215,8 @@
         SendMetadata metadata = sendMetadataOf(this->call, this->answer);
         metadata.targetId = target.id;
         recordAttempt(this->call);
+        this->call.adapterBelieved =
+            timeBelievedResident(this->node, target.id, this->call.metadata.adapter);
         const bool mayHaveRunBefore = this->call.mayHaveRun;
         this->call.mayHaveRun = true;
         if (mayHaveRunBefore)
@@ -279,16 +284,23 @@
         const bool otherTarget = !metadata.answeredBy.empty() && metadata.answeredBy != target.id;
         if (metadata.misdirected && otherTarget) {
             // The address belongs to another target now; the target list will soon follow.
+            this->call.notRunCause = NotRunCause::OtherTarget;
             recordResult(this->call, target, SendOutcome::Unreachable);
             co_return;
         }
         if (metadata.misdirected) {
-            runtimeOf(this->node, target.id).resident.erase(this->call.metadata.adapter);
+            TargetRuntime &runtime = runtimeOf(this->node, target.id);
+            this->call.notRunCause = this->call.adapterBelieved < longestLoadTime
+                ? NotRunCause::AdapterNotLoaded
+                : NotRunCause::AdapterGone;
+            runtime.resident.erase(this->call.metadata.adapter);
+            runtime.residentSince.erase(this->call.metadata.adapter);
             dropPrefixesOf(this->node, target.id, this->call.metadata.adapter);
             this->call.adapterMissingAt = target.id;
             this->call.triedTargets.pop_back();
             co_return;
         }
+        this->call.notRunCause = metadata.leaving ? NotRunCause::Leaving : NotRunCause::Full;
         recordResult(this->call, target, SendOutcome::Refused);
     }
 
--- a/libs/gateway/src/EngineCommands.cpp
+++ b/libs/gateway/src/EngineCommands.cpp
@@ -292,6 +292,31 @@
     return expectedBegin(held.scheduler, ahead, loadTime, nextCommandTime(held, now));
 }
 
+/** Logs what the lease holder believed of an adapter that its engine does not hold. */
+void logMissing(GatewayNode &node, const std::string &target, const std::string &key, Instant now)
+{
+    const AdapterScheduler &scheduler = heldEngineOf(node, target).scheduler;
+    const auto found = scheduler.slots.find(key);
+    if (found == scheduler.slots.end()) {
+        logEvent(EventId::AdapterMissing,
+                 {{"target", target}, {"adapter", key}, {"believed", "not held"}});
+        return;
+    }
+    const AdapterSlot &slot = found->second;
+    const bool known = slot.requestedAt != Instant{};
+    logEvent(
+        EventId::AdapterMissing,
+        {{"target", target},
+         {"adapter", key},
+         {"believed", slot.loading ? "loading" : "held"},
+         {"overdueMs", millisText(now - slot.readyAt)},
+         {"expectedMs", millisText(known ? slot.readyAt - slot.requestedAt : Duration::zero())},
+         {"waitedMs", millisText(known ? now - slot.requestedAt : Duration::zero())},
+         {"underWay", std::to_string(slot.concurrentLoads)},
+         {"fetched", slot.fetched ? "yes" : "no"},
+         {"refused", std::to_string(slot.earlyCalls + 1)}});
+}
+
 } // namespace
 
 bool canCommand(const GatewayNode &node, const std::string &target)
@@ -322,8 +347,10 @@
     const Instant begun = BootClock::now();
     const std::string &target = request.target();
     const std::string key = adapterKey(request.model(), request.adapter());
-    if (request.missed() && !heldEngineOf(node, target).commandInFlight)
+    if (request.missed() && !heldEngineOf(node, target).commandInFlight) {
+        logMissing(node, target, key, begun);
         recordMissing(heldEngineOf(node, target).scheduler, key, node.loadEstimator, begun);
+    }
     const Duration beginWithin = request.begin_within_ms() > 0
         ? Duration(std::chrono::milliseconds(request.begin_within_ms()))
         : maxLoadWait;
@@ -512,7 +539,9 @@
     }
     const bool ready = reply && reply->outcome() == v1::LOAD_OUTCOME_READY;
     if (ready) {
-        std::int64_t &known = runtimeOf(node, target).resident[adapter];
+        TargetRuntime &runtime = runtimeOf(node, target);
+        runtime.residentSince.try_emplace(adapter, BootClock::now());
+        std::int64_t &known = runtime.resident[adapter];
         known = std::max(known, reply->version());
         node.metrics.record(Timing::LoadStall, toSeconds(BootClock::now() - begun));
         if (pending->waiters > 1)
--- a/libs/gateway/src/GatewayNode.cpp
+++ b/libs/gateway/src/GatewayNode.cpp
@@ -81,10 +81,14 @@
 void setResident(GatewayNode &node, const std::string &target, ResidentVersions resident)
 {
     TargetRuntime &runtime = runtimeOf(node, target);
+    const Instant now = BootClock::now();
     for (const auto &[adapter, version] : resident) {
+        runtime.residentSince.try_emplace(adapter, now);
         if (runtime.resident.count(adapter) == 0)
             recordTouch(runtime.copies, adapter);
     }
+    std::erase_if(runtime.residentSince,
+                  [&resident](const auto &known) { return resident.count(known.first) == 0; });
     for (const auto &[adapter, version] : runtime.resident) {
         const auto kept = resident.find(adapter);
         if (kept == resident.end())
@@ -95,6 +99,14 @@
     runtime.resident = std::move(resident);
 }
 
+Duration timeBelievedResident(GatewayNode &node, const std::string &target,
+                              const std::string &adapter)
+{
+    const auto &since = runtimeOf(node, target).residentSince;
+    const auto found = since.find(adapter);
+    return found == since.end() ? Duration::zero() : BootClock::now() - found->second;
+}
+
 int liveGateways(const GatewayNode &node)
 {
     return node.recentVms;
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -103,6 +103,7 @@
     TargetUsage ownUsage; ///< by calls of this VM
     std::map<std::string, int> ownAdapterRuns; ///< calls of this VM in flight, by adapter
     std::unordered_map<std::string, std::int64_t> resident; ///< version by adapter key
+    std::unordered_map<std::string, Instant> residentSince; ///< when this VM learnt it, by adapter
     HostCopies copies; ///< adapters with a copy in host memory, which load fast
     std::set<std::string> models; ///< resident base models
     PendingLoads incoming;
@@ -432,6 +433,10 @@
  */
 void setResident(GatewayNode &node, const std::string &target, ResidentVersions resident);
 
+/** How long ago this VM learnt that the target holds the adapter; zero if it does not know so. */
+Duration timeBelievedResident(GatewayNode &node, const std::string &target,
+                              const std::string &adapter);
+
 /** Number of VMs, including this one; VMs that fell silent are still counted for a while. */
 int liveGateways(const GatewayNode &node);
 
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -72,6 +72,7 @@
     LeaseChanged = 7030,
     OrderGiven = 7031,
     OrdersNoted = 7032,
+    AdapterMissing = 7033,
     LinksFound = 7034,
     CallRefused = 7040,
     CallFailed = 7041,
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -60,6 +60,13 @@
     RetriesFromCalls, ///< retries granted from the ratio of the calls
     RetriesFromSlack, ///< retries granted from this VM's share of the slack
     RetriesRefused, ///< retries that the budget did not allow
+    BouncedAdapterNotLoaded, ///< this and the next six: attempts that gave no answer, by cause
+    BouncedAdapterGone,
+    BouncedOtherTarget,
+    BouncedFull,
+    BouncedLeaving,
+    BouncedUnreachable,
+    BouncedFailed, ///< the target failed, or its answer was lost
     CallersLeft, ///< calls whose callers closed the connection before the answer was complete
     CallsTimedOut, ///< calls that were not answered by their deadline
     // Bytes of state updates sent to VMs of the own zone, by kind; see gateway/UpdateBytes.h.
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -198,6 +198,12 @@
              "none; it sends no commands unless the record was added"},
     EventRow{EventId::OrderGiven, "order-given", EventLevel::Info,
              "a command to load or unload an adapter was sent to an engine", "none"},
+    EventRow{EventId::AdapterMissing, "adapter-missing", EventLevel::Info,
+             "an engine that this VM commands refused a call for an adapter that it should hold; "
+             "`believed` is what this VM took it for (held, loading, not held), `expectedMs` the "
+             "time that its load was expected to take, `waitedMs` how long ago it was commanded, "
+             "`refused` the calls that the same load had refused so far",
+             "none if it is rare; otherwise check the weight store and the engine"},
     EventRow{EventId::CallRefused, "call-refused", EventLevel::Warning,
              "a call was refused and has not run; if `forecastMs` is above 0, capacity was "
              "expected after that time",
@@ -205,7 +211,9 @@
     EventRow{EventId::CallFailed, "call-failed", EventLevel::Warning,
              "a call failed; it may have run", "look for call-bounced events of the same call"},
     EventRow{EventId::CallBounced, "call-bounced", EventLevel::Info,
-             "an attempt at a target did not give the caller an answer; `repeats`, `callsCounted` "
+             "an attempt at a target did not give the caller an answer; `cause` says why, "
+             "`believedMs` how long this VM had taken the target to hold the adapter, `repeats`, "
+             "`callsCounted` "
              "and `vmsCounted` say how much of the retry budget this VM has used, how many calls "
              "earn it and among how many VMs the slack is divided, `grantedFrom` (calls, slack) "
              "what the next attempt takes it from, `error` is the connection error, `othersGood` "
