Loads: one whose time is not known is done when a report says so

What callers saw: with healthy targets, calls that had seconds left were refused, "the target did not accept the call"; and a target in trouble found its retry budget used up, or more.

Cause: a first guess of 200 ms was tried out by calls, two to four times for each load, each try a repeat of the budget that all VMs share, anew after each start. Class: a guess is tried out on a right that all share, though the answer can be had by asking.

Change: a load whose time follows from no observed load, or that was tried in vain, is awaited by reports (one each 50 ms while a call waits for it), from which its time is learnt; the age of what reports say is known from the commands that they lack. A load under way is waited for up to 2.5 s in requests of 0.8 s each; a lease holder that was given less time is not taken as silent. The test early_calls_lengthen... begins with observed loads now, as the guess is no longer tried; a further reason of declines moves the first unknown number from 6 to 7.

--- a/libs/gateway/src/EngineCommands.cpp
+++ b/libs/gateway/src/EngineCommands.cpp
@@ -20,6 +20,12 @@
 constexpr Duration reportTimeout = std::chrono::milliseconds(300);
 /** After this it is worth trying another engine; the longest loads take about a second. */
 constexpr Duration maxLoadWait = std::chrono::milliseconds(800);
+/** Between two VMs, beyond the time for which the lease holder waits before it replies. */
+constexpr Duration replyLatency = std::chrono::milliseconds(50);
+/** A load that is under way is waited for up to this long; other engines would not be faster. */
+constexpr Duration longestLoad = std::chrono::milliseconds(2500);
+/** Between two reports, while a load is waited for whose end only a report shows. */
+constexpr Duration loadCheckInterval = std::chrono::milliseconds(50);
 /** Maximum wait while all slots are in use: some call is likely to end within this time. */
 constexpr Duration maxSlotWait = std::chrono::milliseconds(120);
 constexpr Duration slotPollInterval = std::chrono::milliseconds(25);
@@ -292,6 +298,33 @@
     return expectedBegin(held.scheduler, ahead, loadTime, nextCommandTime(held, now));
 }
 
+/** Reads a report to see whether loads are done that only reports show, or that take long. */
+asio::awaitable<void> checkLoads(GatewayNode &node, std::string target)
+{
+    HeldEngine &held = heldEngineOf(node, target);
+    const TargetEntry *entry = entryOf(node, target);
+    if (entry == nullptr || held.checkingLoads)
+        co_return;
+    held.checkingLoads = true;
+    held.loadsCheckedAt = BootClock::now();
+    const EngineAddress address{target, entry->endpoint};
+    const auto report = co_await node.platform->report(node.http, address, reportTimeout);
+    held.checkingLoads = false;
+    if (!report
+        || !applyCompletedLoads(held.scheduler, *report, node.loadEstimator, BootClock::now()))
+        co_return;
+    publishHeldEngine(node, target);
+    held.changed.notifyAll();
+}
+
+/** Reads a report, unless the last one is recent. */
+void checkLoadsSoon(GatewayNode &node, const std::string &target)
+{
+    const HeldEngine &held = heldEngineOf(node, target);
+    if (BootClock::now() - held.loadsCheckedAt >= loadCheckInterval)
+        spawn(node, "check loads", checkLoads(node, target));
+}
+
 /** Logs what the lease holder believed of an adapter that its engine does not hold. */
 void logMissing(GatewayNode &node, const std::string &target, const std::string &key, Instant now)
 {
@@ -420,6 +453,11 @@
             co_return loadReply(v1::LOAD_OUTCOME_READY, heldVersion(held.scheduler, key));
         }
         case SchedulerStep::Wait: {
+            if (awaitsReport(held.scheduler, key)) {
+                checkLoadsSoon(node, target);
+                co_await held.changed.wait(loadCheckInterval);
+                break;
+            }
             const auto slot = held.scheduler.slots.find(key);
             const Duration rest =
                 slot != held.scheduler.slots.end() ? slot->second.readyAt - now : slotPollInterval;
@@ -450,7 +488,9 @@
         }
         }
     }
-    v1::LoadReply timedOut = declineReply(DeclineReason::EngineSilent);
+    const bool loading = isLoading(heldEngineOf(node, target).scheduler, key);
+    v1::LoadReply timedOut =
+        declineReply(loading ? DeclineReason::Loading : DeclineReason::EngineSilent);
     timedOut.set_outcome(v1::LOAD_OUTCOME_UNKNOWN);
     co_return timedOut;
 }
@@ -470,6 +510,7 @@
         return Counter::LoadsDeclinedModel;
     case DeclineReason::NotHolder:
         return Counter::LoadsDeclinedHolder;
+    case DeclineReason::Loading:
     case DeclineReason::Unspecified:
         break;
     }
@@ -496,11 +537,49 @@
 
 } // namespace
 
+namespace {
+
+/** True if the load is under way and was not done by the time of the reply. */
+bool isStillLoading(const v1::LoadReply &reply)
+{
+    return reply.outcome() == v1::LOAD_OUTCOME_UNKNOWN
+        && decodeDecline(reply).reason == DeclineReason::Loading;
+}
+
+/** Requests a load from the engine's lease holder, which may be this VM; nothing: no answer. */
+asio::awaitable<std::optional<v1::LoadReply>> askHolder(GatewayNode &node, v1::LoadRequest request,
+                                                        Duration longest)
+{
+    const std::string target = request.target();
+    if (mayCommandNow(node, target)) {
+        v1::LoadReply reply = co_await performLoad(node, std::move(request));
+        co_return reply;
+    }
+    const PeerState *holder = holderOf(node, target);
+    if (holder == nullptr)
+        co_return std::nullopt;
+    const Endpoint peer = holder->endpoint;
+    const Instant begun = BootClock::now();
+    std::optional<v1::LoadReply> reply =
+        co_await node.peerLinks.load(peer, std::move(request), longest + replyLatency);
+    // A lease holder that was not given its usual time to reply may be well.
+    const Instant now = BootClock::now();
+    const bool cutShort = longest < maxLoadWait && now - begun >= longest;
+    const auto asked = node.peers.find(peer);
+    if (!reply && !cutShort && asked != node.peers.end())
+        asked->second.loadFailedAt = now;
+    if (reply && reply->outcome() == v1::LOAD_OUTCOME_NOT_HOLDER)
+        recordNotHolder(node, target, peer);
+    co_return reply;
+}
+
+} // namespace
+
 asio::awaitable<bool> requestLoad(GatewayNode &node, std::string target, std::string model,
                                   std::string adapter, std::int64_t version, bool missed,
                                   LoadLimits limits)
 {
-    const Duration maxWait = std::min(limits.whole, maxLoadWait);
+    const Duration maxWait = std::min(limits.whole, longestLoad);
     const auto key = std::make_pair(target, adapter);
     const auto underWay = node.loadsInFlight.find(key);
     if (underWay != node.loadsInFlight.end()) {
@@ -523,20 +602,11 @@
     request.set_begin_within_ms(static_cast<std::uint32_t>(toMillis(limits.begin)));
     const Instant begun = BootClock::now();
     std::optional<v1::LoadReply> reply;
-    if (mayCommandNow(node, target)) {
-        reply = co_await performLoad(node, request);
-    } else {
-        const PeerState *holder = holderOf(node, target);
-        if (holder != nullptr) {
-            const Endpoint peer = holder->endpoint;
-            reply = co_await node.peerLinks.load(peer, request, maxWait);
-            const auto asked = node.peers.find(peer);
-            if (!reply && asked != node.peers.end())
-                asked->second.loadFailedAt = BootClock::now();
-            if (reply && reply->outcome() == v1::LOAD_OUTCOME_NOT_HOLDER)
-                recordNotHolder(node, target, peer);
-        }
-    }
+    do {
+        const Duration left = maxWait - (BootClock::now() - begun);
+        reply = co_await askHolder(node, request, std::min(left, maxLoadWait));
+        request.set_missed(false);
+    } while (reply && isStillLoading(*reply) && BootClock::now() - begun < maxWait);
     const bool ready = reply && reply->outcome() == v1::LOAD_OUTCOME_READY;
     if (ready) {
         TargetRuntime &runtime = runtimeOf(node, target);
@@ -600,24 +670,6 @@
     return static_cast<double>(node.modelLoads.size()) < share;
 }
 
-/** Reads a report to see whether loads that were expected to take long are done already. */
-asio::awaitable<void> checkLoads(GatewayNode &node, std::string target)
-{
-    HeldEngine &held = heldEngineOf(node, target);
-    const TargetEntry *entry = entryOf(node, target);
-    if (entry == nullptr || held.checkingLoads)
-        co_return;
-    held.checkingLoads = true;
-    const EngineAddress address{target, entry->endpoint};
-    const auto report = co_await node.platform->report(node.http, address, reportTimeout);
-    held.checkingLoads = false;
-    if (!report
-        || !applyCompletedLoads(held.scheduler, *report, node.loadEstimator, BootClock::now()))
-        co_return;
-    publishHeldEngine(node, target);
-    held.changed.notifyAll();
-}
-
 /** Takes the next step, if any is due, so that an engine gets its base model. */
 asio::awaitable<void> ensureBaseModel(GatewayNode &node, std::string target)
 {
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -195,6 +195,7 @@
     Instant commandSince{}; ///< when the latest one was sent
     bool unreachable = false; ///< links to engines are lost, and it does not answer either
     bool checkingLoads = false; ///< a report is being read to see whether loads are done
+    Instant loadsCheckedAt{}; ///< when such a report was last requested
     Instant retryAt{}; ///< no command or report request before this
     int refusals = 0; ///< consecutive
     LoadQueue queue;
--- a/libs/serving/include/serving/AdapterScheduler.h
+++ b/libs/serving/include/serving/AdapterScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,11 +29,21 @@
     int concurrentLoads = 1; ///< from the weight store over all engines, including this one
     double loadsSinceTouch = -1; ///< loads at this engine since its last stay; below 0: never there
     std::int64_t sequence = 0; ///< the engine's count of accepted commands including its load
+    bool awaitsReport = false; ///< while loading: only a report shows that the load is done
     bool evaluated = true; ///< the outcome of its load has been used to update the estimates
     int earlyCalls = 0; ///< calls refused since the load was accepted because it was not done
     int runs = 0; ///< calls that use it now, as reported by the VMs
 };
 
+/** When an engine accepted the command that raised its count to `sequence`. */
+struct CommandAcceptance
+{
+    std::int64_t sequence = 0;
+    Instant at{};
+
+    auto operator<=>(const CommandAcceptance &) const = default;
+};
+
 /**
  * Adapter slots of one engine at the VM that holds the lease on it, with the rules for which load
  * or unload command comes next.
@@ -44,6 +55,8 @@
     std::int64_t sequence = -1; ///< commands that the engine has accepted; below 0: unknown
     std::int64_t minSequence = 0; ///< a report with a lower count is outdated
     Instant acceptedAt{}; ///< when the last command was accepted
+    std::deque<CommandAcceptance> acceptances; ///< of the latest commands, oldest first
+    Duration reportAge{}; ///< age of what its reports say, as far as these have shown it
     std::unordered_map<std::string, AdapterSlot> slots; ///< by adapter key
     std::set<std::string> models; ///< base models that are loaded
     Instant modelReadyAt{}; ///< when the base model being loaded is expected; zero: none is
@@ -111,6 +124,7 @@
     Duration time{};
     int concurrentLoads = 1; ///< from the weight store over all engines, including this one
     bool fetched = false; ///< from the weight store, not from the engine's host memory
+    bool known = true; ///< it follows from observed loads
 
     auto operator<=>(const LoadEstimate &) const = default;
 };
@@ -124,8 +138,9 @@
 
 /**
  * The engine refused a call because an adapter that was expected to be resident is missing. Shortly
- * after the load was due this means that the load takes longer than expected, and it is checked
- * again a little later; otherwise the state of the slots is unknown until the next report.
+ * after the load was due this means that the load takes longer than expected: one that is usually
+ * done in time is checked by another call a little later, any other one by reports. Otherwise the
+ * state of the slots is unknown until the next report.
  */
 void recordMissing(AdapterScheduler &scheduler, const std::string &adapter,
                    LoadEstimator &estimator, Instant now);
@@ -137,7 +152,7 @@
  */
 bool recordBusyRefusal(AdapterScheduler &scheduler, LoadEstimator &estimator, Instant now);
 
-/** Extends the expected times of running loads by what was learnt since they were accepted. */
+/** Updates the expected times of running loads by what was learnt since they were accepted. */
 void extendLoadEstimates(AdapterScheduler &scheduler, const LoadTimeModel &times);
 
 /**
@@ -148,6 +163,9 @@
 Duration probeCallDelay(AdapterScheduler &scheduler, const std::string &adapter,
                         const LoadTimeModel &times, Instant now);
 
+/** True if the end of a load of this adapter shows only in a report. */
+bool awaitsReport(const AdapterScheduler &scheduler, const std::string &adapter) noexcept;
+
 /**
  * True if a load is expected to go on for long after the time that it would take without concurrent
  * loads, so that a report may show that it is already done.
--- a/libs/serving/include/serving/LoadDecline.h
+++ b/libs/serving/include/serving/LoadDecline.h
@@ -16,6 +16,7 @@
     EngineSilent = 3, ///< the engine does not answer, or refuses commands
     ModelMissing = 4, ///< the base model is not loaded
     NotHolder = 5, ///< the VM that was asked does not hold the lease on the engine
+    Loading = 6, ///< not declined: the load is under way and takes longer than one request may wait
 };
 
 /** A declined load request. */
--- a/libs/serving/include/serving/LoadTimeModel.h
+++ b/libs/serving/include/serving/LoadTimeModel.h
@@ -16,8 +16,8 @@
 constexpr std::size_t concurrencyClasses = 24;
 
 /**
- * Expected load times, learnt from outcomes: whether a call that arrives when its load is due is
- * accepted by the engine or refused because the load is not done.
+ * Expected load times, learnt from outcomes: when reports show that loads are done, and whether a
+ * call that arrives when its load is due is accepted or refused because the load is not done.
  */
 struct LoadTimeModel
 {
@@ -35,6 +35,15 @@
 /** Expected time to load an adapter from the weight store. */
 Duration fetchTime(const LoadTimeModel &times, int concurrentLoads) noexcept;
 
+/**
+ * True if observed loads show that one is done by fetchTime(). If not, that is only a guess, which
+ * may be far too short.
+ */
+bool isFetchTimeKnown(const LoadTimeModel &times, int concurrentLoads) noexcept;
+
+/** Time of a load without concurrent ones; a guess if there was none yet. */
+Duration shortestFetchTime(const LoadTimeModel &times) noexcept;
+
 /** Expected time to load an adapter that the engine still has in host memory. */
 Duration hostCopyTime(const LoadTimeModel &times) noexcept;
 
@@ -50,6 +59,11 @@
  */
 void recordLoadSeenDone(LoadTimeModel &times, int concurrentLoads, Duration elapsed) noexcept;
 
+/** As recordLoadSeenDone(), of a load that took longer than expected, or of which nothing was
+ * known.
+ */
+void recordAwaitedLoadDone(LoadTimeModel &times, int concurrentLoads, Duration elapsed) noexcept;
+
 /** True if calls recently arrived too early, or there are no observations yet. */
 bool isUncertain(const LoadTimeModel &times) noexcept;
 
--- a/libs/serving/src/AdapterScheduler.cpp
+++ b/libs/serving/src/AdapterScheduler.cpp
@@ -32,6 +32,15 @@
 /** From telling a call that its adapter is resident to hearing that the engine refused the call. */
 constexpr Duration probeTimeout = std::chrono::milliseconds(30);
 
+/**
+ * A load that no report has shown as done is tried by a call this long after it was due: the engine
+ * may not answer the requests for reports.
+ */
+constexpr Duration longestUnreported = std::chrono::milliseconds(800);
+
+/** Commands whose acceptance is remembered; reports lag by less than that many take. */
+constexpr std::size_t maxAcceptances = 16;
+
 /** With more refused calls for one load, the cause is not its estimated time. */
 constexpr int maxEarlyCalls = 8;
 
@@ -77,6 +86,22 @@
                                           [](const auto &slot) { return slot.second.loading; }));
 }
 
+// A report that lacks a command is from before that command, and one that includes it from after
+// it. The age of earlier reports is the best guess between these two.
+void updateReportAge(AdapterScheduler &scheduler, const EngineReport &report, Instant now)
+{
+    Duration least = Duration::zero();
+    Duration most = maxReportLag;
+    for (const CommandAcceptance &acceptance : scheduler.acceptances) {
+        const Duration since = now - acceptance.at;
+        if (acceptance.sequence > report.sequence)
+            least = std::max(least, since);
+        else
+            most = std::min(most, since);
+    }
+    scheduler.reportAge = std::max(std::min(scheduler.reportAge, most), std::min(least, most));
+}
+
 } // namespace
 
 void resetScheduler(AdapterScheduler &scheduler, std::int64_t startTime)
@@ -121,6 +146,8 @@
         const auto known = scheduler.slots.find(adapter);
         if (known != scheduler.slots.end())
             slot = known->second;
+        else
+            slot.awaitsReport = true;
         slot.version = version;
         slot.loading = true;
         slot.readyAt = std::max(slot.readyAt, now + overdueRecheckDelay);
@@ -130,6 +157,7 @@
     scheduler.models = report.models;
     scheduler.sequence = report.sequence;
     scheduler.minSequence = report.sequence;
+    scheduler.acceptances.clear();
     return true;
 }
 
@@ -171,6 +199,7 @@
     slot = AdapterSlot();
     slot.version = version;
     slot.loading = true;
+    slot.awaitsReport = estimate.fetched && !estimate.known;
     slot.fetched = estimate.fetched;
     slot.requestedAt = now;
     slot.sequence = scheduler.sequence + 1;
@@ -215,11 +244,15 @@
     scheduler.acceptedAt = now;
     ++scheduler.sequence;
     scheduler.minSequence = scheduler.sequence;
+    scheduler.acceptances.push_back({scheduler.sequence, now});
+    if (scheduler.acceptances.size() > maxAcceptances)
+        scheduler.acceptances.pop_front();
 }
 
 void invalidateSequence(AdapterScheduler &scheduler)
 {
     scheduler.sequence = -1;
+    scheduler.acceptances.clear();
 }
 
 void updateRuns(AdapterScheduler &scheduler, const std::map<std::string, int> &runs, Instant now)
@@ -263,6 +296,7 @@
     estimate.fetched = !hasHostCopy(scheduler.copies, adapter, estimator.memory);
     estimate.time = estimate.fetched ? fetchTime(estimator.times, estimate.concurrentLoads)
                                      : hostCopyTime(estimator.times);
+    estimate.known = isFetchTimeKnown(estimator.times, estimate.concurrentLoads);
     return estimate;
 }
 
@@ -290,16 +324,20 @@
     const Duration waited = now - slot.requestedAt;
     ++slot.earlyCalls;
     slot.readyAt = now + recheckDelay(waited, slot.earlyCalls);
+    const bool triedBefore = slot.earlyCalls > 1;
+    const bool uncertain = isUncertain(estimator.times);
     const bool mayBeLatency = !slot.fetched && slot.earlyCalls == 1;
     if (mayBeLatency) {
         // This command may just have taken slightly longer on its way than others.
     } else if (slot.fetched) {
         recordEarlyCall(estimator.times, slot.concurrentLoads, waited);
+        slot.awaitsReport = triedBefore || uncertain;
     } else {
         shortenRetention(estimator.memory, slot.loadsSinceTouch);
         slot.fetched = true;
         slot.readyAt = std::max(
             slot.readyAt, slot.requestedAt + fetchTime(estimator.times, slot.concurrentLoads));
+        slot.awaitsReport = !isFetchTimeKnown(estimator.times, slot.concurrentLoads);
     }
     slot.loading = true;
     slot.evaluated = false;
@@ -331,12 +369,20 @@
 void extendLoadEstimates(AdapterScheduler &scheduler, const LoadTimeModel &times)
 {
     for (auto &[adapter, slot] : scheduler.slots) {
-        if (slot.loading && slot.fetched && slot.earlyCalls == 0)
-            slot.readyAt =
-                std::max(slot.readyAt, slot.requestedAt + fetchTime(times, slot.concurrentLoads));
+        if (!slot.loading || !slot.fetched || slot.earlyCalls > 0)
+            continue;
+        slot.readyAt =
+            std::max(slot.readyAt, slot.requestedAt + fetchTime(times, slot.concurrentLoads));
+        slot.awaitsReport = slot.awaitsReport && !isFetchTimeKnown(times, slot.concurrentLoads);
     }
 }
 
+bool awaitsReport(const AdapterScheduler &scheduler, const std::string &adapter) noexcept
+{
+    const auto found = scheduler.slots.find(adapter);
+    return found != scheduler.slots.end() && found->second.loading && found->second.awaitsReport;
+}
+
 Duration probeCallDelay(AdapterScheduler &scheduler, const std::string &adapter,
                         const LoadTimeModel &times, Instant now)
 {
@@ -370,7 +416,7 @@
 // loads would be expected to take as long. Checking the engine in between breaks this cycle.
 bool isReportCheckDue(const AdapterScheduler &scheduler, const LoadTimeModel &times, Instant now)
 {
-    const Duration alone = fetchTime(times, 1);
+    const Duration alone = shortestFetchTime(times);
     return std::any_of(scheduler.slots.begin(), scheduler.slots.end(), [&](const auto &entry) {
         const AdapterSlot &slot = entry.second;
         return slot.loading && slot.fetched && now - slot.requestedAt >= alone
@@ -383,12 +429,16 @@
 {
     if (compareStarts(scheduler.startTime, report.startTime) != StartOrder::Same)
         return false;
+    updateReportAge(scheduler, report, now);
     bool any = false;
     for (auto &[adapter, slot] : scheduler.slots) {
         // A report from before the command may show the adapter from an earlier stay.
+        if (!slot.loading || report.sequence < slot.sequence)
+            continue;
         const auto held = report.resident.find(adapter);
-        const bool done = slot.loading && report.sequence >= slot.sequence
-            && held != report.resident.end() && held->second >= slot.version;
+        const bool done = held != report.resident.end() && held->second >= slot.version;
+        if (!done && slot.awaitsReport)
+            slot.readyAt = std::max(slot.readyAt, now);
         if (!done)
             continue;
         any = true;
@@ -396,8 +446,12 @@
         slot.readyAt = std::min(slot.readyAt, now);
         slot.lastUsedAt = std::max(slot.lastUsedAt, now);
         slot.evaluated = true;
-        if (slot.fetched)
-            recordLoadSeenDone(estimator.times, slot.concurrentLoads, now - slot.requestedAt);
+        if (!slot.fetched)
+            continue;
+        const Duration elapsed = now - scheduler.reportAge - slot.requestedAt;
+        if (slot.awaitsReport)
+            recordAwaitedLoadDone(estimator.times, slot.concurrentLoads, elapsed);
+        recordLoadSeenDone(estimator.times, slot.concurrentLoads, elapsed);
     }
     return any;
 }
@@ -406,9 +460,12 @@
 {
     bool any = false;
     for (auto &[adapter, slot] : scheduler.slots) {
-        if (!slot.loading || now < slot.readyAt)
+        const Duration unreported = slot.awaitsReport ? longestUnreported : Duration::zero();
+        if (!slot.loading || now < slot.readyAt + unreported)
             continue;
         slot.loading = false;
+        if (slot.awaitsReport)
+            slot.readyAt = now;
         any = true;
     }
     return any;
--- a/libs/serving/src/LoadDecline.cpp
+++ b/libs/serving/src/LoadDecline.cpp
@@ -20,8 +20,8 @@
 /** If the lease holder is lost, its estimate is void and the next holder does not know it. */
 constexpr Duration maxRetry = std::chrono::milliseconds(1000);
 
-constexpr std::array<std::string_view, 6> reasonNames{
-    "not said", "no slot", "queue", "engine silent", "model missing", "not holder"};
+constexpr std::array<std::string_view, 7> reasonNames{
+    "not said", "no slot", "queue", "engine silent", "model missing", "not holder", "loading"};
 
 } // namespace
 
--- a/libs/serving/src/LoadTimeModel.cpp
+++ b/libs/serving/src/LoadTimeModel.cpp
@@ -7,10 +7,7 @@
 
 namespace {
 
-/**
- * Assumed until the first observation. A call that arrives too early costs one refusal and corrects
- * the estimate.
- */
+/** For plans until the first observation. No call is sent because of it. */
 constexpr Duration initialEstimate = std::chrono::milliseconds(200);
 
 /** The platform states that engines load an adapter that they held recently ten times as fast. */
@@ -68,19 +65,45 @@
     return index;
 }
 
+namespace {
+
+/** The first class from `from` on that was observed, or the end. */
+auto firstObserved(const LoadTimeModel &times, std::size_t from)
+{
+    return std::find_if(times.expected.begin() + static_cast<std::ptrdiff_t>(from),
+                        times.expected.end(),
+                        [](Duration expected) { return expected > Duration::zero(); });
+}
+
+} // namespace
+
 // More concurrent loads never make a load faster, so a class without observations takes the time of
-// the largest class below it, which is the optimistic side. Such derived values never feed back
-// into the estimates; only outcomes of loads do.
+// the largest class below it, and is not known. Without any below it, it takes at most the time of
+// the next one above. Such derived values never feed back into the estimates; only outcomes of
+// loads do.
 Duration fetchTime(const LoadTimeModel &times, int concurrentLoads) noexcept
 {
-    const auto last =
-        times.expected.begin() + static_cast<std::ptrdiff_t>(concurrencyClassOf(concurrentLoads));
-    const Duration longest = *std::max_element(times.expected.begin(), last + 1);
+    const std::size_t own = concurrencyClassOf(concurrentLoads);
+    const auto ownEnd = times.expected.begin() + static_cast<std::ptrdiff_t>(own) + 1;
+    const Duration longest = *std::max_element(times.expected.begin(), ownEnd);
     if (longest > Duration::zero())
         return longest;
-    const auto seen = std::find_if(last, times.expected.end(),
-                                   [](Duration expected) { return expected > Duration::zero(); });
-    return seen == times.expected.end() ? initialEstimate : std::min(initialEstimate, *seen);
+    const auto next = firstObserved(times, own);
+    return next == times.expected.end() ? initialEstimate : *next;
+}
+
+bool isFetchTimeKnown(const LoadTimeModel &times, int concurrentLoads) noexcept
+{
+    const std::size_t own = concurrencyClassOf(concurrentLoads);
+    const auto first = firstObserved(times, 0);
+    return times.expected[own] > Duration::zero()
+        || (first != times.expected.end()
+            && first - times.expected.begin() > static_cast<std::ptrdiff_t>(own));
+}
+
+Duration shortestFetchTime(const LoadTimeModel &times) noexcept
+{
+    return times.expected[0] > Duration::zero() ? times.expected[0] : initialEstimate;
 }
 
 Duration hostCopyTime(const LoadTimeModel &times) noexcept
@@ -125,14 +148,22 @@
 {
     if (elapsed >= fetchTime(times, concurrentLoads))
         return;
-    for (std::size_t classIndex = 0; classIndex <= concurrencyClassOf(concurrentLoads);
-         ++classIndex) {
+    const std::size_t own = concurrencyClassOf(concurrentLoads);
+    times.expected[own] = elapsed;
+    for (std::size_t classIndex = 0; classIndex < own; ++classIndex) {
         Duration &expected = times.expected[classIndex];
         if (expected > Duration::zero())
             expected = std::min(expected, elapsed);
     }
 }
 
+// Nothing is assumed about other numbers of concurrent loads, but that fewer take no longer.
+void recordAwaitedLoadDone(LoadTimeModel &times, int concurrentLoads, Duration elapsed) noexcept
+{
+    Duration &expected = times.expected[concurrencyClassOf(concurrentLoads)];
+    expected = std::max(expected, elapsed);
+}
+
 bool isUncertain(const LoadTimeModel &times) noexcept
 {
     return times.onTimeStreak < certainStreak;
--- a/libs/serving/tests/LoadChecks.cpp
+++ b/libs/serving/tests/LoadChecks.cpp
@@ -125,3 +125,98 @@
 {
     cr_assert_lt(expectedAfterSurge(true).count(), Duration(450ms).count());
 }
+
+namespace {
+
+/** An engine that reports what was so some time ago, as seen by its lease holder. */
+struct ReportingEngine
+{
+    Duration loadTime;
+    Duration reportAge;
+
+    EngineReport reportAt(Instant now, Instant loadAccepted) const
+    {
+        const Duration since = now - this->reportAge - loadAccepted;
+        return reportOf(since < Duration::zero() ? 6 : 7, since >= this->loadTime);
+    }
+};
+
+/** Loads that calls tried before they were done, of `loads` one after the other. */
+int triesBeforeDone(const ReportingEngine &engine, int loads)
+{
+    LoadEstimator estimator;
+    int tries = 0;
+    for (int load = 0; load < loads; ++load) {
+        AdapterScheduler scheduler;
+        scheduler.adapterSlots = 4;
+        scheduler.sequence = 6;
+        recordLoadAccepted(scheduler, "m/a", 1, estimateLoad(scheduler, "m/a", 0, estimator),
+                           start);
+        advanceSequence(scheduler, start);
+        for (Instant now = start; !scheduler.slots.at("m/a").evaluated; now += 10ms) {
+            if (awaitsReport(scheduler, "m/a"))
+                applyCompletedLoads(scheduler, engine.reportAt(now, start), estimator, now);
+            const bool tried = completeDueLoads(scheduler, now);
+            if (tried && now < start + engine.loadTime) {
+                ++tries;
+                recordMissing(scheduler, "m/a", estimator, now);
+            }
+            learnFromLoads(scheduler, estimator, now);
+        }
+    }
+    return tries;
+}
+
+} // namespace
+
+// Guards against loads that are tried by calls, at the cost of retries, while nothing is known of
+// how long loads take: a report shows when the first ones are done.
+Test(load_checks, loads_of_unknown_time_are_not_tried_by_calls)
+{
+    for (const Duration loadTime : {Duration(100ms), Duration(250ms), Duration(1500ms)}) {
+        for (const Duration reportAge : {Duration(20ms), Duration(200ms), Duration(400ms)}) {
+            cr_assert_eq(triesBeforeDone({loadTime, reportAge}, 1), 0);
+            cr_assert_leq(triesBeforeDone({loadTime, reportAge}, 40), 2, "%ld ms, %ld ms",
+                          toMillis(loadTime), toMillis(reportAge));
+        }
+    }
+}
+
+// Guards against a load that is tried again and again: when the weight store has slowed down, each
+// load is tried twice at most, and how long it took is learnt from the report.
+Test(load_checks, a_load_that_was_tried_in_vain_is_awaited_by_reports)
+{
+    LoadEstimator estimator;
+    recordAwaitedLoadDone(estimator.times, 1, 250ms);
+    for (int load = 0; load < 20; ++load)
+        recordLoadOnTime(estimator.times, 1, 260ms);
+    const ReportingEngine slowed{900ms, 200ms};
+    AdapterScheduler scheduler;
+    scheduler.adapterSlots = 4;
+    scheduler.sequence = 6;
+    recordLoadAccepted(scheduler, "m/a", 1, estimateLoad(scheduler, "m/a", 0, estimator), start);
+    advanceSequence(scheduler, start);
+    int tries = 0;
+    for (Instant now = start; now < start + 1300ms; now += 10ms) {
+        if (awaitsReport(scheduler, "m/a"))
+            applyCompletedLoads(scheduler, slowed.reportAt(now, start), estimator, now);
+        if (!completeDueLoads(scheduler, now) || now >= start + 900ms)
+            continue;
+        ++tries;
+        recordMissing(scheduler, "m/a", estimator, now);
+    }
+    cr_assert_leq(tries, 2);
+    cr_assert_geq(fetchTime(estimator.times, 1).count(), Duration(850ms).count());
+    cr_assert_leq(fetchTime(estimator.times, 1).count(), Duration(1100ms).count());
+}
+
+// Guards against loads that nobody waits for because their engine answers no requests for reports.
+Test(load_checks, a_load_that_is_never_reported_is_tried_in_the_end)
+{
+    LoadEstimator estimator;
+    AdapterScheduler scheduler;
+    scheduler.adapterSlots = 4;
+    recordLoadAccepted(scheduler, "m/a", 1, estimateLoad(scheduler, "m/a", 0, estimator), start);
+    cr_assert_not(completeDueLoads(scheduler, start + 500ms));
+    cr_assert(completeDueLoads(scheduler, start + 1200ms));
+}
--- a/libs/serving/tests/Orders.cpp
+++ b/libs/serving/tests/Orders.cpp
@@ -215,13 +215,15 @@
 }
 
 // Guards against calls that are refused again and again because loads take longer than expected.
-// Each such refusal raises the estimate, and the load is checked again soon without a report, as a
-// report would be older than the refusal.
+// Each such refusal raises the estimate, and a load that is usually done in time is checked again
+// soon without a report, as a report would be older than the refusal.
 Test(orders, early_calls_lengthen_the_load_estimate)
 {
     AdapterScheduler scheduler = freshScheduler();
     scheduler.sequence = 1;
     LoadEstimator estimator;
+    for (int load = 0; load < 10; ++load)
+        recordLoadOnTime(estimator.times, 8, 200ms);
     const LoadEstimate estimate = estimateLoad(scheduler, "m/a", 7, estimator);
     recordLoadAccepted(scheduler, "m/a", 1, estimate, start);
     const Instant due = start + estimate.time;
