Retries: what a VM's own mistakes cost takes no slack, and waits instead of being refused

What callers saw: for ten seconds after a restart of all VMs, calls whose load was done some ms later were refused, "the target did not accept the call", with seconds left; and targets in trouble found the slack of the retry budget used up in calm.

Cause: a refusal that says "the adapter is not there yet" took a retry from the slack as the failure of a target does, and without one the call was refused. Class: what is spent in calm is missing in trouble.

Change: such a retry comes from what calls earn, never from the slack. Without one the call waits in the order of arrival for half of its time, 3 s at most, and is refused at once if calls come too rarely for it. It is placed again after the wait, so that it is sent when it is told to go. Each attempt counts as before.

--- a/libs/gateway/src/ActiveCall.h
+++ b/libs/gateway/src/ActiveCall.h
@@ -95,6 +95,7 @@
     int attempts = 0;
     /** Its latest retry, if that may not have arrived yet. */
     std::optional<GrantedRetry> retry;
+    bool awaitsRetry = false; ///< it may be sent again once it has a retry
     Duration placementTime{}; ///< time spent on placement, adapter loads included
     int loads = 0; ///< adapter loads that were waited for
     Duration forecast{}; ///< from the choice of the engine to the first event; zero: none
--- a/libs/gateway/src/CallRetries.cpp
+++ b/libs/gateway/src/CallRetries.cpp
@@ -1,5 +1,7 @@
 #include "CallRetries.h"
 
+#include <algorithm>
+
 #include "FirstStart.h"
 #include "FleetCount.h"
 #include "observe/Events.h"
@@ -25,26 +27,84 @@
     return sharing;
 }
 
-Counter retryCounter(const std::optional<GrantedRetry> &retry)
+/** The slack is for targets in trouble. */
+constexpr SlackSharing noSlack;
+
+/** A call leaves as much of the time that it has to the attempt itself. */
+constexpr double retryWaitShare = 0.5;
+constexpr Duration maxRetryWait = std::chrono::seconds(3);
+constexpr Duration retryCheckInterval = std::chrono::milliseconds(50);
+/** Retry-After of a call that gets no retry in time. */
+constexpr Duration minRetryAfter = std::chrono::milliseconds(300);
+
+/** Keeps a call in the queue for as long as it waits for a retry. */
+class RetryTicket
+{
+public:
+    explicit RetryTicket(ActiveCall &call)
+        : queue(call.node.retryQueues[call.service])
+        , id(++this->queue.lastTicket)
+    {
+        this->queue.tickets.push_back(this->id);
+    }
+
+    RetryTicket(const RetryTicket &) = delete;
+    RetryTicket &operator=(const RetryTicket &) = delete;
+
+    ~RetryTicket()
+    {
+        this->queue.tickets.remove(this->id);
+    }
+
+    bool isFirst() const
+    {
+        return this->queue.tickets.front() == this->id;
+    }
+
+private:
+    RetryQueue &queue;
+    std::uint64_t id;
+};
+
+Counter retryCounter(const GrantedRetry &retry)
 {
-    if (!retry)
-        return Counter::RetriesRefused;
-    return retry->source == RetrySource::Calls ? Counter::RetriesFromCalls
-                                               : Counter::RetriesFromSlack;
+    return retry.source == RetrySource::Calls ? Counter::RetriesFromCalls
+                                              : Counter::RetriesFromSlack;
 }
 
-RetryDecision takeRetry(ActiveCall &call)
+RetryDecision takeRetry(ActiveCall &call, const SlackSharing &sharing)
 {
     GatewayNode &node = call.node;
-    const Instant now = BootClock::now();
-    call.retry = tryTakeRetry(node.retryBudgets[call.service], node.settings.retries,
-                              slackSharing(node, now), now);
-    node.metrics.add(retryCounter(call.retry));
+    call.retry = tryTakeRetry(node.retryBudgets[call.service], node.settings.retries, sharing,
+                              BootClock::now());
     if (!call.retry)
         return {false};
+    node.metrics.add(retryCounter(*call.retry));
     return {true, call.retry->source};
 }
 
+/** True if the target is well, and this VM was wrong about what it holds. */
+bool isOwnMistake(const ActiveCall &call, AttemptResult end)
+{
+    return end == AttemptResult::NotRun
+        && (call.notRunCause == NotRunCause::AdapterNotLoaded
+            || call.notRunCause == NotRunCause::AdapterGone);
+}
+
+/** The retry of a call that was sent too early; it may have to wait for it. */
+RetryDecision takeOrAwaitRetry(ActiveCall &call)
+{
+    if (call.node.retryQueues[call.service].tickets.empty()) {
+        const RetryDecision decision = takeRetry(call, noSlack);
+        if (decision.retrying)
+            return decision;
+    }
+    call.awaitsRetry = true;
+    RetryDecision awaited{true};
+    awaited.awaited = true;
+    return awaited;
+}
+
 /** Counts the call's latest retry from now on. */
 void recountLatestRetry(ActiveCall &call)
 {
@@ -71,7 +131,41 @@
     const bool ran = end == AttemptResult::Failed || end == AttemptResult::Broken;
     if (ran && call.runsStarted >= call.route->maxAttempts)
         return {false};
-    return takeRetry(call);
+    if (isOwnMistake(call, end))
+        return takeOrAwaitRetry(call);
+    const RetryDecision decision = takeRetry(call, slackSharing(call.node, BootClock::now()));
+    if (!decision.retrying)
+        call.node.metrics.add(Counter::RetriesRefused);
+    return decision;
+}
+
+// A call that was sent before its load was done has lost nothing but one attempt: it waits for what
+// other calls earn, rather than being refused while its caller has time left.
+asio::awaitable<std::optional<LocalReply>> awaitRetry(ActiveCall &call)
+{
+    GatewayNode &node = call.node;
+    const Instant begun = BootClock::now();
+    const Duration longest =
+        std::min(maxRetryWait, fromSeconds(retryWaitShare * toSeconds(timeLeft(call))));
+    const RetryTicket ticket(call);
+    const auto position = static_cast<int>(node.retryQueues[call.service].tickets.size());
+    const std::optional<Duration> expected =
+        timeToEarn(node.retryBudgets[call.service], node.settings.retries, position,
+                   begun - node.bootedAt, begun);
+    // In the first window after a start, the calls so far do not show how many will come.
+    const bool hopeless =
+        begun - node.bootedAt > node.settings.retries.window && (!expected || *expected > longest);
+    while (!hopeless && !call.cancelled() && BootClock::now() - begun < longest) {
+        if (ticket.isFirst() && takeRetry(call, noSlack).retrying) {
+            call.awaitsRetry = false;
+            co_return std::nullopt;
+        }
+        co_await node.retryEarned.wait(retryCheckInterval);
+    }
+    node.metrics.add(Counter::RetriesRefused);
+    co_return makeLocalReply(
+        503, "no retry was free in time",
+        std::clamp(expected.value_or(maxRetryWait), minRetryAfter, maxRetryWait));
 }
 
 namespace {
@@ -141,7 +235,10 @@
               {"othersGood", std::to_string(others.successes)},
               {"othersFailed", std::to_string(others.failures)},
               {"sends", std::to_string(call.attempts)},
-              {"again", decision.retrying ? "yes" : "no"},
+              {"again",
+               decision.awaited        ? "awaited"
+                   : decision.retrying ? "yes"
+                                       : "no"},
               {"service", call.service},
               {"grantedFrom", decision.source ? std::string(sourceName(*decision.source)) : ""},
               {"repeats", std::to_string(retriesTaken(budget))},
@@ -154,6 +251,7 @@
 {
     GatewayNode &node = call.node;
     recordCall(node.retryBudgets[call.service], node.settings.retries, call.arrivedAt);
+    node.retryEarned.notifyAll();
 }
 
 void recordAttempt(ActiveCall &call)
--- a/libs/gateway/src/CallRetries.h
+++ b/libs/gateway/src/CallRetries.h
@@ -17,6 +17,7 @@
 {
     bool retrying = false;
     std::optional<RetrySource> source{}; ///< nullopt: nothing was taken from the budget
+    bool awaited = false; ///< the retry has to be awaited before the call is sent; see awaitRetry()
 };
 
 /** Decides, and takes the retry from the budget if it needs one. */
@@ -31,6 +32,12 @@
     boost::system::error_code error; ///< of the connection
 };
 
+/**
+ * Waits until the call has the retry without which it may not be sent again. A refusal if there is
+ * none in time, or none can be expected.
+ */
+asio::awaitable<std::optional<LocalReply>> awaitRetry(ActiveCall &call);
+
 void logFailedAttempt(const ActiveCall &call, const FailedAttempt &attempt,
                       const RetryDecision &decision);
 
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -1,6 +1,7 @@
 #include "CallServing.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "AnswerHints.h"
 #include "CallAnswer.h"
@@ -9,6 +10,7 @@
 #include "CallRetries.h"
 #include "CallerAuthentication.h"
 #include "ConfigDownload.h"
+#include "EngineCommands.h"
 #include "HarmfulCallTracking.h"
 #include "LinkWatch.h"
 #include "LostCalls.h"
@@ -100,6 +102,10 @@
             const bool refused = co_await this->refuseHarmful();
             if (refused)
                 co_return;
+            // Before its target is chosen: a call that is told to go has to go at once.
+            const bool over = co_await this->awaitRetryOrRefuse();
+            if (over)
+                co_return;
             if (shouldForwardToPeer(this->call)) {
                 const bool finished = co_await this->sendToPeer();
                 if (finished)
@@ -161,6 +167,23 @@
         co_return true;
     }
 
+    /** Waits for the retry that the call needs, if any; true if the call is over. */
+    asio::awaitable<bool> awaitRetryOrRefuse()
+    {
+        if (!this->call.awaitsRetry)
+            co_return false;
+        const std::string missingAt = std::exchange(this->call.adapterMissingAt, std::string());
+        if (!missingAt.empty())
+            co_await noteMissing(this->node, missingAt, this->call.metadata.model,
+                                 this->call.metadata.adapter);
+        std::optional<LocalReply> refusal = co_await awaitRetry(this->call);
+        if (this->call.callerDisconnected)
+            co_return true;
+        if (refusal)
+            co_await answerFailure(this->call, this->answer, std::move(*refusal));
+        co_return refusal.has_value();
+    }
+
     /** Has another VM serve the call; true if the call is over. */
     asio::awaitable<bool> sendToPeer()
     {
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -185,6 +185,13 @@
     bool firstCallRefused = false; ///< one of the others requests the load again
 };
 
+/** Calls of a service that wait for a retry, in the order in which they get one. */
+struct RetryQueue
+{
+    std::list<std::uint64_t> tickets;
+    std::uint64_t lastTicket = 0;
+};
+
 /** An engine for which this VM sends the commands, as the lease holder. */
 struct HeldEngine
 {
@@ -323,6 +330,7 @@
     GatewaySettings settings;
     const PlatformPort *platform;
     CapacityWaiters capacityWaiters; ///< outlives the context, whose destruction ends the calls
+    std::unordered_map<std::string, RetryQueue> retryQueues; ///< by service; outlives it likewise
     /** Outlives the coroutines of the connections, which end with the context. */
     CallerConnections callerConnections;
     asio::io_context context;
@@ -351,6 +359,7 @@
     TargetTable targetTable;
     std::unordered_map<std::string, std::unique_ptr<TargetRuntime>> targets;
     std::unordered_map<std::string, ServiceRetryBudget> retryBudgets; ///< by service
+    Signal retryEarned; ///< a call has earned a part of a retry
 
     ResumeState resuming;
     std::unordered_map<std::string, ServiceLinks> serviceLinks; ///< by service
--- a/libs/observe/include/observe/Metrics.h
+++ b/libs/observe/include/observe/Metrics.h
@@ -59,7 +59,7 @@
     ForwardsUnplaced, ///< calls that no other VM accepted
     RetriesFromCalls, ///< retries granted from the ratio of the calls
     RetriesFromSlack, ///< retries granted from this VM's share of the slack
-    RetriesRefused, ///< retries that the budget did not allow
+    RetriesRefused, ///< retries that the budget did not allow, not even after a wait
     BouncedAdapterNotLoaded, ///< this and the next six: attempts that gave no answer, by cause
     BouncedAdapterGone,
     BouncedOtherTarget,
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -80,6 +80,13 @@
 std::optional<GrantedRetry> tryTakeRetry(ServiceRetryBudget &budget, const RetryPolicy &policy,
                                          const SlackSharing &sharing, Instant now);
 
+/**
+ * Time after which the calls of this VM will have earned `permits` more permits, if they come as
+ * they did in the last `observed`; nullopt: none came.
+ */
+std::optional<Duration> timeToEarn(ServiceRetryBudget &budget, const RetryPolicy &policy,
+                                   int permits, Duration observed, Instant now);
+
 /**
  * Counts a retry at `now`: it was granted earlier and is sent only now, or it was sent earlier and
  * may have been on its way to a target until now.
--- a/libs/serving/src/ServiceRetryBudget.cpp
+++ b/libs/serving/src/ServiceRetryBudget.cpp
@@ -1,5 +1,6 @@
 #include "serving/ServiceRetryBudget.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace monsoonbay {
@@ -98,6 +99,16 @@
     return GrantedRetry{RetrySource::Slack, now};
 }
 
+std::optional<Duration> timeToEarn(ServiceRetryBudget &budget, const RetryPolicy &policy,
+                                   int permits, Duration observed, Instant now)
+{
+    advance(budget.calls, policy.window, now);
+    const double earned = earnedShare * policy.ratio * sumOf(budget.calls);
+    if (earned <= 0)
+        return std::nullopt;
+    return fromSeconds(permits * toSeconds(std::min(observed, policy.window)) / earned);
+}
+
 // Counted at an earlier time, the retry would leave the window less than a window after it arrived
 // at a target, and another one could be granted too early.
 void recountRetry(ServiceRetryBudget &budget, const RetryPolicy &policy, GrantedRetry &retry,
--- a/libs/serving/tests/Retries.cpp
+++ b/libs/serving/tests/Retries.cpp
@@ -245,3 +245,17 @@
     cr_assert(!tryTakeRetry(budget, policy, sharing, start + policy.window));
     cr_assert(tryTakeRetry(budget, policy, sharing, start + policy.window + 1s));
 }
+
+// Guards against calls that wait for a retry which cannot come in their time.
+Test(retries, the_time_to_earn_a_retry_follows_from_the_calls)
+{
+    const RetryPolicy policy;
+    ServiceRetryBudget budget;
+    cr_assert_not(timeToEarn(budget, policy, 1, 10s, start));
+    for (int call = 0; call < 80; ++call)
+        recordCall(budget, policy, start + call * 125ms);
+    const auto first = timeToEarn(budget, policy, 1, 10s, start + 10s);
+    const auto third = timeToEarn(budget, policy, 3, 10s, start + 10s);
+    cr_assert(first && third && *first > 500ms && *first < 1s);
+    cr_assert_eq(toMillis(*third), toMillis(3 * *first));
+}
