Loads: one that the engine has never accepted is not awaited

Cause: a copy of an earlier answer passes for the answer to an order. The load is then awaited by reports, which never show it.

Change: a report that lacks a command for longer than reports lag shows that it was never accepted; the count is read anew and the load ordered again.

--- a/libs/serving/src/AdapterScheduler.cpp
+++ b/libs/serving/src/AdapterScheduler.cpp
@@ -461,10 +461,16 @@
         return false;
     updateReportAge(scheduler, report, now);
     bool any = false;
+    // What passed for the answer to the command was none, so the count known here is wrong.
+    bool neverAccepted = false;
     for (auto &[adapter, slot] : scheduler.slots) {
         // A report from before the command may show the adapter from an earlier stay.
-        if ((!slot.loading && slot.confirmed) || report.sequence < slot.sequence)
+        if (!slot.loading && slot.confirmed)
             continue;
+        if (report.sequence < slot.sequence) {
+            neverAccepted = neverAccepted || now - slot.requestedAt > maxReportLag;
+            continue;
+        }
         const auto held = report.resident.find(adapter);
         const bool done = held != report.resident.end() && held->second >= slot.version;
         if (!done && slot.awaitsReport)
@@ -483,7 +489,9 @@
             recordAwaitedLoadDone(estimator.times, slot.concurrentLoads, elapsed);
         recordLoadSeenDone(estimator.times, slot.concurrentLoads, elapsed);
     }
-    return any;
+    if (neverAccepted)
+        invalidateSequence(scheduler);
+    return any || neverAccepted;
 }
 
 bool completeDueLoads(AdapterScheduler &scheduler, Instant now)
--- a/libs/serving/tests/LoadChecks.cpp
+++ b/libs/serving/tests/LoadChecks.cpp
@@ -237,3 +237,16 @@
     cr_assert(learnFromLoads(scheduler, estimator, start + 1200ms));
     cr_assert(isShared(scheduler.slots.at("m/a"), estimator.times));
 }
+
+// Guards against a load that is awaited for good although the engine has never accepted it: the
+// answer to another command passed for the answer to this one.
+Test(load_checks, a_load_that_was_never_accepted_is_not_awaited)
+{
+    LoadEstimator estimator;
+    AdapterScheduler scheduler = loadingScheduler(200ms);
+    scheduler.slots.at("m/a").awaitsReport = true;
+    cr_assert_not(applyCompletedLoads(scheduler, reportOf(6, false), estimator, start + 400ms));
+    cr_assert_geq(scheduler.sequence, 0);
+    cr_assert(applyCompletedLoads(scheduler, reportOf(6, false), estimator, start + 600ms));
+    cr_assert_lt(scheduler.sequence, 0);
+}
