Retries: a tenth of the slack is left to a VM's own mistakes

Cause: such retries took nothing of the slack.

Change: they may use a tenth of a VM's share, so calm stays under a tenth of the budget by that. Unit test a_part_of_the_slack_is_all_that_mistakes_may_use.

--- a/libs/gateway/src/CallRetries.cpp
+++ b/libs/gateway/src/CallRetries.cpp
@@ -27,8 +27,18 @@
     return sharing;
 }
 
-/** The slack is for targets in trouble. */
-constexpr SlackSharing noSlack;
+/**
+ * The slack is for targets in trouble. Some of it is left to a VM that was wrong about what a
+ * target holds: where calls are rare, they earn no retry in the time of a caller.
+ */
+constexpr double slackPartForMistakes = 0.1;
+
+SlackSharing slackForMistakes(const GatewayNode &node)
+{
+    SlackSharing sharing = slackSharing(node, BootClock::now());
+    sharing.part = slackPartForMistakes;
+    return sharing;
+}
 
 /** A call leaves as much of the time that it has to the attempt itself. */
 constexpr double retryWaitShare = 0.5;
@@ -95,7 +105,7 @@
 RetryDecision takeOrAwaitRetry(ActiveCall &call)
 {
     if (call.node.retryQueues[call.service].tickets.empty()) {
-        const RetryDecision decision = takeRetry(call, noSlack);
+        const RetryDecision decision = takeRetry(call, slackForMistakes(call.node));
         if (decision.retrying)
             return decision;
     }
@@ -156,7 +166,7 @@
     const bool hopeless =
         begun - node.bootedAt > node.settings.retries.window && (!expected || *expected > longest);
     while (!hopeless && !call.cancelled() && BootClock::now() - begun < longest) {
-        if (ticket.isFirst() && takeRetry(call, noSlack).retrying) {
+        if (ticket.isFirst() && takeRetry(call, slackForMistakes(call.node)).retrying) {
             call.awaitsRetry = false;
             co_return std::nullopt;
         }
--- a/libs/serving/include/serving/ServiceRetryBudget.h
+++ b/libs/serving/include/serving/ServiceRetryBudget.h
@@ -47,6 +47,7 @@
                  ///< known yet
     int rank = 0; ///< of this VM among them, from 0; decides who rounds a fractional share up
     Instant from{}; ///< before this time the VM has no share of the slack
+    double part = 1; ///< of its share that this kind of retry may use
 
     auto operator<=>(const SlackSharing &) const = default;
 };
--- a/libs/serving/src/ServiceRetryBudget.cpp
+++ b/libs/serving/src/ServiceRetryBudget.cpp
@@ -53,7 +53,7 @@
 {
     if (sharing.vms < 1 || now < sharing.from)
         return 0;
-    const double equalShare = usedSlackShare * policy.slack / sharing.vms;
+    const double equalShare = usedSlackShare * sharing.part * policy.slack / sharing.vms;
     return std::floor(equalShare * (sharing.rank + 1)) - std::floor(equalShare * sharing.rank);
 }
 
--- a/libs/serving/tests/Retries.cpp
+++ b/libs/serving/tests/Retries.cpp
@@ -246,6 +246,24 @@
     cr_assert(tryTakeRetry(budget, policy, sharing, start + policy.window + 1s));
 }
 
+// Guards against a slack that is used up by a VM's own mistakes when targets get into trouble.
+Test(retries, a_part_of_the_slack_is_all_that_mistakes_may_use)
+{
+    RetryPolicy policy;
+    policy.slack = 54;
+    int taken = 0;
+    for (int rank = 0; rank < 7; ++rank) {
+        ServiceRetryBudget budget;
+        SlackSharing sharing = among(7);
+        sharing.rank = rank;
+        sharing.part = 0.1;
+        while (tryTakeRetry(budget, policy, sharing, start))
+            ++taken;
+    }
+    cr_assert_gt(taken, 0);
+    cr_assert_leq(taken, 5);
+}
+
 // Guards against calls that wait for a retry which cannot come in their time.
 Test(retries, the_time_to_earn_a_retry_follows_from_the_calls)
 {
