Loads, calls: comments stand at what they explain; one unnamed namespace in place of two

Cause: read once more: a comment on old reports stood above another check, a comment on waits spoke in riddles, an unnamed namespace ended and began again. Change: comments and one namespace; no behaviour.

--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -102,7 +102,8 @@
             const bool refused = co_await this->refuseHarmful();
             if (refused)
                 co_return;
-            // Before its target is chosen: a call that is told to go has to go at once.
+            // Before a target is chosen: the lease holder counts a call that it lets through as
+            // sent.
             const bool over = co_await this->awaitRetryOrRefuse();
             if (over)
                 co_return;
--- a/libs/gateway/src/EngineCommands.cpp
+++ b/libs/gateway/src/EngineCommands.cpp
@@ -550,10 +550,6 @@
     return decline;
 }
 
-} // namespace
-
-namespace {
-
 /** True if the load is under way and was not done by the time of the reply. */
 bool isStillLoading(const v1::LoadReply &reply)
 {
--- a/libs/serving/src/AdapterScheduler.cpp
+++ b/libs/serving/src/AdapterScheduler.cpp
@@ -464,9 +464,9 @@
     // What passed for the answer to the command was none, so the count known here is wrong.
     bool neverAccepted = false;
     for (auto &[adapter, slot] : scheduler.slots) {
-        // A report from before the command may show the adapter from an earlier stay.
         if (!slot.loading && slot.confirmed)
             continue;
+        // A report from before the command may show the adapter from an earlier stay.
         if (report.sequence < slot.sequence) {
             neverAccepted = neverAccepted || now - slot.requestedAt > maxReportLag;
             continue;
--- a/libs/serving/src/LoadTimeModel.cpp
+++ b/libs/serving/src/LoadTimeModel.cpp
@@ -104,8 +104,8 @@
 
 // More concurrent loads never make a load faster, so a class without observations takes the time of
 // the largest class below it, and is not known. Without any below it, it takes at most the time of
-// the next one above. Such derived values never feed back into the estimates; only
-// outcomes of loads do.
+// the next one above. Such derived values never feed back into the estimates; only outcomes of
+// loads do.
 Duration fetchTime(const LoadTimeModel &times, int concurrentLoads) noexcept
 {
     const std::size_t own = concurrencyClassOf(concurrentLoads);
