Show that a machine added beside one that is cut off gives orders too early

A new member records its claims before it may give orders, and takes its own record for that of a former holder after a restart.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,7 +3,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-[ -x target/review-2/other_writer ] && [ -x target/tools/monsoonbayd/monsoonbayd ] || exit 2
+[ -x target/review-2/two_holders ] && [ -x target/tools/monsoonbayd/monsoonbayd ] || exit 2
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-target/review-2/other_writer "$here/record.txt" "$folder"
+target/review-2/two_holders "$here/record.txt" "$folder"
--- a/review/standins-2/standin.h
+++ b/review/standins-2/standin.h
@@ -402,10 +402,12 @@
         std::optional<std::string> value;
     };
 
+    /** A partition stays with its member until that one acknowledges, leaves or lapses. */
     struct Group
     {
         int generation = 0;
         std::map<std::string, std::pair<Clock::time_point, int>> members; ///< last join, its ttl
+        std::map<int, std::string> held; ///< partition: member that may still use it
     };
 
     void serve(Wire &wire)
@@ -500,13 +502,31 @@
         return jsonAnswer("200 OK", {{"Offset", offset}, {"End", log.size()}});
     }
 
+    static constexpr int partitions = 12;
+
+    void drop(Group &group, const std::string &member)
+    {
+        group.members.erase(member);
+        std::erase_if(group.held, [&](const auto &part) { return part.second == member; });
+        ++group.generation;
+    }
+
     void expire(Group &group)
     {
-        const auto expired = [](const auto &member) {
-            return Clock::now() - member.second.first > std::chrono::milliseconds(member.second.second);
-        };
-        if (std::erase_if(group.members, expired) > 0)
-            ++group.generation;
+        std::vector<std::string> lapsed;
+        for (const auto &[name, joined] : group.members) {
+            if (Clock::now() - joined.first > std::chrono::milliseconds(joined.second))
+                lapsed.push_back(name);
+        }
+        for (const std::string &name : lapsed)
+            this->drop(group, name);
+    }
+
+    static std::string wantedFor(const Group &group, int part)
+    {
+        auto member = group.members.begin();
+        std::advance(member, part % static_cast<int>(group.members.size()));
+        return member->first;
     }
 
     std::string join(const Json &body)
@@ -518,12 +538,17 @@
         if (group.members.count(member) == 0)
             ++group.generation;
         group.members[member] = {Clock::now(), body["TtlMs"]};
+        const bool acknowledges = body["Generation"].get<int>() >= group.generation;
         Json parts = Json::array();
-        std::vector<std::string> names;
-        for (const auto &[name, joined] : group.members)
-            names.push_back(name);
-        for (int part = 0; part < 12; ++part) {
-            if (names[static_cast<std::size_t>(part) % names.size()] == member)
+        for (int part = 0; part < partitions; ++part) {
+            const auto held = group.held.find(part);
+            const bool isWanted = wantedFor(group, part) == member;
+            if (held != group.held.end() && held->second == member && !isWanted && acknowledges)
+                group.held.erase(held);
+            else if (isWanted && held == group.held.end())
+                group.held[part] = member;
+            const auto now = group.held.find(part);
+            if (isWanted && now != group.held.end() && now->second == member)
                 parts.push_back(Json::array({body["Topics"][0], part, 0}));
         }
         return jsonAnswer("200 OK", {{"Generation", group.generation}, {"TtlMs", body["TtlMs"]}, {"parts", parts}});
@@ -533,8 +558,8 @@
     {
         const std::lock_guard guard(this->mutex);
         Group &group = this->groups[body["group"]];
-        if (group.members.erase(body["Member"]) > 0)
-            ++group.generation;
+        if (group.members.count(body["Member"]) > 0)
+            this->drop(group, body["Member"]);
         return jsonAnswer("200 OK", Json::object());
     }
 
@@ -642,10 +667,12 @@
         , folder(std::move(folder))
     { }
 
-    void start(const std::string &storeAddress, const std::vector<std::string> &seeds, bool first, int basePort)
+    /** `extra` replaces or adds settings. */
+    void start(const std::string &storeAddress, const std::vector<std::string> &seeds, bool first, int basePort,
+               const Json &extra = Json::object())
     {
         this->base = basePort;
-        const Json settings{
+        Json settings{
             {"vm", this->name},
             {"zone", this->zone},
             {"capacity", 0.25},
@@ -663,6 +690,7 @@
             {"heartbeatMs", 1200},
             {"retries", {{"ratio", 0.2}, {"slack", 54}, {"windowSeconds", 10}}},
             {"lease", {{"apartMs", 3000}}}};
+        settings.update(extra);
         const std::string path = this->folder + "/" + this->name + ".json";
         std::ofstream(path) << settings.dump(2);
         const std::string log = this->folder + "/" + this->name + ".log";
