Leases: only a VM that may command records itself as holder

Callers saw nothing at once; an engine could get commands of two VMs, and unload or refuse what calls need.

Cause: a VM added its holder records when the wait after a reassignment was over, up to 9 s before it was allowed to command as a new member. After a kill, or with a second read, it found its own name and took it for that of a former holder. So it commanded beside a holder that was cut off and did not know it.

Change: the wait of a new member comes before the record. It is decided by partition and by its latest record: the VM that this names, nobody where it is the own name or where no record ever was, any VM of the zone where the record is of an earlier era. The flag for the whole boot is gone. A wait is logged.

Two tests of mutations play VMs that never wait, as the longer wait would hide what they look for; both check first that this alone breaks nothing.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -396,7 +396,6 @@
     Instant leaseYieldedAt{}; ///< when it last was
     bool leaseRenewed = false; ///< the last renewal was granted
     bool renewalFailing = false;
-    bool heldBefore = false; ///< an earlier boot recorded itself as lease holder in the store
     std::vector<PartitionRelease> peerReleases; ///< of zone peers, passed on to the others
     bool recordingClaims = false; ///< lease holder records in the store are being read or added
     Instant claimRetryAt{}; ///< no further attempt before this
--- a/libs/gateway/src/LeaseKeeping.cpp
+++ b/libs/gateway/src/LeaseKeeping.cpp
@@ -60,20 +60,15 @@
         if (peer.zone != node.settings.zone)
             continue;
         const PeerLeaseConfirmation &answers = peer.leaseConfirmation;
-        members.others.push_back(
-            {peer.knownSince, peer.lastMessageAt, answers.report, answers.firstAnswerAt});
+        members.others.push_back({peer.knownSince, peer.lastMessageAt, answers.report,
+                                  answers.firstAnswerAt, peer.name});
     }
     return members;
 }
 
-bool waitsAsNewMember(const GatewayNode &node, Instant now)
+LeaseGroupView leaseGroupOf(const GatewayNode &node)
 {
-    const LeaseTiming &timing = node.settings.lease;
-    // An earlier boot of this VM was a lease holder, so the others know it and still ask it at its
-    // address. They forget a VM only after it has been down for `goneAfter`.
-    if (node.heldBefore || now - node.joinedLeaseGroupAt >= timing.newMemberWait)
-        return false;
-    return now < newMemberActiveFrom(membersOfZone(node), node.joinedLeaseGroupAt, timing);
+    return {node.settings.vm, node.joinedLeaseGroupAt, membersOfZone(node)};
 }
 
 } // namespace
@@ -91,8 +86,6 @@
     const auto held = node.heldEngines.find(target);
     if (held != node.heldEngines.end() && held->second->unreachable)
         return false;
-    if (waitsAsNewMember(node, BootClock::now()))
-        return false;
     const int partition = leasePartitionOf(node, target);
     return mayCommand(node.lease, partition, BootClock::now());
 }
@@ -105,12 +98,13 @@
     return std::to_string(generation.era) + "/" + std::to_string(generation.number);
 }
 
-/** Time until commands may be sent in every partition held. */
-long waitMs(const PartitionLease &lease, Instant now)
+/** Time until commands may be sent in every partition held, by what is known so far. */
+long waitMs(const GatewayNode &node, Instant now)
 {
+    const LeaseGroupView group = leaseGroupOf(node);
     Instant last = now;
-    for (const auto &[partition, from] : lease.activeFrom)
-        last = std::max(last, from);
+    for (const auto &[partition, from] : node.lease.activeFrom)
+        last = std::max(last, commandableFrom(node.lease, partition, group, node.settings.lease));
     return std::chrono::duration_cast<std::chrono::milliseconds>(last - now).count();
 }
 
@@ -127,12 +121,6 @@
     return renewal;
 }
 
-bool isRecordedBy(const HolderRecords &records, const std::string &vm)
-{
-    return std::any_of(records.byPartition.begin(), records.byPartition.end(),
-                       [&vm](const auto &record) { return record.second.vm == vm; });
-}
-
 /** The latest holder records that claims are based on, as "PARTITION VM GENERATION, ...". */
 std::string describeLast(const std::vector<HolderClaim> &claims)
 {
@@ -145,6 +133,24 @@
     return text;
 }
 
+/** Logs for how long this VM sends no commands yet, and after which former holders. */
+void logWait(const GatewayNode &node, const HolderRecords &records)
+{
+    std::set<std::string> formerHolders;
+    for (const auto &[partition, last] : node.lease.lastRecords) {
+        if (last && node.lease.recorded.count(partition) == 0)
+            formerHolders.insert(last->vm + " " + describe(last->generation));
+    }
+    std::string text;
+    for (const std::string &holder : formerHolders)
+        text += (text.empty() ? "" : ", ") + holder;
+    logEvent(EventId::OrdersWait,
+             {{"generation", describe(node.lease.generation)},
+              {"readInEra", std::to_string(records.era)},
+              {"formerHolders", text},
+              {"waitMs", std::to_string(waitMs(node, BootClock::now()))}});
+}
+
 /** Records in the store which partitions this VM is about to command; see claimsToRecord(). */
 asio::awaitable<void> recordClaims(GatewayNode &node)
 {
@@ -152,12 +158,13 @@
     const auto records = co_await node.platform->readHolderClaims(node.http, node.settings);
     std::vector<HolderClaim> claims;
     if (records) {
-        node.heldBefore = node.heldBefore || isRecordedBy(*records, node.settings.vm);
-        claims = claimsToRecord(node.lease, *records, node.settings.vm, node.settings.lease,
+        claims = claimsToRecord(node.lease, *records, leaseGroupOf(node), node.settings.lease,
                                 BootClock::now());
     }
     node.claimRetryAt = BootClock::now() + claimRetryDelay;
     if (claims.empty()) {
+        if (records)
+            logWait(node, *records);
         node.recordingClaims = false;
         co_return;
     }
@@ -189,6 +196,15 @@
 
 } // namespace
 
+namespace {
+
+bool lacksRecords(const PartitionLease &lease)
+{
+    return lease.recorded.size() < lease.activeFrom.size();
+}
+
+} // namespace
+
 asio::awaitable<void> extendLoop(GatewayNode &node)
 {
     while (!node.stopped) {
@@ -204,7 +220,8 @@
         const Instant now = BootClock::now();
         const bool mayRecord = !node.recordingClaims && !node.renewalFailing && !node.leftLeaseGroup
             && now >= node.claimRetryAt;
-        if (mayRecord && isWriteDue(node.lease, now))
+        if (mayRecord && lacksRecords(node.lease)
+            && isWriteDue(node.lease, leaseGroupOf(node), node.settings.lease, now))
             spawn(node, "record lease holder", recordClaims(node));
         retractEngines(node);
         co_await pauseFor(node, extendInterval);
@@ -323,7 +340,7 @@
                 logEvent(EventId::LeaseChanged,
                          {{"generation", describe(grant->generation)},
                           {"partitions", std::to_string(grant->partitions.size())},
-                          {"ordersAllInMs", std::to_string(waitMs(node.lease, BootClock::now()))},
+                          {"ordersAllInMs", std::to_string(waitMs(node, BootClock::now()))},
                           {"before", std::to_string(before)}});
         }
         // Another VM may have commanded these engines meanwhile, so their sequence is unknown.
--- a/libs/gateway/tests/PrefillReservations.cpp
+++ b/libs/gateway/tests/PrefillReservations.cpp
@@ -29,7 +29,6 @@
 void holdAllLeases(GatewayNode &node)
 {
     const Instant now = BootClock::now();
-    node.heldBefore = true;
     node.lease.until = now + std::chrono::hours(1);
     for (int partition = 0; partition < node.settings.partitions; ++partition) {
         node.lease.activeFrom[partition] = now - std::chrono::seconds(1);
--- a/libs/observe/include/observe/Events.h
+++ b/libs/observe/include/observe/Events.h
@@ -74,6 +74,7 @@
     OrdersNoted = 7032,
     AdapterMissing = 7033,
     LinksFound = 7034,
+    OrdersWait = 7035,
     CallRefused = 7040,
     CallFailed = 7041,
     CallBounced = 7042,
--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -196,6 +196,10 @@
     EventRow{EventId::OrdersNoted, "orders-noted", EventLevel::Info,
              "this VM recorded in the store that it commands the engines of some partitions",
              "none; it sends no commands unless the record was added"},
+    EventRow{EventId::OrdersWait, "orders-wait", EventLevel::Info,
+             "this VM was assigned engines whose former lease holder may still send commands",
+             "none; if a zone's loads stop for long, look whether `formerHolders` are VMs that are "
+             "gone"},
     EventRow{EventId::OrderGiven, "order-given", EventLevel::Info,
              "a command to load or unload an adapter was sent to an engine", "none"},
     EventRow{EventId::AdapterMissing, "adapter-missing", EventLevel::Info,
--- a/libs/serving/include/serving/PartitionLease.h
+++ b/libs/serving/include/serving/PartitionLease.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,16 @@
     auto operator<=>(const HolderRecords &) const = default;
 };
 
+/** What a VM knows of the lease group of its zone. */
+struct LeaseGroupView
+{
+    std::string vm; ///< its own name
+    Instant joinedAt{}; ///< when it joined, since its start
+    ZoneMembers members; ///< the others
+
+    bool operator==(const LeaseGroupView &) const = default;
+};
+
 /** A holder record that a VM is about to add for a partition. */
 struct HolderClaim
 {
@@ -71,8 +82,10 @@
     Instant extendedUntil{}; ///< by the reports of the other VMs; may be later than `until`
     std::map<int, Instant> activeFrom; ///< when commands may begin, by held partition
     std::map<int, LeaseGeneration> acquiredIn; ///< generation of acquisition, by held partition
-    std::set<int> recordsRead; ///< held partitions whose records were read since acquired
+    /** Latest holder records of held partitions, as read since acquired; nullopt: there is none. */
+    std::map<int, std::optional<HolderRecord>> lastRecords;
     std::set<int> recorded; ///< held partitions for which this VM has added its record, in this era
+    std::set<int> commanded; ///< held partitions that it could send commands to, in any era
     std::map<int, Instant> lastCommandAt; ///< of this VM, by held partition
     std::vector<PartitionRelease> releases; ///< of this VM, to be reported to the others
 
@@ -107,15 +120,23 @@
 void applyRelease(PartitionLease &lease, const PartitionRelease &release,
                   const LeaseTiming &timing);
 
+/**
+ * From when this VM may record itself as holder of a partition whose records it has read, and send
+ * commands to its engines.
+ */
+Instant commandableFrom(const PartitionLease &lease, int partition, const LeaseGroupView &group,
+                        const LeaseTiming &timing);
+
 /** True if the holder records in the store have to be read, and perhaps one added. */
-bool isWriteDue(const PartitionLease &lease, Instant now) noexcept;
+bool isWriteDue(const PartitionLease &lease, const LeaseGroupView &group, const LeaseTiming &timing,
+                Instant now);
 
 /**
- * The records that `vm` may add now, by records that were read after the lease was last renewed.
+ * The records that this VM may add now, by records that were read after the lease was last renewed.
  * Restarts the wait for a partition that was reassigned in between.
  */
 std::vector<HolderClaim> claimsToRecord(PartitionLease &lease, const HolderRecords &records,
-                                        const std::string &vm, const LeaseTiming &timing,
+                                        const LeaseGroupView &group, const LeaseTiming &timing,
                                         Instant now);
 
 /** The store has added these records, in `era`, and no other since the read they are based on. */
--- a/libs/serving/include/serving/ZoneMembers.h
+++ b/libs/serving/include/serving/ZoneMembers.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/Time.h"
@@ -28,6 +29,7 @@
     Instant lastMessageAt{}; ///< zero: none yet
     std::optional<PeerLeaseState> report; ///< its last one; nullopt: none yet
     Instant firstReportAt{}; ///< since then it knows this VM
+    std::string vm; ///< its name
 
     auto operator<=>(const ZoneMember &) const = default;
 };
@@ -51,11 +53,19 @@
 Instant extensionEnd(const LeaseGeneration &held, const ZoneMembers &members,
                      const LeaseTiming &timing, Instant now) noexcept;
 
+/** Who may still send commands to the engines of a partition that another VM was assigned. */
+enum class FormerHolder {
+    Nobody, ///< no other VM ever could, or not since this one did
+    Named, ///< one VM at most
+    Unknown, ///< any VM of the zone
+};
+
 /**
- * From when a VM that was never a holder before, and joined the lease group at `joinedAt`, may send
- * commands: not beside a holder that cannot reach the store and does not know this VM.
+ * From when a VM that joined the lease group at `joinedAt` may send commands to a partition whose
+ * former holder is the VM `named`, or as `former` says: not beside one that cannot reach the store
+ * and does not know this VM.
  */
-Instant newMemberActiveFrom(const ZoneMembers &members, Instant joinedAt,
-                            const LeaseTiming &timing) noexcept;
+Instant newMemberActiveFrom(const ZoneMembers &members, FormerHolder former,
+                            const std::string &named, Instant joinedAt, const LeaseTiming &timing);
 
 } // namespace monsoonbay
--- a/libs/serving/src/PartitionLease.cpp
+++ b/libs/serving/src/PartitionLease.cpp
@@ -76,26 +76,31 @@
     const bool sameEra = grant.generation.era == lease.generation.era;
     std::map<int, Instant> activeFrom;
     std::map<int, LeaseGeneration> acquiredIn;
-    std::set<int> recordsRead;
+    std::map<int, std::optional<HolderRecord>> lastRecords;
     std::set<int> recorded;
+    std::set<int> commanded;
     for (const int partition : grant.partitions) {
         const auto held = lease.activeFrom.find(partition);
         const bool kept = held != lease.activeFrom.end() && unbroken
             && (sameEra || mayCommand(lease, partition, now));
         activeFrom[partition] = kept ? held->second : now + waitAfterReassignment(timing);
         acquiredIn[partition] = kept && sameEra ? lease.acquiredIn[partition] : grant.generation;
+        if (kept && lease.commanded.count(partition) > 0)
+            commanded.insert(partition);
         if (!kept || !sameEra)
             continue;
-        if (lease.recordsRead.count(partition) > 0)
-            recordsRead.insert(partition);
+        const auto read = lease.lastRecords.find(partition);
+        if (read != lease.lastRecords.end())
+            lastRecords.insert(*read);
         if (lease.recorded.count(partition) > 0)
             recorded.insert(partition);
     }
     release(lease, activeFrom, now);
     lease.acquiredIn = std::move(acquiredIn);
     lease.activeFrom = std::move(activeFrom);
-    lease.recordsRead = std::move(recordsRead);
+    lease.lastRecords = std::move(lastRecords);
     lease.recorded = std::move(recorded);
+    lease.commanded = std::move(commanded);
     lease.generation = std::max(lease.generation, grant.generation);
     lease.until = std::max(lease.until, sentAt + timing.ttl - timing.margin);
     lease.extendedUntil = Instant{};
@@ -121,8 +126,9 @@
     release(lease, {}, now);
     lease.acquiredIn.clear();
     lease.activeFrom.clear();
-    lease.recordsRead.clear();
+    lease.lastRecords.clear();
     lease.recorded.clear();
+    lease.commanded.clear();
     lease.until = Instant{};
     lease.extendedUntil = Instant{};
 }
@@ -141,13 +147,40 @@
     held->second = std::min(held->second, release.at + timing.handoverGap + timing.margin);
 }
 
-bool isWriteDue(const PartitionLease &lease, Instant now) noexcept
+// Only a VM that could send commands adds a record, so the latest one of this era names the one
+// VM that may still do so, cut off from the store. A record of an earlier era doesn't: the VMs that
+// held the partition afterwards may be lost with the later records, so it may be any.
+Instant commandableFrom(const PartitionLease &lease, int partition, const LeaseGroupView &group,
+                        const LeaseTiming &timing)
+{
+    const Instant from = lease.activeFrom.at(partition);
+    const auto read = lease.lastRecords.find(partition);
+    if (lease.commanded.count(partition) > 0 || read == lease.lastRecords.end())
+        return from;
+    const std::optional<HolderRecord> &last = read->second;
+    const std::int64_t era = lease.generation.era;
+    FormerHolder former = FormerHolder::Unknown;
+    if (!last && era == 0)
+        former = FormerHolder::Nobody;
+    else if (last && last->generation.era == era && !last->vm.empty())
+        former = last->vm == group.vm ? FormerHolder::Nobody : FormerHolder::Named;
+    const std::string named = last ? last->vm : std::string();
+    return std::max(from,
+                    newMemberActiveFrom(group.members, former, named, group.joinedAt, timing));
+}
+
+bool isWriteDue(const PartitionLease &lease, const LeaseGroupView &group, const LeaseTiming &timing,
+                Instant now)
 {
     if (now >= endOf(lease))
         return false;
     return std::any_of(lease.activeFrom.begin(), lease.activeFrom.end(), [&](const auto &held) {
-        const bool isNew = lease.recordsRead.count(held.first) == 0;
-        return isNew || (lease.recorded.count(held.first) == 0 && now >= held.second);
+        const int partition = held.first;
+        const bool isNew = lease.lastRecords.count(partition) == 0;
+        const bool isMissing = lease.recorded.count(partition) == 0;
+        return isNew
+            || (isMissing && now >= held.second
+                && now >= commandableFrom(lease, partition, group, timing));
     });
 }
 
@@ -161,28 +194,32 @@
 // That holds within one era of the store. A record of an earlier one, which the store has from its
 // copy or has added late, does not show who sent commands since.
 std::vector<HolderClaim> claimsToRecord(PartitionLease &lease, const HolderRecords &records,
-                                        const std::string &vm, const LeaseTiming &timing,
+                                        const LeaseGroupView &group, const LeaseTiming &timing,
                                         Instant now)
 {
     std::vector<HolderClaim> claims;
     if (records.era != lease.generation.era)
         return claims;
     for (auto &[partition, from] : lease.activeFrom) {
-        lease.recordsRead.insert(partition);
+        const auto record = records.byPartition.find(partition);
+        std::optional<HolderRecord> &read = lease.lastRecords[partition];
+        read.reset();
+        if (record != records.byPartition.end())
+            read = record->second;
         if (lease.recorded.count(partition) > 0)
             continue;
         LeaseGeneration &acquiredIn = lease.acquiredIn[partition];
-        const auto record = records.byPartition.find(partition);
-        const HolderRecord last =
-            record == records.byPartition.end() ? HolderRecord() : record->second;
-        const bool wasHolder = last.vm == vm && last.generation.era == records.era;
+        const HolderRecord last = read.value_or(HolderRecord());
+        const bool wasHolder = last.vm == group.vm && last.generation.era == records.era;
         const bool reassigned = !wasHolder && last.generation > acquiredIn;
         if (reassigned && lease.generation > last.generation) {
             acquiredIn = lease.generation;
+            lease.commanded.erase(partition);
             from = now + waitAfterReassignment(timing);
             continue;
         }
-        if (reassigned || (!wasHolder && now < from))
+        const Instant allowedFrom = commandableFrom(lease, partition, group, timing);
+        if (reassigned || (!wasHolder && now < allowedFrom))
             continue;
         claims.push_back({partition, acquiredIn, wasHolder, last});
     }
@@ -204,6 +241,7 @@
         if (gained == lease.acquiredIn.end() || gained->second != claim.acquiredIn)
             continue;
         lease.recorded.insert(claim.partition);
+        lease.commanded.insert(claim.partition);
         Instant &from = lease.activeFrom[claim.partition];
         if (claim.resumes)
             from = std::min(from, now);
--- a/libs/serving/src/ZoneMembers.cpp
+++ b/libs/serving/src/ZoneMembers.cpp
@@ -51,17 +51,25 @@
 // it was entitled to before that lasts for `peerStateTtl`, and the gap between two holders follows.
 // A member that was first named after this VM had joined was started later, and has this VM in its
 // list.
-Instant newMemberActiveFrom(const ZoneMembers &members, Instant joinedAt,
-                            const LeaseTiming &timing) noexcept
+Instant newMemberActiveFrom(const ZoneMembers &members, FormerHolder former,
+                            const std::string &named, Instant joinedAt, const LeaseTiming &timing)
 {
+    if (former == FormerHolder::Nobody)
+        return Instant{};
     const Instant latest = joinedAt + timing.newMemberWait;
     Instant from{};
+    bool isListed = false;
     for (const ZoneMember &member : members.others) {
+        if (former == FormerHolder::Named && member.vm != named)
+            continue;
+        isListed = true;
         if (!member.report)
             return latest;
         if (member.knownSince <= joinedAt)
             from = std::max(from, member.firstReportAt + timing.peerStateTtl + timing.handoverGap);
     }
+    if (former == FormerHolder::Named && !isListed)
+        return latest;
     return std::min(from, latest);
 }
 
--- a/libs/serving/tests/LeaseModel.cpp
+++ b/libs/serving/tests/LeaseModel.cpp
@@ -116,6 +116,34 @@
     return records;
 }
 
+ZoneMembers membersOf(const Simulation &simulation, const ModelVm &vm)
+{
+    ZoneMembers members;
+    members.listRead = vm.listRead;
+    const bool unheard = vm.peer && vm.peer->lastMessageAt == Instant{};
+    const bool left = vm.peer && vm.peer->report && vm.peer->report->leftGroup;
+    const bool ignored = (unheard && simulation.mutation.ignoresUnheard)
+        || (left && simulation.mutation.trustsOldLeave);
+    if (vm.peer && !ignored)
+        members.others.push_back(*vm.peer);
+    return members;
+}
+
+LeaseGroupView groupOf(const Simulation &simulation, int index)
+{
+    const ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
+    return {nameOf(index), vm.joinedAt, membersOf(simulation, vm)};
+}
+
+/** The times by which a VM adds its records. */
+LeaseTiming recordTimingOf(const Simulation &simulation)
+{
+    LeaseTiming timing = simulation.timing;
+    if (simulation.mutation.newMemberNeverWaits || simulation.mutation.recordsWhileWaiting)
+        timing.newMemberWait = Duration::zero();
+    return timing;
+}
+
 // A VM adds its record some ticks after it read the others, so that the other VM acts in between.
 void addRecord(Simulation &simulation, int index, int tick, Instant now)
 {
@@ -131,28 +159,32 @@
         && (vm.readEnd == records.logEnd || simulation.mutation.recordsBlindly)) {
         ++records.logEnd;
         records.byPartition[0] = {nameOf(index), vm.claimedIn};
-        simulation.store.recorded[static_cast<std::size_t>(index)] = true;
         if (!simulation.is(Fault::AnswersLost))
             confirmClaims(vm.lease, vm.claims, eraOf(simulation), now);
     }
     vm.claims.clear();
-    if (simulation.is(Fault::AnswersLost) || !isWriteDue(vm.lease, now))
+    const LeaseGroupView group = groupOf(simulation, index);
+    const LeaseTiming timing = recordTimingOf(simulation);
+    if (simulation.is(Fault::AnswersLost) || !isWriteDue(vm.lease, group, timing, now))
         return;
     vm.readEnd = records.logEnd;
     vm.addAt = tick + recordTicks;
     vm.claimedIn = vm.lease.generation;
     const HolderRecords answered = recordsAnswered(simulation);
-    if (!vm.recordsRead)
-        vm.heldBefore = simulation.store.recorded[static_cast<std::size_t>(index)];
-    vm.recordsRead = true;
-    vm.claims = claimsToRecord(vm.lease, answered, nameOf(index), simulation.timing, now);
+    const auto record = answered.byPartition.find(0);
+    const bool isNamed = record != answered.byPartition.end() && record->second.vm == nameOf(index);
+    vm.namedAsHolder = vm.namedAsHolder || isNamed;
+    vm.claims = claimsToRecord(vm.lease, answered, group, timing, now);
 }
 
-ZoneMember &peerOf(ModelVm &vm, Instant now)
+/** What a VM knows of the other one. */
+ZoneMember &peerOf(Simulation &simulation, int index, Instant now)
 {
+    ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
     if (!vm.peer) {
         vm.peer.emplace();
         vm.peer->knownSince = now;
+        vm.peer->vm = nameOf(1 - index);
     }
     return *vm.peer;
 }
@@ -166,24 +198,11 @@
     if (!due || !simulation.reachesStore(index) || simulation.is(Fault::ListUnreadable))
         return;
     if (simulation.store.listed[static_cast<std::size_t>(1 - index)])
-        peerOf(vm, now);
+        peerOf(simulation, index, now);
     simulation.store.listed[static_cast<std::size_t>(index)] = true;
     vm.listRead = true;
 }
 
-ZoneMembers membersOf(const Simulation &simulation, const ModelVm &vm)
-{
-    ZoneMembers members;
-    members.listRead = vm.listRead;
-    const bool unheard = vm.peer && vm.peer->lastMessageAt == Instant{};
-    const bool left = vm.peer && vm.peer->report && vm.peer->report->leftGroup;
-    const bool ignored = (unheard && simulation.mutation.ignoresUnheard)
-        || (left && simulation.mutation.trustsOldLeave);
-    if (vm.peer && !ignored)
-        members.others.push_back(*vm.peer);
-    return members;
-}
-
 void renew(Simulation &simulation, int index, Instant now)
 {
     ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
@@ -217,8 +236,8 @@
     ModelVm &other = simulation.vms[static_cast<std::size_t>(1 - index)];
     for (const PartitionRelease &release : vm.lease.releases)
         applyRelease(other.lease, release, simulation.timing);
-    peerOf(simulation.vms[static_cast<std::size_t>(index)], now); // that asked for the report
-    ZoneMember &member = peerOf(other, now);
+    peerOf(simulation, index, now); // that asked for the report
+    ZoneMember &member = peerOf(simulation, 1 - index, now);
     member.lastMessageAt = now;
     if (!member.report)
         member.firstReportAt = now;
@@ -242,9 +261,9 @@
 bool maySend(const Simulation &simulation, int index, Instant now)
 {
     const ModelVm &vm = simulation.vms[static_cast<std::size_t>(index)];
-    const ZoneMembers members = membersOf(simulation, vm);
-    const bool waits = !vm.heldBefore && !simulation.mutation.newMemberNeverWaits
-        && now < newMemberActiveFrom(members, vm.joinedAt, simulation.timing);
+    const bool waits = simulation.mutation.recordsWhileWaiting && !vm.namedAsHolder
+        && now < newMemberActiveFrom(membersOf(simulation, vm), FormerHolder::Unknown, {},
+                                     vm.joinedAt, simulation.timing);
     return !simulation.isUnlinked(index) && !waits && mayCommand(vm.lease, 0, now);
 }
 
--- a/libs/serving/tests/LeaseModel.h
+++ b/libs/serving/tests/LeaseModel.h
@@ -59,6 +59,7 @@
     bool ignoresUnheard = false; ///< a member that was not heard yet has no say in an extension
     bool assumesList = false; ///< a list of VMs that was not read yet counts as an empty one
     bool newMemberNeverWaits = false; ///< a VM that the holder may not know waits like any other
+    bool recordsWhileWaiting = false; ///< such a VM adds its records first, and trusts them later
     bool trustsOldLeave = false; ///< a member that left has no say, also once it is back
 };
 
@@ -69,7 +70,6 @@
     int owner = -1;
     std::array<Instant, vmCount> joinedAt{};
     std::array<bool, vmCount> listed{}; ///< in the list of VMs
-    std::array<bool, vmCount> recorded{}; ///< of some partition, played or not, a record names it
     HolderRecords records;
 
     void expire(Instant now, Duration ttl);
@@ -91,8 +91,7 @@
     std::optional<ZoneMember> peer; ///< the other VM, once the list or a report has named it
     Instant joinedAt{};
     bool left = false; ///< it has left the lease group and is about to end
-    bool recordsRead = false;
-    bool heldBefore = false; ///< by the records read first
+    bool namedAsHolder = false; ///< by records that it has read, for the mutation
     Instant totalPause{}; ///< sum of all pauses, for the mutation
     std::vector<HolderClaim> claims; ///< about to be added to the store
     LeaseGeneration claimedIn;
--- a/libs/serving/tests/Leases.cpp
+++ b/libs/serving/tests/Leases.cpp
@@ -1,3 +1,7 @@
+#include <algorithm>
+#include <array>
+#include <optional>
+
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
@@ -132,6 +136,63 @@
     return true;
 }
 
+/**
+ * Schedules in which the second VM starts for the first time while the first one is cut off, for 12
+ * s, and is killed and started again; `also` happens in between. Calls `visit` until it returns
+ * false.
+ */
+template <typename Judge>
+bool forAllRestartsOfNewVmsInCuts(std::optional<StoreEvent> also, Judge visit)
+{
+    constexpr int restartTicks = 5;
+    constexpr int cut = firstToggle;
+    for (int up = cut - 20; up < cut + 40; up += shortStep) {
+        for (int killed = up + shortStep; killed < cut + cutTicks; killed += shortStep) {
+            for (int event = up; event < cut + cutTicks; event += 2 * shortStep) {
+                std::vector<Toggle> schedule{{0, Fault::SecondDown},
+                                             {up, Fault::SecondDown},
+                                             {cut, Fault::PeersCut},
+                                             {cut, Fault::StoreUnreachableFromFirst},
+                                             {killed, Fault::SecondDown},
+                                             {killed + restartTicks, Fault::SecondDown},
+                                             {cut + cutTicks, Fault::PeersCut},
+                                             {cut + cutTicks, Fault::StoreUnreachableFromFirst}};
+                if (also)
+                    schedule.push_back({event, {}, *also});
+                if (!visit(schedule))
+                    return false;
+                if (!also)
+                    break;
+            }
+        }
+    }
+    return true;
+}
+
+/**
+ * Schedules in which the second VM is down for longer than the first one remembers it, and is back
+ * around the time at which that one is cut off, for 12 s. Calls `visit` until it returns false.
+ */
+template <typename Judge> bool forAllReturnsAfterLongAbsence(Judge visit)
+{
+    constexpr int absence = 460;
+    const int back = firstToggle + absence;
+    for (int assigned = firstToggle - 40; assigned < firstToggle; assigned += shortStep) {
+        for (int cut = back - 40; cut < back + 20; cut += shortStep) {
+            const std::vector<Toggle> schedule{{assigned, {}, StoreEvent::Reassign},
+                                               {firstToggle, Fault::SecondDown},
+                                               {back, Fault::SecondDown},
+                                               {cut, Fault::PeersCut},
+                                               {cut, Fault::StoreUnreachableFromFirst},
+                                               {cut + cutTicks, Fault::PeersCut},
+                                               {cut + cutTicks, Fault::StoreUnreachableFromFirst}};
+            if (!visit(schedule))
+                return false;
+        }
+    }
+    return true;
+}
+
 bool hasOneHolder(const Outcome &outcome)
 {
     return outcome.shortestHandover >= LeaseTiming().handoverGap && outcome.wrongTokens == 0;
@@ -158,11 +219,38 @@
     return play(schedule, until, LeaseTiming()).activeTicks;
 }
 
+/** A VM that joined so long ago that all holders know it. */
+LeaseGroupView longJoined(const std::string &vm)
+{
+    LeaseGroupView group;
+    group.vm = vm;
+    group.joinedAt = modelStart - LeaseTiming().newMemberWait;
+    return group;
+}
+
+/** A VM that joined at `modelStart` and knows of one other VM, which has not answered. */
+LeaseGroupView newBesideSilent(const std::string &vm, const std::string &silent)
+{
+    LeaseGroupView group;
+    group.vm = vm;
+    group.joinedAt = modelStart;
+    group.members.listRead = true;
+    group.members.others.push_back({modelStart, Instant{}, std::nullopt, Instant{}, silent});
+    return group;
+}
+
 /** Adds the holder records that the lease asks for, as if no other VM added any. */
+void recordAll(PartitionLease &lease, const HolderRecords &records, const LeaseGroupView &group,
+               Instant now)
+{
+    confirmClaims(lease, claimsToRecord(lease, records, group, LeaseTiming{}, now), records.era,
+                  now);
+}
+
 void recordAll(PartitionLease &lease, const HolderRecords &records, const std::string &vm,
                Instant now)
 {
-    confirmClaims(lease, claimsToRecord(lease, records, vm, LeaseTiming{}, now), records.era, now);
+    recordAll(lease, records, longJoined(vm), now);
 }
 
 /** Records by which `vm` was the last holder of partitions 1 and 2. */
@@ -213,10 +301,14 @@
     }
 }
 
-// Guards against a model that does not notice that unheard members have no say.
+// Guards against a model that does not notice that unheard members have no say. A restarted VM that
+// waits like a new one would hide that, so none waits here.
 Test(leases, the_model_finds_unheard_members_that_do_not_count)
 {
     Mutation mutation;
+    mutation.newMemberNeverWaits = true;
+    for (const Fault absence : {Fault::SecondFrozen, Fault::SecondDown, Fault::SecondStopped})
+        cr_expect(keepsOneHolderInRestarts(absence, std::nullopt, mutation));
     mutation.ignoresUnheard = true;
     for (const Fault absence : {Fault::SecondFrozen, Fault::SecondDown, Fault::SecondStopped})
         cr_expect(!keepsOneHolderInRestarts(absence, std::nullopt, mutation));
@@ -245,16 +337,128 @@
     cr_assert(!keepsOneHolder(newMemberNeverWaits));
 }
 
+// Guards against a new VM that takes a record which it added while it still had to wait for proof
+// that it was the last holder: it reads it after a kill, or once more, and commands beside a holder
+// that is cut off.
+Test(leases, a_new_vm_that_restarts_in_a_cut_is_no_former_holder)
+{
+    const std::array<std::optional<StoreEvent>, 4> events{
+        std::nullopt, StoreEvent::Reassign, StoreEvent::RestoreRecent, StoreEvent::RestoreOlder};
+    const auto keepsOneHolder = [&events](const Mutation &mutation) {
+        return std::all_of(events.begin(), events.end(), [&mutation](const auto &also) {
+            return forAllRestartsOfNewVmsInCuts(
+                also, [&mutation](const std::vector<Toggle> &schedule) {
+                    return hasOneHolder(play(schedule, ticks, LeaseTiming(), mutation));
+                });
+        });
+    };
+    cr_expect(keepsOneHolder({}));
+    Mutation recordsWhileWaiting;
+    recordsWhileWaiting.recordsWhileWaiting = true;
+    cr_expect(!keepsOneHolder(recordsWhileWaiting));
+}
+
+// Guards against a VM that was down until the holder forgot it, and that trusts a record of its
+// own from before.
+Test(leases, a_vm_back_after_the_others_forgot_it_waits_like_a_new_one)
+{
+    constexpr int longPlay = 800;
+    cr_assert(forAllReturnsAfterLongAbsence([](const std::vector<Toggle> &schedule) {
+        return hasOneHolder(play(schedule, longPlay, LeaseTiming()));
+    }));
+}
+
+// Guards against a new VM that waits 15 s for VMs that are gone, although the record names another
+// last holder, which has answered; and against one that does not wait for the named one.
+Test(leases, a_new_vm_waits_for_the_last_holder_alone)
+{
+    const LeaseTiming timing;
+    PartitionLease lease;
+    LeaseGrant grant;
+    grant.generation = {0, 9};
+    grant.partitions = {1};
+    LeaseGroupView group = newBesideSilent("vm-1", "vm-2");
+    group.members.others.push_back(
+        {modelStart, modelStart, PeerLeaseState{modelStart, {0, 9}}, modelStart, "vm-3"});
+    renewLease(lease, grant, timing, modelStart, modelStart);
+    PartitionLease afterSilent = lease;
+    claimsToRecord(lease, recordsBy("vm-3", 8), group, timing, modelStart);
+    cr_assert(commandableFrom(lease, 1, group, timing) == lease.activeFrom.at(1));
+    claimsToRecord(afterSilent, recordsBy("vm-2", 8), group, timing, modelStart);
+    cr_assert(commandableFrom(afterSilent, 1, group, timing) == modelStart + timing.newMemberWait);
+    cr_assert(
+        claimsToRecord(afterSilent, recordsBy("vm-2", 8), group, timing, modelStart + 14s).empty());
+    cr_assert_eq(
+        claimsToRecord(afterSilent, recordsBy("vm-2", 8), group, timing, modelStart + 15s).size(),
+        1);
+}
+
+// Guards against a record of an earlier era of the store that names the last holder, or proves that
+// there was none: the records that followed may be lost.
+Test(leases, a_new_vm_waits_for_all_after_a_restore)
+{
+    const LeaseTiming timing;
+    PartitionLease lease;
+    LeaseGrant grant;
+    grant.generation = {2, 9};
+    grant.partitions = {1, 3};
+    const LeaseGroupView group = newBesideSilent("vm-1", "vm-2");
+    renewLease(lease, grant, timing, modelStart, modelStart);
+    HolderRecords copied = recordsBy("vm-1", 8, 1);
+    copied.era = 2;
+    claimsToRecord(lease, copied, group, timing, modelStart);
+    for (const int partition : grant.partitions)
+        cr_assert(commandableFrom(lease, partition, group, timing)
+                  == modelStart + timing.newMemberWait);
+}
+
+// Guards against a wait of 15 s for engines that no VM has ever commanded.
+Test(leases, a_new_vm_waits_for_nobody_where_nobody_was_recorded)
+{
+    const LeaseTiming timing;
+    PartitionLease lease;
+    LeaseGrant grant;
+    grant.generation = {0, 9};
+    grant.partitions = {1};
+    const LeaseGroupView group = newBesideSilent("vm-1", "vm-2");
+    renewLease(lease, grant, timing, modelStart, modelStart);
+    claimsToRecord(lease, HolderRecords(), group, timing, modelStart);
+    cr_assert(commandableFrom(lease, 1, group, timing) == lease.activeFrom.at(1));
+}
+
+// Guards against a holder that restarted, commands by its own record, and after a restore of the
+// store waits as if it had never commanded.
+Test(leases, a_restarted_holder_goes_on_after_a_restore)
+{
+    const LeaseTiming timing;
+    PartitionLease lease;
+    LeaseGrant grant;
+    grant.generation = {1, 9};
+    grant.partitions = {1};
+    const LeaseGroupView group = newBesideSilent("vm-1", "vm-2");
+    renewLease(lease, grant, timing, modelStart, modelStart);
+    recordAll(lease, recordsBy("vm-1", 8, 1), group, modelStart);
+    cr_assert(mayCommand(lease, 1, modelStart));
+    const Instant now = modelStart + 500ms;
+    grant.generation = {2, 7};
+    renewLease(lease, grant, timing, now, now);
+    HolderRecords copied = recordsBy("vm-2", 6, 1);
+    copied.era = 2;
+    recordAll(lease, copied, group, now);
+    cr_assert(mayCommand(lease, 1, now));
+}
+
 // Guards against a VM that waits for one that was started after it, and knows it by the list.
 Test(leases, a_new_vm_waits_for_none_that_started_later)
 {
     const LeaseTiming timing;
     ZoneMembers members;
     const Instant later = modelStart + 1s;
-    members.others.push_back({later, later, PeerLeaseState{later, {}, true}, later});
-    cr_assert(newMemberActiveFrom(members, modelStart, timing) <= modelStart);
+    members.others.push_back({later, later, PeerLeaseState{later, {}, true}, later, "vm-2"});
+    cr_assert(newMemberActiveFrom(members, FormerHolder::Unknown, {}, modelStart, timing)
+              <= modelStart);
     members.others.front().report.reset();
-    cr_assert(newMemberActiveFrom(members, modelStart, timing)
+    cr_assert(newMemberActiveFrom(members, FormerHolder::Unknown, {}, modelStart, timing)
               == modelStart + timing.newMemberWait);
 }
 
@@ -269,6 +473,8 @@
                                        {201, Fault::SecondStopped}};
     cr_expect(hasOneHolder(play(schedule, ticks, LeaseTiming())));
     Mutation mutation;
+    mutation.newMemberNeverWaits = true;
+    cr_expect(hasOneHolder(play(schedule, ticks, LeaseTiming(), mutation)));
     mutation.trustsOldLeave = true;
     cr_expect(!hasOneHolder(play(schedule, ticks, LeaseTiming(), mutation)));
 }
@@ -289,7 +495,7 @@
 {
     const LeaseTiming timing;
     ZoneMembers members;
-    members.others.push_back({modelStart, Instant{}, std::nullopt});
+    members.others.push_back({modelStart, Instant{}, std::nullopt, Instant{}, "vm-2"});
     const Instant now = modelStart + timing.goneAfter;
     cr_assert(extensionEnd({}, members, timing, now + 1ms) == Instant{}, "no list was read");
     members.listRead = true;
@@ -429,11 +635,11 @@
     Instant now = modelStart;
     for (; now < modelStart + 10s; now += 500ms)
         renewLease(lease, grant, timing, now, now);
-    cr_assert(isWriteDue(lease, now));
+    cr_assert(isWriteDue(lease, longJoined("vm-1"), timing, now));
     cr_assert(!mayCommand(lease, 1, now));
     recordAll(lease, recordsBy("vm-2", 2), "vm-1", now);
     cr_assert(mayCommand(lease, 1, now));
-    cr_assert(!isWriteDue(lease, now));
+    cr_assert(!isWriteDue(lease, longJoined("vm-1"), timing, now));
 }
 
 // Guards against a needless wait in a rolling restart, where no VM sent commands to an engine for 6
@@ -540,7 +746,7 @@
     const LeaseTiming timing;
     renewLease(lease, grant, timing, modelStart, modelStart);
     const HolderRecords records = recordsBy("vm-1", 8, 1);
-    const auto claims = claimsToRecord(lease, records, "vm-1", timing, modelStart);
+    const auto claims = claimsToRecord(lease, records, longJoined("vm-1"), timing, modelStart);
     cr_assert_eq(claims.size(), 1);
     confirmClaims(lease, claims, 2, modelStart);
     cr_assert(!mayCommand(lease, 1, modelStart));
@@ -630,7 +836,8 @@
     renewLease(lease, grant, timing, modelStart, modelStart);
     ZoneMembers members;
     members.listRead = true;
-    members.others.push_back({modelStart, modelStart, PeerLeaseState{modelStart, {1, 8}, true}});
+    members.others.push_back(
+        {modelStart, modelStart, PeerLeaseState{modelStart, {1, 8}, true}, modelStart, "vm-2"});
     extendLease(lease, members, timing, modelStart);
     cr_assert(lease.extendedUntil > modelStart);
     members.others.front().report->generation = {2, 3};
