JSON from outside: the parser counts the depth, and one reader serves all

Callers got nearly no answer: one entry of another writer ended every VM that read it, at each start again.

Cause: the guard against deep documents counted brackets inside strings too. Behind a text of closing brackets it let 80,000 levels pass, and the copy of such a document overflows the stack. Answers of the store, calls between VMs, settings and the product's own interface had no guard at all.

Change: a small library parses all JSON from outside, with the depth that the parser itself knows (32 levels; 128 for a caller's body).

--- a/libs/config/src/Acceptance.cpp
+++ b/libs/config/src/Acceptance.cpp
@@ -6,6 +6,7 @@
 
 #include "config/JsonReader.h"
 #include "core/Ids.h"
+#include "json/UntrustedJson.h"
 
 namespace monsoonbay {
 
@@ -207,7 +208,7 @@
 
 bool adoptSnapshot(AcceptedManifest &state, std::string_view body)
 {
-    const Json root = Json::parse(body, nullptr, false);
+    const Json root = parseJson(body);
     const auto isNumber = [&root](const char *key) {
         return root.contains(key) && root[key].is_number_unsigned();
     };
@@ -243,7 +244,7 @@
     const Json root{{"kind", kind},
                     {"base", {{"offset", base.offset}, {"digest", base.digest}}},
                     {"acknowledge", acknowledge},
-                    {"content", Json::parse(content, nullptr, false)}};
+                    {"content", parseJson(content)}};
     return root.dump();
 }
 
--- a/libs/config/src/JsonReader.cpp
+++ b/libs/config/src/JsonReader.cpp
@@ -1,4 +1,5 @@
 #include "config/JsonReader.h"
+#include "json/UntrustedJson.h"
 
 #include <algorithm>
 #include <limits>
@@ -50,9 +51,11 @@
 
 Json JsonReader::parseObject(std::string_view text)
 {
-    Json root = Json::parse(text, nullptr, false);
+    Json root = parseJson(text);
     if (root.is_discarded())
-        this->complain("", "is not valid JSON", "check brackets, commas and quotes");
+        this->complain("", "is not valid JSON",
+                       "check brackets, commas and quotes; at most "
+                           + std::to_string(maxDocumentDepth) + " levels may be nested");
     else
         this->isObject(root, "");
     return root;
--- a/libs/daemon/src/CallerRequest.cpp
+++ b/libs/daemon/src/CallerRequest.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/Digest.h"
+#include "json/UntrustedJson.h"
 
 namespace monsoonbay {
 
@@ -74,9 +75,11 @@
 CheckedRequest checkModelRequest(const Manifest &manifest, const Service &service,
                                  CallerRequest request)
 {
-    Json body = Json::parse(request.body, nullptr, false);
+    Json body = parseJson(request.body, maxCallerDepth);
     if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
-        return refuse(ErrorKind::BadRequest, "the body has to be a JSON object with \"model\"");
+        return refuse(ErrorKind::BadRequest,
+                      "the body has to be a JSON object with \"model\", nested at most "
+                          + std::to_string(maxCallerDepth) + " levels");
     request.adapter = parseAdapterRef(body["model"].get<std::string>());
     if (request.adapter.name.empty())
         return refuse(ErrorKind::BadRequest, "\"model\" has to be adapter@version");
--- a/libs/daemon/src/ManifestReader.cpp
+++ b/libs/daemon/src/ManifestReader.cpp
@@ -7,6 +7,7 @@
 
 #include "OwnerLoop.h"
 #include "observe/Events.h"
+#include "json/UntrustedJson.h"
 
 namespace monsoonbay {
 
@@ -101,7 +102,7 @@
 
 void applyClaimRecord(Node &node, std::uint64_t offset, const std::string &body)
 {
-    const Json claim = Json::parse(body, nullptr, false);
+    const Json claim = parseJson(body);
     const bool valid = claim.is_object() && claim.contains("vm") && claim["vm"].is_number_unsigned()
         && claim.contains("targets") && claim["targets"].is_array();
     if (!valid)
@@ -120,13 +121,13 @@
 
 void applyOperationRecord(Node &node, const std::string &body)
 {
-    const Json operation = Json::parse(body, nullptr, false);
+    const Json operation = parseJson(body);
     const bool valid =
         operation.is_object() && operation.contains("drain") && operation["drain"].is_string();
     if (!valid)
         return;
     const TargetId target = TargetId::of(operation["drain"].get<std::string>());
-    const bool on = operation.value("on", true);
+    const bool on = valueOr(operation, "on", true);
     node.drained.with([&](auto &drained) {
         if (on)
             drained.insert(target);
@@ -138,8 +139,9 @@
 
 void applyLogRecord(Node &node, const Json &record)
 {
-    const bool valid = record.is_object() && record.contains("offset") && record.contains("stream")
-        && record.contains("body") && record["body"].is_string();
+    const bool valid = record.is_object() && record.contains("offset")
+        && record["offset"].is_number_unsigned() && record.contains("stream")
+        && record["stream"].is_string() && record.contains("body") && record["body"].is_string();
     if (!valid)
         return;
     const std::uint64_t offset = record["offset"];
@@ -238,12 +240,12 @@
         if (!item.is_object())
             continue;
         ListedVm vm;
-        vm.name = item.value("name", "");
-        vm.kind = item.value("kind", "");
-        vm.zone = item.value("zone", "");
-        vm.endpoint.address = item.value("address", "");
-        vm.endpoint.port = static_cast<std::uint16_t>(item.value("port", 0));
-        vm.leaving = item.value("state", "live") == "leaving";
+        vm.name = valueOr(item, "name", std::string());
+        vm.kind = valueOr(item, "kind", std::string());
+        vm.zone = valueOr(item, "zone", std::string());
+        vm.endpoint.address = valueOr(item, "address", std::string());
+        vm.endpoint.port = valueOr(item, "port", std::uint16_t{0});
+        vm.leaving = valueOr(item, "state", std::string("live")) == "leaving";
         vms.push_back(vm);
     }
     return vms;
@@ -285,8 +287,8 @@
         co_await node.http.call(node.settings.log, std::move(call), readTimeout);
     if (!result.ok())
         co_return 0;
-    const Json reply = Json::parse(result.body, nullptr, false);
-    co_return reply.is_object() ? reply.value("offset", std::uint64_t{0}) : 0;
+    const Json reply = parseJson(result.body);
+    co_return valueOr(reply, "offset", std::uint64_t{0});
 }
 
 void fetchIfNewer(Node &node, VmId peer, std::uint64_t offset)
@@ -309,9 +311,11 @@
             + "&max=500&waitMs=" + std::to_string(longPollMs);
         const HttpResult result =
             co_await node.http.call(node.settings.log, std::move(call), readTimeout);
-        const Json reply = result.ok() ? Json::parse(result.body, nullptr, false) : Json();
+        const Json reply = result.ok() ? parseJson(result.body) : Json();
         const bool readable = reply.is_object() && reply.contains("records")
-            && reply["records"].is_array() && reply.contains("first") && reply.contains("next");
+            && reply["records"].is_array() && reply.contains("first")
+            && reply["first"].is_number_unsigned() && reply.contains("next")
+            && reply["next"].is_number_unsigned();
         setLogUp(node, readable);
         if (!readable) {
             co_await pause(retryPause);
@@ -325,7 +329,7 @@
             node.manifest.with([](const AcceptedManifest &state) { return state.based; });
         for (const Json &record : reply["records"]) {
             applyLogRecord(node, record);
-            position = std::max(position, record.value("offset", position) + 1);
+            position = std::max(position, valueOr(record, "offset", position) + 1);
         }
         // Records that were skipped for lack of a base are read again once a snapshot gave one.
         const std::uint64_t resumeAt = node.manifest.with([&](const AcceptedManifest &state) {
@@ -348,7 +352,7 @@
         call.path = "/v1/vms";
         const HttpResult result =
             co_await node.http.call(node.settings.vmList, std::move(call), std::chrono::seconds(2));
-        const Json list = result.ok() ? Json::parse(result.body, nullptr, false) : Json();
+        const Json list = result.ok() ? parseJson(result.body) : Json();
         const bool readable = list.is_array();
         if (readable)
             applyVmList(node, readVmList(list));
--- a/libs/daemon/src/OwnerLoop.cpp
+++ b/libs/daemon/src/OwnerLoop.cpp
@@ -10,6 +10,7 @@
 #include "Coordinator.h"
 #include "PeerExchange.h"
 #include "observe/Events.h"
+#include "json/UntrustedJson.h"
 
 namespace monsoonbay {
 
@@ -51,20 +52,21 @@
 
 std::optional<SlotReport> readReport(const std::string &body, Instant askedAt)
 {
-    const Json json = Json::parse(body, nullptr, false);
+    const Json json = parseJson(body);
     if (!json.is_object() || !json.contains("epoch") || !json.contains("resident"))
         return std::nullopt;
     SlotReport report;
-    report.epoch = json.value("epoch", std::uint64_t{0});
+    report.epoch = valueOr(json, "epoch", std::uint64_t{0});
     report.askedAt = askedAt;
-    report.running = json.value("running", 0);
-    report.queued = json.value("queued", 0);
+    report.running = valueOr(json, "running", 0);
+    report.queued = valueOr(json, "queued", 0);
     for (const Json &slot : json["resident"]) {
         if (!slot.is_object())
             continue;
-        AdapterRef adapter = parseAdapterRef(slot.value("adapter", ""));
+        AdapterRef adapter = parseAdapterRef(valueOr(slot, "adapter", std::string()));
         if (!adapter.name.empty())
-            report.resident.push_back(ReportedSlot{std::move(adapter), slot.value("running", 0)});
+            report.resident.push_back(
+                ReportedSlot{std::move(adapter), valueOr(slot, "running", 0)});
     }
     return report;
 }
@@ -107,8 +109,8 @@
 
 std::uint64_t higherToken(const std::string &body)
 {
-    const Json json = Json::parse(body, nullptr, false);
-    return json.is_object() ? json.value("token", std::uint64_t{0}) : 0;
+    const Json json = parseJson(body);
+    return valueOr(json, "token", std::uint64_t{0});
 }
 
 void applyRefusal(Node &node, TargetId target, const std::string &body)
@@ -175,8 +177,8 @@
         co_await node.http.call(node.settings.log, std::move(call), appendTimeout);
     std::uint64_t offset = 0;
     if (result.ok()) {
-        const Json reply = Json::parse(result.body, nullptr, false);
-        offset = reply.is_object() ? reply.value("offset", std::uint64_t{0}) : 0;
+        const Json reply = parseJson(result.body);
+        offset = valueOr(reply, "offset", std::uint64_t{0});
     }
     const Instant now = BootClock::now();
     std::vector<TargetId> claimed;
--- a/libs/daemon/src/OwnerRun.cpp
+++ b/libs/daemon/src/OwnerRun.cpp
@@ -9,6 +9,7 @@
 
 #include "OwnerLoop.h"
 #include "observe/Events.h"
+#include "json/UntrustedJson.h"
 
 namespace monsoonbay {
 
@@ -51,8 +52,8 @@
 
 bool isForRequest(const Json &answer, const v1::RunRequest &request)
 {
-    return answer.is_object() && answer.value("id", "") == request.request_id()
-        && answer.value("model", "") == request.adapter();
+    return valueOr(answer, "id", std::string()) == request.request_id()
+        && valueOr(answer, "model", std::string()) == request.adapter();
 }
 
 void reportWrongAnswer(Node &node, const v1::RunRequest &request)
@@ -92,13 +93,13 @@
             }
             if (!event.starts_with(dataPrefix))
                 continue;
-            const Json json = Json::parse(event.substr(dataPrefix.size()), nullptr, false);
+            const Json json = parseJson(event.substr(dataPrefix.size()));
             if (!isForRequest(json, request)) {
                 reportWrongAnswer(node, request);
                 progress.kind = ErrorKind::WrongAnswer;
                 co_return;
             }
-            const std::uint64_t position = json.value("index", std::uint64_t{0});
+            const std::uint64_t position = valueOr(json, "index", std::uint64_t{0});
             if (position < expected) {
                 node.metrics.add(Counter::PiecesDropped);
                 continue;
@@ -144,7 +145,7 @@
         body += piece;
     }
     progress.ended = true;
-    const Json json = Json::parse(body, nullptr, false);
+    const Json json = parseJson(body);
     if (!isForRequest(json, request)) {
         reportWrongAnswer(node, request);
         progress.kind = ErrorKind::WrongAnswer;
--- a/libs/gateway/src/ForwardedCall.cpp
+++ b/libs/gateway/src/ForwardedCall.cpp
@@ -1,4 +1,5 @@
 #include "ForwardedCall.h"
+#include "json/UntrustedJson.h"
 
 #include <array>
 #include <charconv>
@@ -99,7 +100,7 @@
 std::optional<ForwardedCall> readForwardedCall(const RequestHead &head)
 {
     const auto value = head[callHeader];
-    const Json json = Json::parse(value.begin(), value.end(), nullptr, false);
+    const Json json = parseJson({value.data(), value.size()});
     try {
         return parseCall(json);
     } catch (const Json::exception &) {
--- a/libs/gateway/src/GatewaySettings.cpp
+++ b/libs/gateway/src/GatewaySettings.cpp
@@ -5,6 +5,7 @@
 #include "config/JsonReader.h"
 #include "config/Resources.h"
 #include "gateway/PlatformPort.h"
+#include "json/UntrustedJson.h"
 
 namespace monsoonbay {
 
@@ -142,7 +143,7 @@
 
 bool isGatewaySettings(std::string_view json)
 {
-    const Json root = Json::parse(json, nullptr, false);
+    const Json root = parseJson(json);
     return root.is_object() && root.contains("platform");
 }
 
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -10,6 +10,7 @@
 #include "CallerAuthentication.h"
 #include "LinkWatch.h"
 #include "observe/Events.h"
+#include "json/UntrustedJson.h"
 
 namespace monsoonbay {
 
@@ -135,11 +136,9 @@
 /** The other VM's own answer, as this VM passes it on. */
 LocalReply localReplyFrom(const TargetExchange &exchange, const std::string &body)
 {
-    const nlohmann::json problem = nlohmann::json::parse(body, nullptr, false);
-    const bool named = problem.is_object() && problem.contains("title");
-    LocalReply own =
-        makeLocalReply(exchange.status(), named ? problem.value("title", std::string()) : "refused",
-                       Duration::zero());
+    const nlohmann::json problem = parseJson(body);
+    LocalReply own = makeLocalReply(
+        exchange.status(), valueOr(problem, "title", std::string("refused")), Duration::zero());
     const auto seconds = exchange.head()[http::field::retry_after];
     if (!seconds.empty())
         own.retryAfter = fromSeconds(std::strtod(std::string(seconds).c_str(), nullptr));
--- a/tools/monsoonbayctl/src/Commands.cpp
+++ b/tools/monsoonbayctl/src/Commands.cpp
@@ -13,6 +13,7 @@
 
 #include "Client.h"
 #include "config/Acceptance.h"
+#include "json/UntrustedJson.h"
 
 namespace monsoonbay::ctl {
 
@@ -37,7 +38,7 @@
     const HttpResult result = sendGet(vm, path);
     if (!result.ok())
         return std::nullopt;
-    Json json = Json::parse(result.body, nullptr, false);
+    Json json = parseJson(result.body);
     if (json.is_discarded())
         return std::nullopt;
     return json;
@@ -134,8 +135,8 @@
     call.path = "/v1/append";
     call.body = record.dump();
     const HttpResult result = sendCall(options.log, call);
-    const Json reply = result.ok() ? Json::parse(result.body, nullptr, false) : Json();
-    return reply.is_object() ? reply.value("offset", std::uint64_t{0}) : 0;
+    const Json reply = result.ok() ? parseJson(result.body) : Json();
+    return valueOr(reply, "offset", std::uint64_t{0});
 }
 
 ExitCode exitCodeFor(const std::string &verdict)
