Answers: a connection that is reset while the request is written ends no answer

Callers got a piece of an answer as a whole one, sealed.

Cause: a target answered a long upload at once without a length, sent a piece and reset the connection. The system gives that error to one operation only. The write of the request got it and dropped it; the read beside it then saw an ordinary end, which is the end of an answer without a length.

Change: the write keeps its error, beside the read, awaited, and after an offer. An answer that its connection delimits is broken if that error is there, unless it says that the target had closed in order before ("broken pipe"). Answers with a length or in chunks show their end themselves.

--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -42,10 +43,11 @@
 // A target may answer a long request before it has read all of it, and read the rest later. The
 // write must then neither delay the answer nor be cut short while the connection is still in use.
 asio::awaitable<void> writeRequest(TargetConnectionPtr link, std::shared_ptr<TargetRequest> request,
-                                   std::shared_ptr<bool> written)
+                                   std::shared_ptr<RequestWrite> written)
 {
     auto [error, bytes] = co_await http::async_write(link->socket, *request, nothrowAwaitable);
-    *written = !error;
+    written->error = error;
+    written->ended = true;
 }
 
 void closeOnExpiry(asio::steady_timer &limit, const TargetConnectionPtr &link)
@@ -96,7 +98,7 @@
         recordAwaitingEnd(this->node, this->target);
     if (!this->link)
         return;
-    const bool reusable = this->complete && !this->unusable && *this->written
+    const bool reusable = this->complete && !this->unusable && this->written->isWhole()
         && !this->attemptId.empty() && this->parser->keep_alive() && this->link->buffer.size() == 0
         && this->link->socket.is_open();
     if (!reusable) {
@@ -230,7 +232,8 @@
 {
     auto [error, bytes] =
         co_await http::async_write(this->link->socket, *this->rest, nothrowAwaitable);
-    *this->written = !error;
+    this->written->error = error;
+    this->written->ended = true;
     co_return co_await this->readMatchingHead();
 }
 
@@ -291,11 +294,8 @@
     this->parser->body_limit(boost::none);
     auto [error, bytes] = co_await http::async_read_header(this->link->socket, this->link->buffer,
                                                            *this->parser, nothrowAwaitable);
-    if (error) {
-        this->unusable = true;
-        this->lastError = error;
-        co_return false;
-    }
+    if (error)
+        co_return this->fail(error);
     this->recordHeard();
     this->answerMetadata =
         this->node.platform->readAnswerMetadata(this->status(), this->parser->get());
@@ -319,6 +319,29 @@
     co_return end == BodyRead::End;
 }
 
+bool TargetExchange::fail(const boost::system::error_code &error)
+{
+    this->unusable = true;
+    this->lastError = error;
+    return false;
+}
+
+// The system gives the error of a reset connection to one operation only: if that is the write of
+// the request, the read gets an ordinary end of the stream, which ends an answer without a length.
+// The write is told apart what came first: "broken pipe" if the target had closed its side before,
+// so that the answer had arrived whole. A write that was awaiting the same event completes before
+// the read, or right after it.
+asio::awaitable<boost::system::error_code> TargetExchange::lossBehindEnd()
+{
+    if (!this->parser->need_eof())
+        co_return boost::system::error_code();
+    if (!this->written->ended)
+        co_await asio::post(this->node.context, asio::use_awaitable);
+    const boost::system::error_code error = this->written->error;
+    const bool closedBefore = error == asio::error::broken_pipe;
+    co_return closedBefore ? boost::system::error_code() : error;
+}
+
 asio::awaitable<BodyRead> TargetExchange::read(std::string &piece)
 {
     piece.clear();
@@ -331,8 +354,7 @@
         const std::size_t filled = this->readBuffer.size() - body.size;
         piece.append(this->readBuffer.data(), filled);
         if (error && error != http::error::need_buffer) {
-            this->unusable = true;
-            this->lastError = error;
+            this->fail(error);
             co_return BodyRead::Broken;
         }
         if (!piece.empty())
@@ -340,6 +362,11 @@
         if (!piece.empty() && !this->parser->is_done())
             co_return BodyRead::Some;
     }
+    const boost::system::error_code loss = co_await this->lossBehindEnd();
+    if (loss) {
+        this->fail(loss);
+        co_return BodyRead::Broken;
+    }
     this->complete = true;
     co_return BodyRead::End;
 }
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -31,6 +31,18 @@
     NoReply, ///< it did not answer in time, or the connection broke; it never runs the call
 };
 
+/** How far the writing of a request has come, beside which its answer is read. */
+struct RequestWrite
+{
+    bool ended = false;
+    boost::system::error_code error; ///< why it failed; none if it hasn't ended
+
+    bool isWhole() const noexcept
+    {
+        return this->ended && !this->error;
+    }
+};
+
 /** One attempt at a target, or at another VM, on one connection. */
 class TargetExchange
 {
@@ -95,6 +107,9 @@
     asio::awaitable<bool> readHead();
     asio::awaitable<bool> readFinalHead();
     bool isInterim() const;
+    /** Why the end of the connection is no end of the answer that it delimits; none if it is. */
+    asio::awaitable<boost::system::error_code> lossBehindEnd();
+    bool fail(const boost::system::error_code &error);
     /** True for a refusal that may answer an earlier call on the connection. */
     bool isUnclearRefusal() const;
     void beginAwaiting();
@@ -109,7 +124,7 @@
     Endpoint endpoint;
     std::string attemptId;
     TargetConnectionPtr link;
-    std::shared_ptr<bool> written = std::make_shared<bool>(false);
+    std::shared_ptr<RequestWrite> written = std::make_shared<RequestWrite>();
     std::shared_ptr<TargetRequest> offered;
     std::optional<Serializer> rest; ///< of the offered request
     std::optional<Parser> parser;
