Answers: a head that can't begin an answer ends it, wherever answers are read

Callers got answers with status 000, 101 or 999, bodies of interim answers as their answer, and the framing of unknown transfer codings as the body.

Cause: the parser takes any three digits for a status, any 1xx for one without a body, and a body whose last coding it doesn't know for one that ends with the connection; its word was believed. The client of store, engines and reports took an interim answer as the answer, and the answer stayed on a pooled connection.

Change: one parser and one check of a head, for targets, other VMs, store, orders and reports: status 100 to 599 but 101, no framing on interim heads, no transfer coding but chunked alone, no trailers in the head. What fails it is a broken answer: the connection is closed, the target is at fault, the call may have run.

--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -269,8 +269,7 @@
 
 bool TargetExchange::isInterim() const
 {
-    const bool informs = this->status() < 200 && this->status() != 101;
-    return informs && !(this->awaitsContinue && this->status() == 100);
+    return isInterimHead(this->head()) && !(this->awaitsContinue && this->status() == 100);
 }
 
 asio::awaitable<bool> TargetExchange::readFinalHead()
@@ -296,6 +295,9 @@
                                                            *this->parser, nothrowAwaitable);
     if (error)
         co_return this->fail(error);
+    const boost::system::error_code noAnswer = checkAnswerHead(this->head());
+    if (noAnswer)
+        co_return this->fail(noAnswer);
     this->recordHeard();
     this->answerMetadata =
         this->node.platform->readAnswerMetadata(this->status(), this->parser->get());
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -5,14 +5,13 @@
 #include <optional>
 #include <string>
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 
 #include "BodyDelimiter.h"
 #include "GatewayNode.h"
 #include "LinkWatch.h"
 #include "TargetRequest.h"
+#include "transport/AnswerParser.h"
 #include "transport/HttpServer.h"
 
 namespace monsoonbay {
@@ -100,8 +99,6 @@
     void abandon() noexcept;
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
     using Serializer = boost::beast::http::request_serializer<TargetRequest::body_type>;
 
     asio::awaitable<bool> readHead();
@@ -127,7 +124,7 @@
     std::shared_ptr<RequestWrite> written = std::make_shared<RequestWrite>();
     std::shared_ptr<TargetRequest> offered;
     std::optional<Serializer> rest; ///< of the offered request
-    std::optional<Parser> parser;
+    std::optional<AnswerParser> parser;
     AnswerMetadata answerMetadata;
     std::array<char, 8192> readBuffer{};
     bool awaitsContinue = false; ///< a request was offered: "100 Continue" is its reply
--- a/libs/transport/src/HttpClient.cpp
+++ b/libs/transport/src/HttpClient.cpp
@@ -15,11 +15,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "transport/AnswerParser.h"
+
 namespace monsoonbay {
 
 namespace beast = boost::beast;
@@ -30,6 +30,8 @@
 
 constexpr auto nothrowAwaitable = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxIdlePerEndpoint = 512;
+/** Interim answers (1xx) that may precede an answer. */
+constexpr int maxInterimHeads = 8;
 /** Heads, chunk sizes and trailers that are longer end the call. */
 constexpr std::size_t maxReadBufferBytes = 128UL * 1024;
 
@@ -96,10 +98,28 @@
     Endpoint endpoint;
     tcp::socket socket;
     beast::flat_buffer buffer{maxReadBufferBytes};
-    http::response_parser<http::buffer_body> parser;
+    std::optional<AnswerParser> parser; ///< from the first head on
     std::optional<asio::steady_timer> timer;
     bool cancelled = false;
     bool connected = false;
+
+    /** Reads heads up to that of the answer itself. */
+    asio::awaitable<std::error_code> readFinalHead(std::size_t maxBodyBytes)
+    {
+        for (int head = 0; head <= maxInterimHeads; ++head) {
+            this->parser.emplace();
+            this->parser->body_limit(maxBodyBytes);
+            auto [error, bytes] = co_await http::async_read_header(this->socket, this->buffer,
+                                                                   *this->parser, nothrowAwaitable);
+            if (!error)
+                error = checkAnswerHead(this->parser->get());
+            if (error)
+                co_return error;
+            if (!isInterimHead(this->parser->get()))
+                co_return std::error_code();
+        }
+        co_return http::make_error_code(http::error::bad_status);
+    }
 };
 
 HttpClient::HttpClient(asio::io_context &context)
@@ -117,8 +137,9 @@
     Impl &stream = *this->impl;
     if (stream.timer)
         stream.timer->cancel();
-    const bool reusable = stream.connected && !stream.cancelled && stream.parser.is_done()
-        && stream.parser.get().keep_alive() && stream.buffer.size() == 0;
+    const bool reusable = stream.connected && !stream.cancelled && stream.parser
+        && stream.parser->is_done() && stream.parser->get().keep_alive()
+        && stream.buffer.size() == 0;
     if (reusable)
         stream.client->putIdle(stream.endpoint, std::move(stream.socket));
 }
@@ -183,16 +204,13 @@
         result.error = writeError;
         co_return result;
     }
-    stream->parser.body_limit(call.maxResponseBytes);
-    auto [readError, read] = co_await http::async_read_header(stream->socket, stream->buffer,
-                                                              stream->parser, nothrowAwaitable);
-    if (readError) {
+    result.error = co_await stream->readFinalHead(call.maxResponseBytes);
+    if (result.error) {
         stream->cancelled = true;
-        result.error = readError;
         co_return result;
     }
-    result.status = static_cast<int>(stream->parser.get().result_int());
-    const auto &head = stream->parser.get();
+    result.status = static_cast<int>(stream->parser->get().result_int());
+    const auto &head = stream->parser->get();
     result.contentType = std::string(head[http::field::content_type]);
     const auto wanted =
         call.wantedHeader.empty() ? head.end() : head.find(std::string_view(call.wantedHeader));
@@ -206,12 +224,12 @@
     const std::shared_ptr<Impl> stream = this->impl;
     piece.clear();
     std::array<char, 16384> readBuffer{};
-    while (!stream->parser.is_done()) {
-        auto &body = stream->parser.get().body();
+    while (stream->parser && !stream->parser->is_done()) {
+        auto &body = stream->parser->get().body();
         body.data = readBuffer.data();
         body.size = readBuffer.size();
         auto [error, bytes] = co_await http::async_read_some(stream->socket, stream->buffer,
-                                                             stream->parser, nothrowAwaitable);
+                                                             *stream->parser, nothrowAwaitable);
         const std::size_t filled = readBuffer.size() - body.size;
         const bool broken = error && error != http::error::need_buffer;
         if (broken) {
--- a/libs/transport/tests/HttpCalls.cpp
+++ b/libs/transport/tests/HttpCalls.cpp
@@ -62,8 +62,48 @@
     cr_assert_lt(total, maxBytesTaken);
 }
 
+/** The result of a call that is answered with these bytes, after which the connection closes. */
+HttpResult resultOf(const std::string &answer)
+{
+    Server server;
+    std::thread writer([&] {
+        tcp::socket connection = server.accept();
+        std::string request(4096, '\0');
+        boost::system::error_code error;
+        connection.read_some(asio::buffer(request), error);
+        asio::write(connection, asio::buffer(answer), error);
+    });
+    const HttpResult result = callBlocking(server.endpoint(), HttpCall(), 3s);
+    writer.join();
+    return result;
+}
+
 } // namespace
 
+// Guards against an interim answer that is taken for the answer, which then waits on the connection
+// for the next call.
+Test(http_calls, an_interim_answer_is_not_the_answer)
+{
+    const HttpResult result = resultOf("HTTP/1.1 102 Processing\r\n\r\n"
+                                       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    cr_assert(!result.error);
+    cr_assert_eq(result.status, 200);
+    cr_assert_eq(result.body, "ok");
+}
+
+// Guards against bytes that are no answer, or of an unknown transfer coding, that pass for one.
+Test(http_calls, what_is_no_answer_ends_the_call)
+{
+    for (const char *head : {"HTTP/1.1 000 Odd\r\n", "HTTP/1.1 101 Odd\r\n", "HTTP/1.1 999 Odd\r\n",
+                             "HTTP/1.1 150 Soon\r\nContent-Length: 2\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, identity\r\n",
+                             "HTTP/1.1 200 OK\r\nX Odd: 1\r\n"}) {
+        const HttpResult result = resultOf(std::string(head) + "\r\nok");
+        cr_expect(result.error, "%s", head);
+        cr_expect_eq(result.status, 0, "%s", head);
+    }
+}
+
 // Guards against an order that arrives after its sender has given it up.
 Test(http_calls, a_call_that_timed_out_is_taken_back)
 {
