--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -330,9 +330,9 @@
 
 // The system gives the error of a reset connection to one operation only: if that is the write of
 // the request, the read gets an ordinary end of the stream, which ends an answer without a length.
-// The write is told apart what came first: "broken pipe" if the target had closed its side before,
-// so that the answer had arrived whole. A write that was awaiting the same event completes before
-// the read, or right after it.
+// The write's error shows which came first: it is "broken pipe" if the target had closed its side
+// before, so that the answer had arrived whole. A write that was awaiting the same event completes
+// before the read, or right after it.
 asio::awaitable<boost::system::error_code> TargetExchange::lossBehindEnd()
 {
     if (!this->parser->need_eof())
