JSON from outside: an engine's answer has to be an object, as before

Cause: when fields of another type got a fallback, the check for an object was dropped with them, and an answer that is none would match a request without id and adapter.

--- a/libs/daemon/src/OwnerRun.cpp
+++ b/libs/daemon/src/OwnerRun.cpp
@@ -52,7 +52,7 @@
 
 bool isForRequest(const Json &answer, const v1::RunRequest &request)
 {
-    return valueOr(answer, "id", std::string()) == request.request_id()
+    return answer.is_object() && valueOr(answer, "id", std::string()) == request.request_id()
         && valueOr(answer, "model", std::string()) == request.adapter();
 }
 
