Links: a byte of the target proves them, not an accepted connection

What callers saw: at a VM whose links to all targets are cut by something that accepts connections (a relay, a proxy, a firewall), hardly a call was served, for as long as the cut lasted; 502, 504 and 'no engine has room' in place of the answers that other VMs could have had. Cause: an accepted connection counted as a target that answers: a probe asked for a connect and nothing more, each connect of a call counted as reached for 0.5 s, an end before any byte counted for nothing, and the connection of such a probe went to the next call. So checks found all targets reached, and the calls stayed. Change: a probe asks for an answer (an engine's report, else the health check) on a new connection, and only the target's own answer counts, known by its marks: not a 502 of something on the way. A call proves a link by the first byte on a new connection; an exchange that ends without an answer is a failure of the link. Probes that are silent prove nothing while any call of the service is answered, as targets may be busy for all. Recovery asks the targets that others reach; links that are lost again within 10 s take twice as many good rounds. Logs of checks say how many probes were silent.

--- a/libs/gateway/include/gateway/PlatformPort.h
+++ b/libs/gateway/include/gateway/PlatformPort.h
@@ -184,6 +184,12 @@
                                                Duration);
     asio::awaitable<std::optional<EngineReport>> (*report)(HttpClient &, EngineAddress, Duration);
 
+    // Probes of targets.
+    /** Path of a GET that the service's targets answer at little cost; empty: there is none. */
+    std::string (*probePath)(const ServiceSpec &);
+    /** True if a target sent this answer to a probe, rather than something on the way to it. */
+    bool (*isTargetAnswer)(const ResponseHead &, std::string_view body);
+
     // Leases in the store.
     asio::awaitable<RenewalResult> (*renew)(HttpClient &, const GatewaySettings &, LeaseRenewal,
                                             Duration);
--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -254,6 +254,8 @@
                 this->recordBroken(exchange, target);
             co_return AttemptResult::Broken;
         }
+        if (!exchange.isAnswered())
+            recordLinkFailure(this->node, target.id);
         applyAnswerHints(this->node, target.id, exchange.metadata());
         if (exchange.metadata().notRun) {
             this->call.mayHaveRun = mayHaveRunBefore;
@@ -294,7 +296,7 @@
 
     void recordBroken(const TargetExchange &exchange, const TargetEntry &target)
     {
-        if (exchange.error() == asio::error::timed_out)
+        if (!exchange.isAnswered())
             recordLinkFailure(this->node, target.id);
         recordResult(this->call, target, SendOutcome::Broken);
         runtimeOf(this->node, target.id).pool.lostAt = BootClock::now();
--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "TargetPool.h"
+#include "LinkProbe.h"
 #include "ZonePeers.h"
 #include "observe/Events.h"
 
@@ -69,6 +69,14 @@
     return counts;
 }
 
+bool isAnyHeard(const GatewayNode &node, const std::string &service, Instant now)
+{
+    const auto targets = node.awaitedAnswers.find(service);
+    return targets != node.awaitedAnswers.end()
+        && std::any_of(targets->second.begin(), targets->second.end(),
+                       [now](const auto &entry) { return isHeard(entry.second, now); });
+}
+
 /** A random sample of the service's targets; with `othersReachThem`, of those that others reach. */
 std::vector<TargetEntry> sampleTargets(GatewayNode &node, const std::string &service,
                                        bool othersReachThem)
@@ -99,15 +107,14 @@
     Signal done;
 };
 
-/** Tries to connect; the connection is kept for a later call. */
 asio::awaitable<void> probe(GatewayNode &node, TargetEntry target, std::shared_ptr<Probing> probing)
 {
-    ConnectResult result = co_await connectTo(node.context, target.endpoint, probeTimeout);
-    if (result.connection) {
+    const ProbeOutcome outcome = co_await probeTarget(node, target, probeTimeout);
+    if (outcome.result == ProbeResult::Answered) {
         ++probing->round.reached;
-        TargetRuntime &runtime = runtimeOf(node, target.id);
-        runtime.link.reachedAt = BootClock::now();
-        giveBack(runtime.pool, std::move(result.connection), Duration::zero(), BootClock::now());
+        recordLinkSuccess(node, target.id);
+    } else if (outcome.result == ProbeResult::Silent) {
+        ++probing->round.silent;
     }
     if (++probing->ended == probing->round.tried)
         probing->done.notifyAll();
@@ -154,10 +161,12 @@
 {
     while (!node.stopped && areLinksLost(node, service)) {
         co_await pauseFor(node, probeInterval);
-        std::vector<TargetEntry> targets = sampleTargets(node, service, false);
+        std::vector<TargetEntry> targets = sampleTargets(node, service, true);
+        if (targets.empty())
+            targets = sampleTargets(node, service, false);
         const ProbeRound round = co_await probeAll(node, std::move(targets));
         ServiceLinks &links = node.serviceLinks[service];
-        if (!recordProbes(links, round))
+        if (!recordProbes(links, round, BootClock::now()))
             continue;
         resetObservations(node, service);
         recheckHeldEngines(node, service);
@@ -189,7 +198,9 @@
     const ProbeRound round = co_await probeAll(node, std::move(targets));
     ServiceLinks &links = node.serviceLinks[service];
     links.checking = false;
-    const bool lost = confirmsLoss(round);
+    // A target that is busy for all VMs lets probes wait as long as calls, but some calls answer.
+    const bool heard = isAnyHeard(node, service, BootClock::now());
+    const bool lost = confirmsLoss(round, heard ? Silence::ProvesNothing : Silence::IsLoss);
     logEvent(lost ? EventId::LinksLost : EventId::LinksFound,
              {{"service", service},
               {"listed", std::to_string(counts.listed)},
@@ -197,12 +208,12 @@
               {"heard", std::to_string(counts.heard)},
               {"silent", std::to_string(counts.silent)},
               {"probed", std::to_string(round.tried)},
-              {"reached", std::to_string(round.reached)}});
+              {"reached", std::to_string(round.reached)},
+              {"silentProbes", std::to_string(round.silent)},
+              {"anyHeard", heard ? "yes" : "no"}});
     if (!lost)
         co_return;
-    links.lost = true;
-    links.since = BootClock::now();
-    links.goodRounds = 0;
+    recordLoss(links, BootClock::now());
     recheckHeldEngines(node, service);
     node.reportDue.notifyAll();
     spawn(node, "probe targets", probeLoop(node, service));
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -9,9 +9,9 @@
 
 /**
  * Detects that this VM has lost its links to the targets of a service while other VMs reach them.
- * The evidence is this VM's own connection attempts, calls that wait in vain on open connections,
- * and the usage that other VMs report; see serving/TargetLinks.h. Probes decide, as open
- * connections may survive a network outage and targets may be slow.
+ * The evidence is this VM's own exchanges that end without an answer, calls that wait in vain on
+ * open connections, and the usage that other VMs report; see serving/TargetLinks.h. Probes decide,
+ * as open connections may survive a network outage and targets may be slow; see LinkProbe.h.
  */
 
 /** A target, and the service that it belongs to. */
@@ -21,10 +21,10 @@
     std::string service;
 };
 
-/** Records that a connection to the target failed, or was closed because it was silent. */
+/** Records that an exchange with the target ended before the target had begun to answer. */
 void recordLinkFailure(GatewayNode &node, const std::string &target);
 
-/** Records that the target accepted a connection. */
+/** Records that the target answered on a new connection; to accept one proves nothing. */
 void recordLinkSuccess(GatewayNode &node, const std::string &target);
 
 /** Records that a call begins to wait for a target's answer, or no longer does. */
@@ -45,7 +45,7 @@
 /** Reachable VMs of the zone, except `excluded`, that have not lost their links to engines. */
 int linkedVms(const GatewayNode &node, const Endpoint &excluded);
 
-/** True if this VM recently failed to connect to the target, while other VMs reach it. */
+/** True if this VM recently got no answer of the target, while other VMs reach it. */
 bool isOwnLinkFault(const GatewayNode &node, const std::string &target, Instant now);
 
 /**
--- a/libs/gateway/src/LostCalls.cpp
+++ b/libs/gateway/src/LostCalls.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "HarmfulCallTracking.h"
+#include "LinkProbe.h"
 #include "LinkWatch.h"
 #include "observe/Events.h"
 
@@ -14,7 +15,7 @@
 /** When a target ends, all its calls break off together; the probe waits for all of them. */
 constexpr Duration lossBatchDelay = std::chrono::milliseconds(20);
 
-/** Connecting within a deployment takes a few ms. */
+/** An answer within a deployment takes a few ms, unless its target is busy. */
 constexpr Duration probeTimeout = std::chrono::milliseconds(250);
 
 /** By then, probes of other targets that lost calls at the same time are done. */
@@ -102,29 +103,26 @@
         recordEnd(node, target, firstLoss, 0, EndSeenBy::RefusedConnection);
 }
 
-asio::awaitable<void> probeTarget(GatewayNode &node, std::string target, Endpoint endpoint)
+asio::awaitable<void> probeAfterLoss(GatewayNode &node, TargetEntry entry)
 {
+    const std::string target = entry.id;
     const Instant firstLoss = BootClock::now() - lossBatchDelay;
     co_await pauseFor(node, lossBatchDelay);
-    ConnectResult result = co_await connectTo(node.context, endpoint, probeTimeout);
+    const ProbeOutcome probe = co_await probeTarget(node, entry, probeTimeout);
     const auto found = node.targets.find(target);
     if (found == node.targets.end())
         co_return;
-    TargetRuntime &runtime = *found->second;
-    if (result.connection)
+    if (probe.result == ProbeResult::Answered)
         recordLinkSuccess(node, target);
-    else
+    else if (probe.result != ProbeResult::Silent)
         recordLinkFailure(node, target);
-    if (result.error == asio::error::connection_refused) {
+    if (probe.error == asio::error::connection_refused) {
         co_await handleRefusedConnection(node, target, firstLoss);
         co_return;
     }
-    runtime.lost.checking = false;
     // Other outcomes prove nothing: the link may be the cause of silence, and a connection may have
     // been accepted by a proxy or by a target that restarted at once. Then the list will show it.
-    // The connection is kept for the next call.
-    if (result.connection)
-        giveBack(runtime.pool, std::move(result.connection), Duration::zero(), BootClock::now());
+    found->second->lost.checking = false;
 }
 
 } // namespace
@@ -160,7 +158,7 @@
         return;
     }
     lost.checking = true;
-    spawn(node, "probe a target after a lost call", probeTarget(node, target, entry->endpoint));
+    spawn(node, "probe a target after a lost call", probeAfterLoss(node, *entry));
 }
 
 void recordEndByList(GatewayNode &node, const std::string &target, std::int64_t nextStartTime)
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -1,7 +1,5 @@
 #include "TargetExchange.h"
 
-#include <charconv>
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -60,22 +58,6 @@
         });
 }
 
-Duration keepAliveOf(const ResponseHead &head)
-{
-    const auto found = head.find(http::field::keep_alive);
-    if (found == head.end())
-        return Duration::zero();
-    const std::string_view value(found->value().data(), found->value().size());
-    constexpr std::string_view timeout = "timeout=";
-    const std::size_t at = value.find(timeout);
-    if (at == std::string_view::npos)
-        return Duration::zero();
-    int seconds = 0;
-    const std::string_view digits = value.substr(at + timeout.size());
-    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    return std::chrono::seconds(seconds);
-}
-
 } // namespace
 
 TargetExchange::TargetExchange(GatewayNode &node, const TargetEntry &target, std::string attemptId)
@@ -105,7 +87,7 @@
         closeConnection(*this->link);
         return;
     }
-    const Duration keepAlive = keepAliveOf(this->parser->get());
+    const Duration keepAlive = announcedKeepAlive(this->parser->get());
     giveBack(this->pool(), this->link, keepAlive, BootClock::now());
 }
 
@@ -125,6 +107,11 @@
     this->unusable = true;
 }
 
+bool TargetExchange::isAnswered() const noexcept
+{
+    return this->answerMetadata.fromTarget;
+}
+
 const boost::system::error_code &TargetExchange::error() const noexcept
 {
     return this->lastError;
@@ -170,8 +157,7 @@
             co_await connectTo(this->node.context, this->endpoint, connectTimeout);
         this->link = std::move(result.connection);
         this->lastError = result.error;
-        if (this->link && !this->target.id.empty())
-            recordLinkSuccess(this->node, this->target.id);
+        this->newLink = this->link != nullptr;
     }
     if (this->link)
         recordCarried(*this->link, this->attemptId);
@@ -186,11 +172,14 @@
 
 void TargetExchange::recordHeard()
 {
-    if (!this->awaiting)
+    if (!this->awaiting || !this->isAnswered())
         return;
     monsoonbay::recordHeard(this->node, this->target);
-    if (!this->target.id.empty())
-        recordSignOfLife(this->node, this->target.id);
+    if (this->target.id.empty())
+        return;
+    if (std::exchange(this->newLink, false))
+        recordLinkSuccess(this->node, this->target.id);
+    recordSignOfLife(this->node, this->target.id);
 }
 
 asio::awaitable<bool> TargetExchange::send(std::shared_ptr<TargetRequest> request)
@@ -298,9 +287,9 @@
     const boost::system::error_code noAnswer = checkAnswerHead(this->head());
     if (noAnswer)
         co_return this->fail(noAnswer);
-    this->recordHeard();
     this->answerMetadata =
         this->node.platform->readAnswerMetadata(this->status(), this->parser->get());
+    this->recordHeard();
     co_return true;
 }
 
--- a/libs/gateway/src/TargetExchange.h
+++ b/libs/gateway/src/TargetExchange.h
@@ -59,6 +59,9 @@
     /** Takes an idle connection or makes one; false if the target cannot be reached. */
     asio::awaitable<bool> connect();
 
+    /** True once the target itself has begun to answer, rather than something on the way. */
+    bool isAnswered() const noexcept;
+
     /** Why the last connect, send or read that failed did so; no error if none has. */
     const boost::system::error_code &error() const noexcept;
 
@@ -121,6 +124,7 @@
     Endpoint endpoint;
     std::string attemptId;
     TargetConnectionPtr link;
+    bool newLink = false; ///< it was made for this exchange, and nothing has arrived on it
     std::shared_ptr<RequestWrite> written = std::make_shared<RequestWrite>();
     std::shared_ptr<TargetRequest> offered;
     std::optional<Serializer> rest; ///< of the offered request
--- a/libs/gateway/src/TargetPool.cpp
+++ b/libs/gateway/src/TargetPool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -17,6 +18,7 @@
 namespace {
 
 using tcp = asio::ip::tcp;
+namespace http = boost::beast::http;
 
 constexpr auto nothrowAwaitable = asio::as_tuple(asio::use_awaitable);
 
@@ -95,6 +97,22 @@
         pool.idle.pop_front();
 }
 
+Duration announcedKeepAlive(const http::response_header<> &head)
+{
+    const auto found = head.find(http::field::keep_alive);
+    if (found == head.end())
+        return Duration::zero();
+    const std::string_view value(found->value().data(), found->value().size());
+    constexpr std::string_view timeout = "timeout=";
+    const std::size_t at = value.find(timeout);
+    if (at == std::string_view::npos)
+        return Duration::zero();
+    int seconds = 0;
+    const std::string_view digits = value.substr(at + timeout.size());
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
 asio::awaitable<ConnectResult> connectTo(asio::io_context &context, Endpoint endpoint,
                                          Duration timeout)
 {
--- a/libs/gateway/src/TargetPool.h
+++ b/libs/gateway/src/TargetPool.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
 
 #include "config/Settings.h"
 #include "core/Time.h"
@@ -55,6 +56,9 @@
 /** Keeps a connection for the next call; `keepAlive` is the target's own timeout, or zero. */
 void giveBack(TargetPool &pool, TargetConnectionPtr connection, Duration keepAlive, Instant now);
 
+/** The time for which the target says that it keeps an idle connection; zero: it doesn't say. */
+Duration announcedKeepAlive(const boost::beast::http::response_header<> &head);
+
 /** Result of an attempt to connect. */
 struct ConnectResult
 {
--- a/libs/serving/include/serving/CallMetadata.h
+++ b/libs/serving/include/serving/CallMetadata.h
@@ -56,6 +56,7 @@
 struct AnswerMetadata
 {
     std::string attemptId; ///< the attempt that it answers; empty: not given
+    bool fromTarget = false; ///< it bears a mark of a target, so nothing else on the way sent it
     bool authentic = false; ///< it carries the target's seal, and its body was not re-encoded
     bool notRun = false; ///< the target has not run the call
     bool misdirected = false; ///< another target has the address, or this one lacks the adapter
--- a/libs/serving/include/serving/TargetLinks.h
+++ b/libs/serving/include/serving/TargetLinks.h
@@ -6,11 +6,11 @@
 
 namespace monsoonbay {
 
-/** Latest results of connections from this VM to one target. */
+/** Latest results of exchanges of this VM with one target. */
 struct LinkObservation
 {
-    Instant failedAt{}; ///< last failed connect or broken connection; zero: never
-    Instant reachedAt{}; ///< last accepted connection; zero: never
+    Instant failedAt{}; ///< last one that ended without an answer of the target; zero: never
+    Instant reachedAt{}; ///< last answer on a new connection; zero: never
 
     auto operator<=>(const LinkObservation &) const = default;
 };
@@ -71,6 +71,8 @@
     bool checking = false; ///< probes are running because the links seem lost
     Instant checkedAt{}; ///< when the last check started
     int goodRounds = 0; ///< consecutive successful rounds of probes
+    Instant backAt{}; ///< when they last recovered; zero: never
+    int roundsToRecover = 0; ///< consecutive successful rounds that end the loss
 
     auto operator<=>(const ServiceLinks &) const = default;
 };
@@ -79,15 +81,22 @@
 struct ProbeRound
 {
     int tried = 0;
-    int reached = 0;
+    int reached = 0; ///< answered by their targets
+    int silent = 0; ///< accepted, and not answered in time
 
     auto operator<=>(const ProbeRound &) const = default;
 };
 
+/** What probes that are not answered in time say about links. */
+enum class Silence : std::uint8_t { ProvesNothing, IsLoss };
+
 /** True if probes reach none, or hardly any, of the targets that other VMs reach. */
-bool confirmsLoss(const ProbeRound &round) noexcept;
+bool confirmsLoss(const ProbeRound &round, Silence silence) noexcept;
+
+/** Marks the links as lost. */
+void recordLoss(ServiceLinks &links, Instant now) noexcept;
 
 /** Applies a round of probes while the links are lost. True if the links have recovered by it. */
-bool recordProbes(ServiceLinks &links, const ProbeRound &round) noexcept;
+bool recordProbes(ServiceLinks &links, const ProbeRound &round, Instant now) noexcept;
 
 } // namespace monsoonbay
--- a/libs/serving/src/TargetLinks.cpp
+++ b/libs/serving/src/TargetLinks.cpp
@@ -20,6 +20,9 @@
 
 /** With an intermittent partition, calls must not change their path at every change of it. */
 constexpr int goodRoundsToRecover = 2;
+constexpr int maxRoundsToRecover = 16;
+/** Links that are lost again within this time count as intermittent. */
+constexpr Duration intermittentWithin = std::chrono::seconds(10);
 
 } // namespace
 
@@ -74,19 +77,31 @@
     return suspect >= enough && suspect >= failedPerReached * (counts.reached + counts.heard);
 }
 
-bool confirmsLoss(const ProbeRound &round) noexcept
+bool confirmsLoss(const ProbeRound &round, Silence silence) noexcept
 {
-    const int failed = round.tried - round.reached;
+    const int doubtful = silence == Silence::ProvesNothing ? round.silent : 0;
+    const int failed = round.tried - round.reached - doubtful;
     return failed > 0 && failed >= failedPerReached * round.reached;
 }
 
-bool recordProbes(ServiceLinks &links, const ProbeRound &round) noexcept
+void recordLoss(ServiceLinks &links, Instant now) noexcept
+{
+    const bool intermittent = links.backAt != Instant{} && now - links.backAt < intermittentWithin;
+    links.lost = true;
+    links.since = now;
+    links.goodRounds = 0;
+    links.roundsToRecover = intermittent ? std::min(2 * links.roundsToRecover, maxRoundsToRecover)
+                                         : goodRoundsToRecover;
+}
+
+bool recordProbes(ServiceLinks &links, const ProbeRound &round, Instant now) noexcept
 {
     const bool good = round.reached * 2 > round.tried;
     links.goodRounds = good ? links.goodRounds + 1 : 0;
-    if (!links.lost || links.goodRounds < goodRoundsToRecover)
+    if (!links.lost || links.goodRounds < links.roundsToRecover)
         return false;
     links.lost = false;
+    links.backAt = now;
     return true;
 }
 
--- a/libs/serving/tests/Links.cpp
+++ b/libs/serving/tests/Links.cpp
@@ -41,9 +41,9 @@
     cr_assert(!linksSeemLost(counts(12, 1, 0)));
     cr_assert(!linksSeemLost(counts(12, 6, 3)));
     cr_assert(!linksSeemLost(counts(90, 30, 8)));
-    cr_assert(!confirmsLoss({6, 2}));
-    cr_assert(!confirmsLoss({3, 1}));
-    cr_assert(!confirmsLoss({0, 0}), "no VM reaches them");
+    cr_assert(!confirmsLoss({6, 2}, Silence::IsLoss));
+    cr_assert(!confirmsLoss({3, 1}, Silence::IsLoss));
+    cr_assert(!confirmsLoss({0, 0}, Silence::IsLoss), "no VM reaches them");
 }
 
 Test(links, losing_all_or_nearly_all_targets_is_detected)
@@ -53,9 +53,9 @@
     cr_assert(linksSeemLost(counts(3, 2, 0)));
     cr_assert(linksSeemLost(counts(1, 1, 0)));
     cr_assert(!linksSeemLost(counts(0, 0, 0)));
-    cr_assert(confirmsLoss({6, 1}));
-    cr_assert(confirmsLoss({3, 0}));
-    cr_assert(confirmsLoss({1, 0}));
+    cr_assert(confirmsLoss({6, 1}, Silence::IsLoss));
+    cr_assert(confirmsLoss({3, 0}, Silence::IsLoss));
+    cr_assert(confirmsLoss({1, 0}, Silence::IsLoss));
     LinkCounts otherService = counts(3, 1, 0);
     cr_assert(!linksSeemLost(otherService));
     otherService.otherServiceLost = true;
@@ -66,12 +66,38 @@
 Test(links, links_recover_after_two_good_rounds)
 {
     ServiceLinks links;
-    links.lost = true;
-    cr_assert(!recordProbes(links, {3, 3}));
-    cr_assert(!recordProbes(links, {3, 1}));
-    cr_assert(!recordProbes(links, {0, 0}));
-    cr_assert(!recordProbes(links, {3, 2}));
+    recordLoss(links, start);
+    cr_assert(!recordProbes(links, {3, 3}, start));
+    cr_assert(!recordProbes(links, {3, 1}, start));
+    cr_assert(!recordProbes(links, {0, 0}, start));
+    cr_assert(!recordProbes(links, {3, 2}, start));
     cr_assert(links.lost);
-    cr_assert(recordProbes(links, {3, 3}));
+    cr_assert(recordProbes(links, {3, 3}, start));
     cr_assert(!links.lost);
 }
+
+// Guards against calls that are lost at each turn of a cut that comes and goes.
+Test(links, links_that_are_soon_lost_again_recover_later)
+{
+    ServiceLinks links;
+    const auto roundsToRecover = [&links](Instant lostAt) {
+        recordLoss(links, lostAt);
+        int rounds = 1;
+        while (!recordProbes(links, {3, 3}, lostAt + 1s))
+            ++rounds;
+        return rounds;
+    };
+    cr_assert_eq(roundsToRecover(start), 2);
+    cr_assert_eq(roundsToRecover(start + 3s), 4);
+    cr_assert_eq(roundsToRecover(start + 6s), 8);
+    cr_assert_eq(roundsToRecover(start + 60s), 2, "a cut of its own");
+}
+
+// Guards against VMs that forward all calls while targets are busy for all of them.
+Test(links, silent_probes_prove_nothing_while_some_calls_are_answered)
+{
+    cr_assert(confirmsLoss({3, 0, 3}, Silence::IsLoss));
+    cr_assert(!confirmsLoss({3, 0, 3}, Silence::ProvesNothing));
+    cr_assert(!confirmsLoss({6, 1, 4}, Silence::ProvesNothing));
+    cr_assert(confirmsLoss({6, 0, 1}, Silence::ProvesNothing), "five ended without an answer");
+}
