Links: an engine that does not answer for its state counts as a failed link

What callers saw: in a cut that resets connections, streams at the VMs that are cut off were bounced from engine to engine without an error, 40 to 90 times a second, and refused with 'no engine has room'; three quarters of all calls. Cause: before a stream goes to an engine whose connection was lost, the engine is asked for its start. No answer was handled as an engine that may have restarted: no failure of the link, so that no check began, and no step towards another VM. The same for the reports that a lease holder reads. Change: no answer and a newer start are told apart; no answer is recorded as an engine that is not reached.

--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -227,8 +227,12 @@
         }
         this->sentAt = BootClock::now();
         this->call.connection = exchange.connection();
-        const bool known = co_await confirmTargetStart(this->call, target);
-        if (!known || checkCancelled(this->call))
+        const TargetStart start = co_await confirmTargetStart(this->call, target);
+        if (checkCancelled(this->call))
+            co_return AttemptResult::Unreachable;
+        if (start == TargetStart::Unanswered)
+            this->recordUnreachable(target);
+        if (start != TargetStart::Confirmed)
             co_return AttemptResult::Unreachable;
         std::optional<LocalReply> keyRefusal = recheckKey(this->call);
         if (keyRefusal) {
--- a/libs/gateway/src/EngineCommands.cpp
+++ b/libs/gateway/src/EngineCommands.cpp
@@ -101,6 +101,8 @@
     const std::string service = entry->service;
     const auto report = co_await node.platform->report(node.http, address, reportTimeout);
     held.commandInFlight = false;
+    if (!report)
+        recordLinkFailure(node, target);
     held.unreachable = !report && areLinksLost(node, service);
     if (report)
         recordStartTime(node, target, report->startTime);
--- a/libs/gateway/src/StreamResuming.cpp
+++ b/libs/gateway/src/StreamResuming.cpp
@@ -382,7 +382,7 @@
         std::erase_if(targets, [&](const TargetRecord *record) { return !settled(record); });
 }
 
-asio::awaitable<bool> confirmTargetStart(ActiveCall &call, const TargetEntry &target)
+asio::awaitable<TargetStart> confirmTargetStart(ActiveCall &call, const TargetEntry &target)
 {
     GatewayNode &node = call.node;
     const ServiceSpec *service = call.routes->findService(call.service);
@@ -390,14 +390,16 @@
     const TargetRuntime &runtime = runtimeOf(node, target.id);
     const bool mayHaveRestarted = call.origin || runtime.pool.lostAt > runtime.startConfirmedAt;
     if (!mayBeResumed || target.startTime == 0 || !mayHaveRestarted)
-        co_return true;
+        co_return TargetStart::Confirmed;
     const Instant asked = BootClock::now();
     const EngineAddress address{target.id, target.endpoint};
     const auto report = co_await node.platform->report(node.http, address, askTimeout);
-    if (!report || recordStartTime(node, target.id, report->startTime) == StartOrder::Newer)
-        co_return false;
+    if (!report)
+        co_return TargetStart::Unanswered;
+    if (recordStartTime(node, target.id, report->startTime) == StartOrder::Newer)
+        co_return TargetStart::Newer;
     runtimeOf(node, target.id).startConfirmedAt = asked;
-    co_return true;
+    co_return TargetStart::Confirmed;
 }
 
 asio::awaitable<void> streamOriginLoop(GatewayNode &node)
--- a/libs/gateway/src/StreamResuming.h
+++ b/libs/gateway/src/StreamResuming.h
@@ -30,12 +30,17 @@
  */
 void keepCompatibleTargets(ActiveCall &call, std::vector<const TargetRecord *> &targets);
 
+enum class TargetStart : std::uint8_t {
+    Confirmed,
+    Newer, ///< it may have restarted as another version since its entry was read
+    Unanswered, ///< the engine does not say
+};
+
 /**
- * False if the engine may have restarted as another version since its entry was read. It is asked
- * for its start before a stream continues there, or begins there after a connection was lost; calls
- * that nobody can resume do not wait for that.
+ * Asks the engine for its start before a stream continues there, or begins there after a connection
+ * was lost; calls that nobody can resume do not wait for that.
  */
-asio::awaitable<bool> confirmTargetStart(ActiveCall &call, const TargetEntry &target);
+asio::awaitable<TargetStart> confirmTargetStart(ActiveCall &call, const TargetEntry &target);
 
 /** Call when a configuration is put in force: calls of a changed route may go to other services. */
 void watchRoutes(GatewayNode &node, bool isFirstConfig);
