Links: calls that wait when the links turn out to be lost are sent elsewhere, if they may run twice

What callers saw: in a cut that accepts connections and says nothing, all calls of the first second waited for their deadline and got 504, also those that may run twice, though their VM knew after about a second that it reached no target. Cause: the verdict on the links changed nothing for calls that had been sent before it. Change: calls of routes that may repeat, whose target has sent nothing since, are broken off by the verdict; what follows is a usual retry, from the retry budget, at another VM. Others wait on, as they may have run. What a call loses after the verdict is recorded neither against its target nor against the call.

--- a/libs/gateway/src/CallServing.cpp
+++ b/libs/gateway/src/CallServing.cpp
@@ -250,7 +250,12 @@
         if (mayHaveRunBefore)
             chargeQuotaAgain(this->call);
         ++this->call.runsStarted;
+        std::optional<RepeatableWait> repeatable;
+        if (mayRetry(*this->call.route) && this->call.runsStarted < this->call.route->maxAttempts)
+            repeatable.emplace(this->node, TargetName{target.id, target.service},
+                               exchange.connection());
         const bool headReceived = co_await exchange.send(requestFor(this->call, metadata));
+        repeatable.reset();
         this->sendError = exchange.error();
         if (!headReceived) {
             recordArrival(this->call);
@@ -302,8 +307,11 @@
     {
         if (!exchange.isAnswered())
             recordLinkFailure(this->node, target.id);
-        recordResult(this->call, target, SendOutcome::Broken);
         runtimeOf(this->node, target.id).pool.lostAt = BootClock::now();
+        // What is lost with this VM's own links says nothing about the target and the call.
+        if (isObservationDoubtful(this->node, target.id))
+            return;
+        recordResult(this->call, target, SendOutcome::Broken);
         recordLostCall(this->call, target.id, this->sentAt);
     }
 
--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -86,6 +86,14 @@
     auto operator<=>(const LostCalls &) const = default;
 };
 
+/** A connection on which a call waits that may be sent again. */
+struct RepeatableCall
+{
+    std::string target;
+    std::weak_ptr<TargetConnection> connection;
+    Instant since{}; ///< when it was sent
+};
+
 using AwaitedTargets = std::unordered_map<std::string, AwaitedAnswers>; ///< by target
 
 /** This VM's own state of one target, apart from the target's entry in the platform's list. */
@@ -333,6 +341,9 @@
     std::unordered_map<std::string, RetryQueue> retryQueues; ///< by service; outlives it likewise
     /** Outlives the coroutines of the connections, which end with the context. */
     CallerConnections callerConnections;
+    // By service; calls that end with the context still change them.
+    std::unordered_map<std::string, AwaitedTargets> awaitedAnswers;
+    std::unordered_map<std::string, std::list<RepeatableCall>> repeatableCalls;
     asio::io_context context;
     std::optional<asio::thread_pool> decoding; ///< one more thread, for large documents
     HttpClient http;
@@ -363,7 +374,6 @@
 
     ResumeState resuming;
     std::unordered_map<std::string, ServiceLinks> serviceLinks; ///< by service
-    std::unordered_map<std::string, AwaitedTargets> awaitedAnswers; ///< by service
     std::map<Endpoint, ForwardPeer> forwardPeers; ///< by their address for forwarded calls
 
     std::map<Endpoint, PeerState> peers;
--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "LinkProbe.h"
+#include "TargetPool.h"
 #include "ZonePeers.h"
 #include "observe/Events.h"
 
@@ -176,6 +177,17 @@
     }
 }
 
+/** Breaks off calls that wait for targets which have sent nothing since. */
+void breakOffRepeatableCalls(GatewayNode &node, const std::string &service)
+{
+    for (const RepeatableCall &call : node.repeatableCalls[service]) {
+        const TargetConnectionPtr connection = call.connection.lock();
+        const bool heard = awaitedAnswersOf(node, service, call.target).heardAt >= call.since;
+        if (connection && !heard)
+            closeConnection(*connection);
+    }
+}
+
 /** Probes targets to find out whether links that seem to be lost really are. */
 asio::awaitable<void> checkLinks(GatewayNode &node, std::string service);
 
@@ -215,6 +227,7 @@
         co_return;
     recordLoss(links, BootClock::now());
     recheckHeldEngines(node, service);
+    breakOffRepeatableCalls(node, service);
     node.reportDue.notifyAll();
     spawn(node, "probe targets", probeLoop(node, service));
     // A network outage seldom affects one service alone, and the others may have few calls.
@@ -272,6 +285,17 @@
     node.awaitedAnswers[target.service][target.id].heardAt = BootClock::now();
 }
 
+RepeatableWait::RepeatableWait(GatewayNode &node, const TargetName &target,
+                               const TargetConnectionPtr &connection)
+    : calls(node.repeatableCalls[target.service])
+    , call(this->calls.insert(this->calls.end(), {target.id, connection, BootClock::now()}))
+{ }
+
+RepeatableWait::~RepeatableWait()
+{
+    this->calls.erase(this->call);
+}
+
 asio::awaitable<void> watchLinksLoop(GatewayNode &node)
 {
     while (!node.stopped) {
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -34,6 +34,25 @@
 /** Records that a part of an answer was received from the target. */
 void recordHeard(GatewayNode &node, const TargetName &target);
 
+/**
+ * While it lives, the call that waits on the connection is broken off if the links of this VM turn
+ * out to be lost and its target has sent nothing since: the call can be sent again elsewhere.
+ */
+class RepeatableWait
+{
+public:
+    RepeatableWait(GatewayNode &node, const TargetName &target,
+                   const TargetConnectionPtr &connection);
+    ~RepeatableWait();
+
+    RepeatableWait(const RepeatableWait &) = delete;
+    RepeatableWait &operator=(const RepeatableWait &) = delete;
+
+private:
+    std::list<RepeatableCall> &calls;
+    std::list<RepeatableCall>::iterator call;
+};
+
 /** Watches for services from which nothing is received while calls wait. */
 asio::awaitable<void> watchLinksLoop(GatewayNode &node);
 
