Links: a VM remembers for 3 s what others reach when its relay changes

Cause: the VM that was stopped was its relay. With the relay goes all that a VM knows of what others get of the targets (othersGood 0 in each call-bounced from then on), and without that knowledge lost links look like targets that are down for all. Class: knowledge dropped together with its messenger. Change: what was known at the change counts for 3 s more, and only for this question; further changes do not prolong it. The unit test fails without the memory by construction: with the relay's news gone no target is known to be reached by others.

--- a/libs/gateway/src/GatewayNode.h
+++ b/libs/gateway/src/GatewayNode.h
@@ -300,6 +300,13 @@
     int reachableVms = 1; ///< reachable VMs, including this one and those it reports for
 };
 
+/** What was known of other VMs' usage before the relay changed. */
+struct FormerUsage
+{
+    TargetUsages targets;
+    Instant at{}; ///< of that change; zero: there was none
+};
+
 /** The relay from which this VM has received the whole target list, and now applies changes. */
 struct ListSource
 {
@@ -374,6 +381,7 @@
 
     ResumeState resuming;
     std::unordered_map<std::string, ServiceLinks> serviceLinks; ///< by service
+    FormerUsage formerUsage;
     std::map<Endpoint, ForwardPeer> forwardPeers; ///< by their address for forwarded calls
 
     std::map<Endpoint, PeerState> peers;
--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -16,6 +16,9 @@
 constexpr Duration probeTimeout = std::chrono::milliseconds(250);
 constexpr std::size_t maxConcurrentProbes = 6;
 
+/** When its relay changes, a VM knows nothing of what others reach until it hears of them again. */
+constexpr Duration memoryOfOthers = std::chrono::milliseconds(3000);
+
 /** Minimum interval between checks, as targets may be down for all VMs. */
 constexpr Duration checkInterval = std::chrono::milliseconds(1000);
 
@@ -29,7 +32,13 @@
 // those VMs may be cut off as well.
 bool othersReach(const GatewayNode &node, const std::string &target)
 {
-    return othersUsageAt(node, target).successes > 0;
+    if (othersUsageAt(node, target).successes > 0)
+        return true;
+    const FormerUsage &former = node.formerUsage;
+    if (former.at == Instant{} || BootClock::now() - former.at > memoryOfOthers)
+        return false;
+    const auto found = former.targets.find(target);
+    return found != former.targets.end() && found->second.successes > 0;
 }
 
 AwaitedAnswers awaitedAnswersOf(const GatewayNode &node, const std::string &service,
@@ -255,6 +264,19 @@
 
 } // namespace
 
+// Several changes in quick succession do not prolong the memory of the first.
+void rememberUsageOfOthers(GatewayNode &node)
+{
+    const Instant now = BootClock::now();
+    FormerUsage &former = node.formerUsage;
+    if (former.at == Instant{} || now - former.at > memoryOfOthers) {
+        former.targets.clear();
+        former.at = now;
+    }
+    addUsages(former.targets, node.reported.total);
+    addUsages(former.targets, node.relayState.others);
+}
+
 void recordLinkFailure(GatewayNode &node, const std::string &target)
 {
     const Instant now = BootClock::now();
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -21,6 +21,9 @@
     std::string service;
 };
 
+/** Call before what is known of other VMs' usage is dropped because the relay changes. */
+void rememberUsageOfOthers(GatewayNode &node);
+
 /** Records that an exchange with the target ended before the target had begun to answer. */
 void recordLinkFailure(GatewayNode &node, const std::string &target);
 
--- a/libs/gateway/src/PeerExchange.cpp
+++ b/libs/gateway/src/PeerExchange.cpp
@@ -417,6 +417,8 @@
     node.mayHoldLease = node.mayHoldLease || digest.may_hold();
     if (!digest.carries_use())
         return;
+    if (node.relayState.relay != endpoint)
+        rememberUsageOfOthers(node);
     node.relayState.relay = endpoint;
     node.relayState.at = now;
     node.relayState.vms = static_cast<int>(digest.vms());
--- a/libs/gateway/src/RelayLoops.cpp
+++ b/libs/gateway/src/RelayLoops.cpp
@@ -4,6 +4,7 @@
 
 #include "FirstStart.h"
 #include "FleetCount.h"
+#include "LinkWatch.h"
 #include "PeerExchange.h"
 #include "SharedEngines.h"
 #include "ZonePeers.h"
@@ -48,6 +49,7 @@
 {
     if (node.relaying == relaying)
         return;
+    rememberUsageOfOthers(node);
     node.relaying = relaying;
     node.listSource = ListSource();
     if (!relaying)
@@ -58,6 +60,14 @@
 
 namespace {
 
+void forgetRelay(GatewayNode &node)
+{
+    if (node.relayState.at == Instant{})
+        return;
+    rememberUsageOfOthers(node);
+    node.relayState = RelayState();
+}
+
 Duration reportInterval(const GatewayNode &node)
 {
     return std::max(minReportInterval, reportIntervalPerZonePeer * countZonePeers(node));
@@ -139,7 +149,7 @@
         setRelaying(node, isRelay(self, isStarting(node), zone.candidates));
         const auto relayIndex = chooseUpstream(self, isStarting(node), zone.candidates);
         if (!relayIndex) {
-            node.relayState = RelayState();
+            forgetRelay(node);
             const bool listSettled = !mayBeFirstStart(node) || now - node.bootedAt > 2 * listWait;
             node.mayHoldLease = node.mayHoldLease || listSettled;
         } else if (!zone.peers[*relayIndex]->exchangeRunning) {
@@ -214,7 +224,7 @@
             addPeer(node, seed, SharedVm());
         dropSilent(node.reported, reporterTimeout, now);
         if (node.relayState.at != Instant{} && now - node.relayState.at > reporterTimeout)
-            node.relayState = RelayState();
+            forgetRelay(node);
         markSilentHolders(node, now);
         updateLiveGateways(node, now);
         recountVms(node, now);
--- a/libs/gateway/tests/LinkWatches.cpp
+++ b/libs/gateway/tests/LinkWatches.cpp
@@ -5,6 +5,7 @@
 #include "LinkWatch.h"
 #include "LostCalls.h"
 #include "PeerExchange.h"
+#include "RelayLoops.h"
 
 #include <criterion/criterion.h>
 
@@ -96,6 +97,23 @@
     cr_assert(areLinksLost(node, "engines"));
 }
 
+// Guards against a VM that forgets, when its relay changes, that others reach the targets, and so
+// takes its lost links for ended targets.
+Test(link_watch, lost_links_are_detected_after_the_relay_has_changed)
+{
+    for (const bool relayChanges : {true, false}) {
+        GatewayNode node((GatewaySettings()));
+        listTargets(node, 5, 30);
+        if (relayChanges)
+            setRelaying(node, true);
+        node.relayState.others.clear();
+        recordLinkFailure(node, "t0");
+        recordLinkFailure(node, "t1");
+        node.context.run_for(50ms);
+        cr_assert_eq(areLinksLost(node, "engines"), relayChanges);
+    }
+}
+
 // Guards against checks of healthy links whenever some targets are slow.
 Test(link_watch, slow_targets_beside_one_that_answers_are_not_checked)
 {
