--- a/libs/observe/src/Events.cpp
+++ b/libs/observe/src/Events.cpp
@@ -231,9 +231,9 @@
     EventRow{
         EventId::LinksLost, "links-lost", EventLevel::Warning,
         "this VM does not reach the targets of a service that other VMs reach; its calls are "
-        "forwarded to other VMs; of `listed` targets, connects to `failed` had failed, calls "
-        "waited in vain at `silent` and had just received something from `heard` when the links "
-        "were checked",
+        "forwarded to other VMs; of `listed` targets, `failed` had not answered a connect or a "
+        "request, calls waited in vain at `silent` and had just received something from `heard`; "
+        "of `probed` targets, `reached` answered and `silentProbes` said nothing in time",
         "check the links between this VM and the targets"},
     EventRow{EventId::LinksFound, "links-found", EventLevel::Info,
              "the links to a service seemed lost and probes did not confirm it; fields as in "
