Lost calls: a refused connection into a zone that is cut off is no end of its target

Cause: a refused connection after a lost call counted as the end of the target. The check for lost links looks at all targets of a service, and those of other zones still answer. Change: before the end is recorded, up to three other targets of that zone, of any service, are asked. If none can be connected to, the way is taken to be cut, and only a new start time in the list shows an end.

--- a/libs/gateway/src/LostCalls.cpp
+++ b/libs/gateway/src/LostCalls.cpp
@@ -21,6 +21,9 @@
 /** By then, probes of other targets that lost calls at the same time are done. */
 constexpr Duration otherProbesWait = std::chrono::milliseconds(150);
 
+/** Other targets of a zone that are asked whether this VM reaches the zone at all. */
+constexpr std::size_t maxZoneProbes = 3;
+
 /** The list shows a restart, or that the target is gone, within a few renewals of its entry. */
 constexpr Duration maxListDelay = std::chrono::seconds(10);
 
@@ -83,15 +86,49 @@
     recordTargetEnd(node, evidence);
 }
 
+/** Other targets of the same zone, of any service; a random sample. */
+std::vector<TargetEntry> sampleZoneOf(GatewayNode &node, const TargetEntry &target)
+{
+    std::vector<TargetEntry> others;
+    for (const auto &[id, record] : node.targetTable.records) {
+        if (record.entry.zone == target.zone && id != target.id && mayTakeWork(record))
+            others.push_back(record.entry);
+    }
+    std::vector<TargetEntry> chosen;
+    std::sample(others.begin(), others.end(), std::back_inserter(chosen), maxZoneProbes,
+                node.random);
+    return chosen;
+}
+
+/**
+ * True if this VM connects to no other target of that zone either: then the way to the zone is cut,
+ * and resets on the way look like targets that refuse connections.
+ */
+asio::awaitable<bool> isZoneCutOff(GatewayNode &node, TargetEntry target)
+{
+    if (target.zone.empty() || target.zone == node.settings.zone)
+        co_return false;
+    const std::vector<TargetEntry> others = sampleZoneOf(node, target);
+    for (const TargetEntry &other : others) {
+        const ProbeOutcome probe = co_await probeTarget(node, other, probeTimeout);
+        if (probe.result != ProbeResult::Unreachable)
+            co_return false;
+    }
+    co_return !others.empty();
+}
+
 /**
  * Handles a target that refused a connection after calls were lost there. To a VM that has lost its
  * links, all targets seem to end at once, so this waits for the probes of the others. Calls that
- * were lost because of the links are no evidence.
+ * were lost because of the links are no evidence. If their zone is cut off, a new start time in the
+ * list may still show that they are.
  */
-asio::awaitable<void> handleRefusedConnection(GatewayNode &node, std::string target,
+asio::awaitable<void> handleRefusedConnection(GatewayNode &node, TargetEntry entry,
                                               Instant firstLoss)
 {
+    const std::string target = entry.id;
     co_await pauseFor(node, otherProbesWait);
+    const bool cutOff = co_await isZoneCutOff(node, entry);
     const auto found = node.targets.find(target);
     if (found == node.targets.end())
         co_return;
@@ -99,7 +136,7 @@
     lost.checking = false;
     if (isObservationDoubtful(node, target))
         lost.calls.clear();
-    else
+    else if (!cutOff)
         recordEnd(node, target, firstLoss, 0, EndSeenBy::RefusedConnection);
 }
 
@@ -117,7 +154,7 @@
     else if (probe.result != ProbeResult::Silent)
         recordLinkFailure(node, target);
     if (probe.error == asio::error::connection_refused) {
-        co_await handleRefusedConnection(node, target, firstLoss);
+        co_await handleRefusedConnection(node, entry, firstLoss);
         co_return;
     }
     // Other outcomes prove nothing: the link may be the cause of silence, and a connection may have
--- a/libs/gateway/tests/LinkWatches.cpp
+++ b/libs/gateway/tests/LinkWatches.cpp
@@ -167,6 +167,42 @@
 
 namespace {
 
+/** Ends that a VM of zone-a reports after it lost a call at a target of zone-b that refuses. */
+std::size_t reportedEndsBehind(bool zoneReached)
+{
+    GatewaySettings settings;
+    settings.zone = "zone-a";
+    GatewayNode node(settings);
+    asio::ip::tcp::acceptor reachedTarget(node.context, {asio::ip::address_v4::loopback(), 0});
+    listTargets(node, 2, 0);
+    for (auto &[id, record] : node.targetTable.records)
+        record.entry.zone = "zone-b";
+    TargetEntry other;
+    other.id = "other";
+    other.service = "bookings";
+    other.zone = "zone-b";
+    other.endpoint = {"127.0.0.1", 1};
+    if (zoneReached)
+        other.endpoint.port = reachedTarget.local_endpoint().port();
+    recordListed(node.targetTable, other);
+    boost::beast::tcp_stream caller(node.context);
+    ActiveCall call(node, caller, HttpRequest());
+    recordLostCall(call, "t0", BootClock::now());
+    node.context.run_for(1s);
+    return node.shared.evidence.all().size();
+}
+
+} // namespace
+
+// Guards against healthy calls that all VMs refuse as harmful while a zone is cut off by resets.
+Test(link_watch, calls_lost_with_the_way_to_a_zone_are_no_evidence)
+{
+    cr_assert_eq(reportedEndsBehind(false), 0);
+    cr_assert_eq(reportedEndsBehind(true), 1, "the target ended, and the zone is reached");
+}
+
+namespace {
+
 /** A VM of zone-a that lost its links to engines some time ago. */
 struct HolderWithoutLinks
 {
