Links: the probes of all VMs together do not occupy a service's targets

Cause: probes ask for answers now, and a health check waits for a slot as a call does. Each VM that lost its links sent up to six each 0.3 s, however many VMs and however few targets: 840 VMs at twelve targets would send each some 1,400 a second. Change: rounds and their size follow from the VMs that are alive and the targets that are listed: at most 50 a second at one target, for as long as rounds are no more than 3 s apart. A dozen VMs at three targets and more probe as before. Measured: the unit test holds the sizes (7 VMs: 6 each 0.3 s, as before; 840 VMs at twelve targets: 2 each 2.8 s).

--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -11,10 +11,8 @@
 
 namespace {
 
-constexpr Duration probeInterval = std::chrono::milliseconds(300);
 constexpr Duration watchInterval = std::chrono::milliseconds(250);
 constexpr Duration probeTimeout = std::chrono::milliseconds(250);
-constexpr std::size_t maxConcurrentProbes = 6;
 
 /** When its relay changes, a VM knows nothing of what others reach until it hears of them again. */
 constexpr Duration memoryOfOthers = std::chrono::milliseconds(3000);
@@ -96,9 +94,9 @@
         std::erase_if(listed, [&](const TargetRecord *record) {
             return !othersReach(node, record->entry.id);
         });
+    const std::size_t probes = planProbes(liveGateways(node), listed.size()).targets;
     std::vector<const TargetRecord *> chosen;
-    std::sample(listed.begin(), listed.end(), std::back_inserter(chosen), maxConcurrentProbes,
-                node.random);
+    std::sample(listed.begin(), listed.end(), std::back_inserter(chosen), probes, node.random);
     std::vector<TargetEntry> entries;
     for (const TargetRecord *record : chosen)
         entries.push_back(record->entry);
@@ -170,7 +168,8 @@
 asio::awaitable<void> probeLoop(GatewayNode &node, std::string service)
 {
     while (!node.stopped && areLinksLost(node, service)) {
-        co_await pauseFor(node, probeInterval);
+        const std::size_t listed = targetsOf(node, service).size();
+        co_await pauseFor(node, planProbes(liveGateways(node), listed).interval);
         std::vector<TargetEntry> targets = sampleTargets(node, service, true);
         if (targets.empty())
             targets = sampleTargets(node, service, false);
--- a/libs/serving/include/serving/TargetLinks.h
+++ b/libs/serving/include/serving/TargetLinks.h
@@ -77,6 +77,18 @@
     auto operator<=>(const ServiceLinks &) const = default;
 };
 
+/** How a VM probes the targets of a service. */
+struct ProbePlan
+{
+    std::size_t targets = 0; ///< most targets of one round
+    Duration interval{}; ///< between rounds
+
+    auto operator<=>(const ProbePlan &) const = default;
+};
+
+/** Many VMs may lose their links at once; together they must not occupy the targets. */
+ProbePlan planProbes(int vms, std::size_t listed) noexcept;
+
 /** Result of one round of probes. */
 struct ProbeRound
 {
--- a/libs/serving/src/TargetLinks.cpp
+++ b/libs/serving/src/TargetLinks.cpp
@@ -21,6 +21,14 @@
 /** With an intermittent partition, calls must not change their path at every change of it. */
 constexpr int goodRoundsToRecover = 2;
 constexpr int maxRoundsToRecover = 16;
+constexpr std::size_t maxProbes = 6;
+/** In large fleets: one target may have ended. */
+constexpr std::size_t minProbes = 2;
+constexpr Duration minProbeInterval = std::chrono::milliseconds(300);
+constexpr Duration maxProbeInterval = std::chrono::milliseconds(3000);
+/** Of all VMs together, at one target. */
+constexpr double probesPerSecond = 50;
+
 /** Links that are lost again within this time count as intermittent. */
 constexpr Duration intermittentWithin = std::chrono::seconds(10);
 
@@ -84,6 +92,19 @@
     return failed > 0 && failed >= failedPerReached * round.reached;
 }
 
+ProbePlan planProbes(int vms, std::size_t listed) noexcept
+{
+    const auto intervalWith = [&](std::size_t probes) {
+        const auto eachTarget = static_cast<double>(vms) * static_cast<double>(probes)
+            / static_cast<double>(std::max<std::size_t>(listed, 1));
+        return fromSeconds(eachTarget / probesPerSecond);
+    };
+    const std::size_t most = std::min(maxProbes, listed);
+    const std::size_t probes =
+        intervalWith(most) <= minProbeInterval ? most : std::min(minProbes, listed);
+    return {probes, std::clamp(intervalWith(probes), minProbeInterval, maxProbeInterval)};
+}
+
 void recordLoss(ServiceLinks &links, Instant now) noexcept
 {
     const bool intermittent = links.backAt != Instant{} && now - links.backAt < intermittentWithin;
--- a/libs/serving/tests/Links.cpp
+++ b/libs/serving/tests/Links.cpp
@@ -93,6 +93,16 @@
     cr_assert_eq(roundsToRecover(start + 60s), 2, "a cut of its own");
 }
 
+// Guards against probes of hundreds of VMs that occupy a service with few targets.
+Test(links, probes_of_all_vms_together_do_not_occupy_targets)
+{
+    cr_assert_eq(planProbes(7, 9), (ProbePlan{6, 300ms}));
+    cr_assert_eq(planProbes(7, 3), (ProbePlan{3, 300ms}));
+    cr_assert_eq(planProbes(840, 12000), (ProbePlan{6, 300ms}));
+    cr_assert_eq(planProbes(840, 12), (ProbePlan{2, 2800ms}));
+    cr_assert_eq(planProbes(7, 0).targets, 0);
+}
+
 // Guards against VMs that forward all calls while targets are busy for all of them.
 Test(links, silent_probes_prove_nothing_while_some_calls_are_answered)
 {
