Links: a VM that reaches some targets serves itself if no other VM takes its calls

Cause: the VM still reaches the third of the targets that is in its zone, but a sample of six of nine held one of them by chance, and that counts as lost. Its mates are cut off as well, and nobody else can be asked. Change: a round that speaks for a loss and yet reached a target is followed by one of the other targets. A VM that has lost its links but reaches some targets goes on by itself for a second when no other VM took a call. Evidence: forwarded_calls/a_vm_that_reaches_some_targets..., which fails without the change by construction (Refused).

--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -14,6 +14,9 @@
 constexpr Duration watchInterval = std::chrono::milliseconds(250);
 constexpr Duration probeTimeout = std::chrono::milliseconds(250);
 
+/** VMs that are cut off from each other as well ask again after this time. */
+constexpr Duration noPeerValidity = std::chrono::milliseconds(1000);
+
 /** When its relay changes, a VM knows nothing of what others reach until it hears of them again. */
 constexpr Duration memoryOfOthers = std::chrono::milliseconds(3000);
 
@@ -87,7 +90,7 @@
 
 /** A random sample of the service's targets; with `othersReachThem`, of those that others reach. */
 std::vector<TargetEntry> sampleTargets(GatewayNode &node, const std::string &service,
-                                       bool othersReachThem)
+                                       bool othersReachThem, std::size_t rounds = 1)
 {
     std::vector<const TargetRecord *> listed = targetsOf(node, service);
     if (othersReachThem)
@@ -95,11 +98,12 @@
             return !othersReach(node, record->entry.id);
         });
     const std::size_t probes = planProbes(liveGateways(node), listed.size()).targets;
-    std::vector<const TargetRecord *> chosen;
-    std::sample(listed.begin(), listed.end(), std::back_inserter(chosen), probes, node.random);
+    std::shuffle(listed.begin(), listed.end(), node.random);
     std::vector<TargetEntry> entries;
-    for (const TargetRecord *record : chosen)
-        entries.push_back(record->entry);
+    for (const TargetRecord *record : listed) {
+        if (entries.size() < rounds * probes)
+            entries.push_back(record->entry);
+    }
     return entries;
 }
 
@@ -175,6 +179,7 @@
             targets = sampleTargets(node, service, false);
         const ProbeRound round = co_await probeAll(node, std::move(targets));
         ServiceLinks &links = node.serviceLinks[service];
+        links.partlyReached = round.reached > 0;
         if (!recordProbes(links, round, BootClock::now()))
             continue;
         resetObservations(node, service);
@@ -196,6 +201,23 @@
     }
 }
 
+/** A second round if the first is good for a loss and yet reached a target, maybe by chance. */
+asio::awaitable<ProbeRound> probeForLoss(GatewayNode &node, std::string service)
+{
+    std::vector<TargetEntry> targets = sampleTargets(node, service, true, 2);
+    const std::size_t first =
+        std::min(targets.size(), planProbes(liveGateways(node), targets.size()).targets);
+    const auto middle = targets.begin() + static_cast<std::ptrdiff_t>(first);
+    ProbeRound round = co_await probeAll(node, {targets.begin(), middle});
+    if (round.reached == 0 || !confirmsLoss(round, Silence::IsLoss))
+        co_return round;
+    const ProbeRound others = co_await probeAll(node, {middle, targets.end()});
+    round.tried += others.tried;
+    round.reached += others.reached;
+    round.silent += others.silent;
+    co_return round;
+}
+
 /** Probes targets to find out whether links that seem to be lost really are. */
 asio::awaitable<void> checkLinks(GatewayNode &node, std::string service);
 
@@ -214,8 +236,7 @@
 asio::awaitable<void> checkLinks(GatewayNode &node, std::string service)
 {
     const LinkCounts counts = countLinks(node, service, BootClock::now());
-    std::vector<TargetEntry> targets = sampleTargets(node, service, true);
-    const ProbeRound round = co_await probeAll(node, std::move(targets));
+    const ProbeRound round = co_await probeForLoss(node, service);
     ServiceLinks &links = node.serviceLinks[service];
     links.checking = false;
     // A target that is busy for all VMs lets probes wait as long as calls, but some calls answer.
@@ -234,6 +255,7 @@
     if (!lost)
         co_return;
     recordLoss(links, BootClock::now());
+    links.partlyReached = round.reached > 0;
     recheckHeldEngines(node, service);
     breakOffRepeatableCalls(node, service);
     node.reportDue.notifyAll();
@@ -336,6 +358,18 @@
     }
 }
 
+bool shouldServeItself(const GatewayNode &node, const std::string &service)
+{
+    const auto found = node.serviceLinks.find(service);
+    return found != node.serviceLinks.end() && found->second.partlyReached
+        && BootClock::now() < found->second.noPeerUntil;
+}
+
+void recordNoPeer(GatewayNode &node, const std::string &service)
+{
+    node.serviceLinks[service].noPeerUntil = BootClock::now() + noPeerValidity;
+}
+
 bool areLinksLost(const GatewayNode &node, const std::string &service)
 {
     const auto found = node.serviceLinks.find(service);
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -59,6 +59,13 @@
 /** Watches for services from which nothing is received while calls wait. */
 asio::awaitable<void> watchLinksLoop(GatewayNode &node);
 
+/**
+ * True if no other VM took the service's calls a moment ago and some targets are reached: then this
+ * VM serves what it can, although most of its links are lost.
+ */
+bool shouldServeItself(const GatewayNode &node, const std::string &service);
+void recordNoPeer(GatewayNode &node, const std::string &service);
+
 bool areLinksLost(const GatewayNode &node, const std::string &service);
 
 /** When the links to engines were lost; nothing: they are not lost. */
--- a/libs/gateway/src/PeerForwarding.cpp
+++ b/libs/gateway/src/PeerForwarding.cpp
@@ -230,7 +230,7 @@
     if (call.forwarded || !call.node.settings.forwards)
         return false;
     if (areLinksLost(call.node, call.service))
-        return true;
+        return !shouldServeItself(call.node, call.service);
     return call.unreachableHere >= minUnreachable && !call.noPeerAccepts;
 }
 
@@ -272,8 +272,10 @@
     }
     call.noPeerAccepts = true;
     node.metrics.add(Counter::ForwardsUnplaced);
-    co_return areLinksLost(node, call.service) ? AttemptResult::Refused
-                                               : AttemptResult::Unreachable;
+    recordNoPeer(node, call.service);
+    const bool reachesNone =
+        areLinksLost(node, call.service) && !shouldServeItself(node, call.service);
+    co_return reachesNone ? AttemptResult::Refused : AttemptResult::Unreachable;
 }
 
 ForwardRefusal admitForwarded(const GatewayNode &node,
--- a/libs/gateway/tests/ForwardedCalls.cpp
+++ b/libs/gateway/tests/ForwardedCalls.cpp
@@ -1,3 +1,4 @@
+#include "CallAnswer.h"
 #include "ForwardedCall.h"
 #include "GatewayNode.h"
 #include "PeerForwarding.h"
@@ -107,3 +108,50 @@
     node.callsEndBy = BootClock::now() + std::chrono::seconds(60);
     cr_assert_eq(admitForwarded(node, call), ForwardRefusal::None);
 }
+
+namespace {
+
+asio::awaitable<void> offerToPeers(ActiveCall &call, AttemptResult &result)
+{
+    CallAnswer answer(call);
+    result = co_await forwardCall(call, answer);
+}
+
+struct OfferedCall
+{
+    AttemptResult end = AttemptResult::Done;
+    bool nextIsOffered = false; ///< the next call of the service is offered as well
+};
+
+/** A call of a VM that has lost most of its links, and that knows no other VM. */
+OfferedCall offerWithoutPeers(bool partlyReached)
+{
+    GatewaySettings settings;
+    settings.forwards = Endpoint{"127.0.0.1", 1};
+    GatewayNode node(settings);
+    recordLoss(node.serviceLinks["engines"], BootClock::now());
+    node.serviceLinks["engines"].partlyReached = partlyReached;
+    boost::beast::tcp_stream caller(node.context);
+    ActiveCall call(node, caller, HttpRequest());
+    call.service = "engines";
+    cr_assert(shouldForwardToPeer(call));
+    OfferedCall result;
+    spawn(node, "offer", offerToPeers(call, result.end));
+    node.context.run_for(std::chrono::milliseconds(100));
+    result.nextIsOffered = shouldForwardToPeer(call);
+    return result;
+}
+
+} // namespace
+
+// Guards against VMs of a zone that is cut off, and that therefore lack most targets, which refuse
+// their calls although they reach those of their own zone.
+Test(forwarded_calls, a_vm_that_reaches_some_targets_serves_itself_if_nobody_else_does)
+{
+    const OfferedCall some = offerWithoutPeers(true);
+    cr_assert_eq(some.end, AttemptResult::Unreachable, "it goes on here");
+    cr_assert(!some.nextIsOffered);
+    const OfferedCall none = offerWithoutPeers(false);
+    cr_assert_eq(none.end, AttemptResult::Refused);
+    cr_assert(none.nextIsOffered);
+}
--- a/libs/serving/include/serving/TargetLinks.h
+++ b/libs/serving/include/serving/TargetLinks.h
@@ -70,6 +70,8 @@
     Instant since{}; ///< when they were last lost
     bool checking = false; ///< probes are running because the links seem lost
     Instant checkedAt{}; ///< when the last check started
+    bool partlyReached = false; ///< the latest probes reached some targets
+    Instant noPeerUntil{}; ///< until then, no other VM is expected to take calls
     int goodRounds = 0; ///< consecutive successful rounds of probes
     Instant backAt{}; ///< when they last recovered; zero: never
     int roundsToRecover = 0; ///< consecutive successful rounds that end the loss
