Links: the size of a round follows from all listed targets; probes, timers and samples read more simply

Found on reading the change. Change: a sample holds its two rounds. Three copies of the timer that closes a connection are one (closeOnExpiry); the probe's exchange is a function of its own. At sites with up to twelve targets a round is as before.

--- a/libs/gateway/src/LinkProbe.cpp
+++ b/libs/gateway/src/LinkProbe.cpp
@@ -32,13 +32,9 @@
 }
 
 /** True if the target itself has answered. */
-asio::awaitable<bool> exchange(GatewayNode &node, TargetConnection &connection, std::string path,
-                               Answer &answer)
+asio::awaitable<bool> exchange(GatewayNode &node, TargetConnection &connection,
+                               const http::request<http::empty_body> &request, Answer &answer)
 {
-    http::request<http::empty_body> request(http::verb::get, path, 11);
-    boost::system::error_code noAddress; // the connection may have ended
-    const auto remote = connection.socket.remote_endpoint(noAddress);
-    request.set(http::field::host, Endpoint{remote.address().to_string(), remote.port()}.text());
     auto [writeError, written] =
         co_await http::async_write(connection.socket, request, nothrowAwaitable);
     if (writeError)
@@ -52,6 +48,20 @@
     co_return node.platform->isTargetAnswer(answer.get(), answer.get().body());
 }
 
+/** As exchange(), until the time is over. */
+asio::awaitable<ProbeResult> exchangeInTime(GatewayNode &node, TargetConnectionPtr connection,
+                                            const http::request<http::empty_body> &request,
+                                            Duration timeout, Answer &answer)
+{
+    asio::steady_timer limit(node.context, timeout);
+    closeOnExpiry(limit, connection);
+    const bool answered = co_await exchange(node, *connection, request, answer);
+    limit.cancel();
+    if (answered)
+        co_return ProbeResult::Answered;
+    co_return connection->socket.is_open() ? ProbeResult::Unanswered : ProbeResult::Silent;
+}
+
 } // namespace
 
 asio::awaitable<ProbeOutcome> probeTarget(GatewayNode &node, TargetEntry target, Duration timeout)
@@ -64,25 +74,16 @@
     const std::string path = probePathOf(node, target.service);
     Duration keepAlive = Duration::zero();
     if (!path.empty()) {
-        asio::steady_timer limit(node.context, end - BootClock::now());
-        limit.async_wait(
-            [weak = std::weak_ptr<TargetConnection>(connection)](boost::system::error_code error) {
-                const TargetConnectionPtr late = weak.lock();
-                if (!error && late)
-                    closeConnection(*late);
-            });
+        http::request<http::empty_body> request(http::verb::get, path, 11);
+        request.set(http::field::host, target.endpoint.text());
         Answer answer;
-        const bool answered = co_await exchange(node, *connection, path, answer);
-        limit.cancel();
-        const bool inTime = connection->socket.is_open();
-        if (!answered) {
-            closeConnection(*connection);
-            co_return ProbeOutcome{inTime ? ProbeResult::Unanswered : ProbeResult::Silent, {}};
-        }
-        const bool reusable = inTime && answer.keep_alive() && connection->buffer.size() == 0;
+        const ProbeResult result =
+            co_await exchangeInTime(node, connection, request, end - BootClock::now(), answer);
+        const bool reusable = result == ProbeResult::Answered && answer.keep_alive()
+            && connection->buffer.size() == 0 && connection->socket.is_open();
         if (!reusable) {
             closeConnection(*connection);
-            co_return ProbeOutcome{ProbeResult::Answered, {}};
+            co_return ProbeOutcome{result, {}};
         }
         keepAlive = announcedKeepAlive(answer.get());
     }
--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -88,23 +88,34 @@
                        [now](const auto &entry) { return isHeard(entry.second, now); });
 }
 
-/** A random sample of the service's targets; with `othersReachThem`, of those that others reach. */
-std::vector<TargetEntry> sampleTargets(GatewayNode &node, const std::string &service,
-                                       bool othersReachThem, std::size_t rounds = 1)
-{
-    std::vector<const TargetRecord *> listed = targetsOf(node, service);
-    if (othersReachThem)
-        std::erase_if(listed, [&](const TargetRecord *record) {
-            return !othersReach(node, record->entry.id);
-        });
-    const std::size_t probes = planProbes(liveGateways(node), listed.size()).targets;
-    std::shuffle(listed.begin(), listed.end(), node.random);
-    std::vector<TargetEntry> entries;
-    for (const TargetRecord *record : listed) {
-        if (entries.size() < rounds * probes)
-            entries.push_back(record->entry);
+/** Targets to probe, drawn at random. */
+struct ProbeSample
+{
+    std::vector<TargetEntry> first;
+    std::vector<TargetEntry> second; ///< others, for a further round of the same size
+};
+
+ProbeSample drawSample(GatewayNode &node, std::vector<const TargetRecord *> targets)
+{
+    const std::size_t size = planProbes(liveGateways(node), targets.size()).targets;
+    std::shuffle(targets.begin(), targets.end(), node.random);
+    ProbeSample sample;
+    for (const TargetRecord *target : targets) {
+        if (sample.second.size() >= size)
+            break;
+        (sample.first.size() < size ? sample.first : sample.second).push_back(target->entry);
     }
-    return entries;
+    return sample;
+}
+
+std::vector<const TargetRecord *> targetsThatOthersReach(const GatewayNode &node,
+                                                         const std::string &service)
+{
+    std::vector<const TargetRecord *> targets = targetsOf(node, service);
+    std::erase_if(targets, [&node](const TargetRecord *target) {
+        return !othersReach(node, target->entry.id);
+    });
+    return targets;
 }
 
 /** A round of concurrent probes. */
@@ -174,10 +185,10 @@
     while (!node.stopped && areLinksLost(node, service)) {
         const std::size_t listed = targetsOf(node, service).size();
         co_await pauseFor(node, planProbes(liveGateways(node), listed).interval);
-        std::vector<TargetEntry> targets = sampleTargets(node, service, true);
+        std::vector<const TargetRecord *> targets = targetsThatOthersReach(node, service);
         if (targets.empty())
-            targets = sampleTargets(node, service, false);
-        const ProbeRound round = co_await probeAll(node, std::move(targets));
+            targets = targetsOf(node, service);
+        const ProbeRound round = co_await probeAll(node, drawSample(node, targets).first);
         ServiceLinks &links = node.serviceLinks[service];
         links.partlyReached = round.reached > 0;
         if (!recordProbes(links, round, BootClock::now()))
@@ -201,21 +212,17 @@
     }
 }
 
-/** A second round if the first is good for a loss and yet reached a target, maybe by chance. */
+// A VM of a zone that is cut off reaches the targets of its zone, and one round may hit few of
+// them.
 asio::awaitable<ProbeRound> probeForLoss(GatewayNode &node, std::string service)
 {
-    std::vector<TargetEntry> targets = sampleTargets(node, service, true, 2);
-    const std::size_t first =
-        std::min(targets.size(), planProbes(liveGateways(node), targets.size()).targets);
-    const auto middle = targets.begin() + static_cast<std::ptrdiff_t>(first);
-    ProbeRound round = co_await probeAll(node, {targets.begin(), middle});
-    if (round.reached == 0 || !confirmsLoss(round, Silence::IsLoss))
-        co_return round;
-    const ProbeRound others = co_await probeAll(node, {middle, targets.end()});
-    round.tried += others.tried;
-    round.reached += others.reached;
-    round.silent += others.silent;
-    co_return round;
+    const ProbeSample sample = drawSample(node, targetsThatOthersReach(node, service));
+    const ProbeRound first = co_await probeAll(node, sample.first);
+    if (first.reached == 0 || !confirmsLoss(first, Silence::IsLoss))
+        co_return first;
+    const ProbeRound second = co_await probeAll(node, sample.second);
+    co_return ProbeRound{first.tried + second.tried, first.reached + second.reached,
+                         first.silent + second.silent};
 }
 
 /** Probes targets to find out whether links that seem to be lost really are. */
--- a/libs/gateway/src/TargetExchange.cpp
+++ b/libs/gateway/src/TargetExchange.cpp
@@ -48,16 +48,6 @@
     written->ended = true;
 }
 
-void closeOnExpiry(asio::steady_timer &limit, const TargetConnectionPtr &link)
-{
-    limit.async_wait(
-        [weak = std::weak_ptr<TargetConnection>(link)](boost::system::error_code cancelled) {
-            const TargetConnectionPtr connection = weak.lock();
-            if (!cancelled && connection)
-                closeConnection(*connection);
-        });
-}
-
 } // namespace
 
 TargetExchange::TargetExchange(GatewayNode &node, const TargetEntry &target, std::string attemptId)
--- a/libs/gateway/src/TargetPool.cpp
+++ b/libs/gateway/src/TargetPool.cpp
@@ -8,7 +8,6 @@
 #include <sys/socket.h>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/Ids.h"
@@ -113,17 +112,22 @@
     return std::chrono::seconds(seconds);
 }
 
+void closeOnExpiry(asio::steady_timer &limit, const TargetConnectionPtr &connection)
+{
+    limit.async_wait(
+        [weak = std::weak_ptr<TargetConnection>(connection)](boost::system::error_code cancelled) {
+            const TargetConnectionPtr late = weak.lock();
+            if (!cancelled && late)
+                closeConnection(*late);
+        });
+}
+
 asio::awaitable<ConnectResult> connectTo(asio::io_context &context, Endpoint endpoint,
                                          Duration timeout)
 {
     auto connection = std::make_shared<TargetConnection>(context);
     asio::steady_timer limit(context, timeout);
-    limit.async_wait(
-        [weak = std::weak_ptr<TargetConnection>(connection)](boost::system::error_code cancelled) {
-            const TargetConnectionPtr timedOut = weak.lock();
-            if (!cancelled && timedOut)
-                closeConnection(*timedOut);
-        });
+    closeOnExpiry(limit, connection);
     const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
     auto [error] = co_await connection->socket.async_connect(address, nothrowAwaitable);
     limit.cancel();
--- a/libs/gateway/src/TargetPool.h
+++ b/libs/gateway/src/TargetPool.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 
@@ -70,6 +71,9 @@
 asio::awaitable<ConnectResult> connectTo(asio::io_context &context, Endpoint endpoint,
                                          Duration timeout);
 
+/** Closes the connection when the timer expires; a cancelled timer does nothing. */
+void closeOnExpiry(asio::steady_timer &limit, const TargetConnectionPtr &connection);
+
 /** Resets the connection and discards what waits to be sent; pending operations end with an error.
  */
 void closeConnection(TargetConnection &connection);
