--- a/libs/gateway/src/LinkWatch.cpp
+++ b/libs/gateway/src/LinkWatch.cpp
@@ -14,10 +14,10 @@
 constexpr Duration watchInterval = std::chrono::milliseconds(250);
 constexpr Duration probeTimeout = std::chrono::milliseconds(250);
 
-/** VMs that are cut off from each other as well ask again after this time. */
+/** How long no further calls are offered to other VMs after none accepted one. */
 constexpr Duration noPeerValidity = std::chrono::milliseconds(1000);
 
-/** When its relay changes, a VM knows nothing of what others reach until it hears of them again. */
+/** How long usage that was reported before a change of the relay counts for the check of links. */
 constexpr Duration memoryOfOthers = std::chrono::milliseconds(3000);
 
 /** Minimum interval between checks, as targets may be down for all VMs. */
--- a/libs/gateway/src/LinkWatch.h
+++ b/libs/gateway/src/LinkWatch.h
@@ -60,10 +60,12 @@
 asio::awaitable<void> watchLinksLoop(GatewayNode &node);
 
 /**
- * True if no other VM took the service's calls a moment ago and some targets are reached: then this
- * VM serves what it can, although most of its links are lost.
+ * True if calls of a service whose links are lost are sent to its targets all the same: the latest
+ * probes reached some of them, and no other VM has just accepted a call.
  */
 bool shouldServeItself(const GatewayNode &node, const std::string &service);
+
+/** Records that no other VM accepted a call of the service. */
 void recordNoPeer(GatewayNode &node, const std::string &service);
 
 bool areLinksLost(const GatewayNode &node, const std::string &service);
--- a/libs/serving/src/TargetLinks.cpp
+++ b/libs/serving/src/TargetLinks.cpp
@@ -21,6 +21,9 @@
 /** With an intermittent partition, calls must not change their path at every change of it. */
 constexpr int goodRoundsToRecover = 2;
 constexpr int maxRoundsToRecover = 16;
+/** Links that are lost again within this time count as intermittent. */
+constexpr Duration intermittentWithin = std::chrono::seconds(10);
+
 constexpr std::size_t maxProbes = 6;
 /** In large fleets: one target may have ended. */
 constexpr std::size_t minProbes = 2;
@@ -29,9 +32,6 @@
 /** Of all VMs together, at one target. */
 constexpr double probesPerSecond = 50;
 
-/** Links that are lost again within this time count as intermittent. */
-constexpr Duration intermittentWithin = std::chrono::seconds(10);
-
 } // namespace
 
 LinkState linkState(const LinkObservation &observation, Instant now) noexcept
